--- /dev/null
+++ b/pkg/board/reason.go
@@ -0,0 +1,40 @@
+package board
+
+// Reason says why a call was not run or why its outcome is unknown. It is
+// told to the caller and logged.
+type Reason string
+
+// Reasons of calls that were not run.
+const (
+	ReasonMalformed        Reason = "malformed-request"
+	ReasonNoRoute          Reason = "no-route"
+	ReasonRetired          Reason = "retired"
+	ReasonQuarantined      Reason = "quarantined"
+	ReasonNoServer         Reason = "no-server"
+	ReasonDraining         Reason = "draining"
+	ReasonNoBackend        Reason = "backend-server-down"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonShed             Reason = "shed-by-priority"
+	ReasonUnreachable      Reason = "executor-unreachable"
+	ReasonBudget           Reason = "attempt-budget-spent"
+	ReasonDeadlineNotRun   Reason = "deadline-before-start"
+	ReasonKeyInProgress    Reason = "key-in-progress"
+	ReasonKeyConflict      Reason = "key-used-for-another-request"
+	ReasonKeyInFuture      Reason = "key-time-in-future"
+	ReasonKeyMemory        Reason = "key-memory-full"
+	ReasonHomeUnavailable  Reason = "key-home-unavailable"
+	ReasonStaleEpoch       Reason = "stale-epoch"
+	ReasonWrongIncarnation Reason = "wrong-incarnation"
+	ReasonSealed           Reason = "grant-sealed"
+	ReasonStopping         Reason = "node-stopping"
+)
+
+// Reasons of calls whose outcome is unknown.
+const (
+	ReasonKeyExpired       Reason = "key-expired"
+	ReasonDeadlineExceeded Reason = "deadline-exceeded"
+	ReasonConnectionLost   Reason = "connection-lost"
+	ReasonExecutorLost     Reason = "executor-lost"
+	ReasonResponseCut      Reason = "response-incomplete"
+	ReasonCanceled         Reason = "canceled-by-caller"
+)
