Carry calls from end to end between separate processes

Controllers write Local, Members, Load, Pickers and Config; the stand-ins take the place of the store and of backend servers.

Not built yet: the key protocol, limits, retries by budget, failure detection.

--- /dev/null
+++ b/cmd/mangostandd/main.go
@@ -0,0 +1,63 @@
+// Command mangostandd is the node: it runs beside one backend server and
+// carries calls between callers and backend servers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"mangostand.example/mangostand/pkg/logging"
+	"mangostand.example/mangostand/pkg/node"
+	"mangostand.example/mangostand/pkg/settings"
+)
+
+// version is set at build time.
+var version = "development"
+
+// Exit statuses.
+const (
+	exitFailure     = 1
+	exitBadSettings = 2
+)
+
+func main() {
+	file := "mangostandd.ini"
+	flaggy.SetName("mangostandd")
+	flaggy.SetDescription("mangostand node: runs beside one backend server and carries calls")
+	flaggy.SetVersion(version)
+	flaggy.String(&file, "s", "settings", "settings file of the node (INI)")
+	flaggy.Parse()
+	os.Exit(run(file))
+}
+
+func run(file string) int {
+	s, problems := settings.Load(file)
+	if len(problems) > 0 {
+		for _, p := range problems {
+			fmt.Fprintln(os.Stderr, p)
+		}
+		return exitBadSettings
+	}
+	log := logging.New(os.Stderr, s.Instance)
+	if err := logging.SetLevel(s.LogLevel); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	n, err := node.New(s, log)
+	if err != nil {
+		log.Error().Err(err).Msg("node cannot start")
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := n.Run(ctx); err != nil {
+		log.Error().Err(err).Msg("node failed")
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/backend/trace.go
@@ -0,0 +1,19 @@
+package backend
+
+import (
+	"context"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// connectionTrace records whether a request got a connection, after which the
+// backend server may have seen it.
+type connectionTrace struct {
+	obtained atomic.Bool
+}
+
+func (t *connectionTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { t.obtained.Store(true) },
+	})
+}
--- /dev/null
+++ b/pkg/call/entry.go
@@ -0,0 +1,112 @@
+package call
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/peer"
+)
+
+// Entry carries the calls of callers to executors. Any goroutine may use it.
+type Entry struct {
+	Board *board.Board
+	Peers *peer.Transport
+	// Local is the executor of this node; calls to it skip the network.
+	Local *Executor
+	Log   zerolog.Logger
+}
+
+// Serve carries one call and returns its result. The result's body, when there
+// is one, must be closed.
+func (e *Entry) Serve(ctx context.Context, req *Request) *Result {
+	config := e.Board.Config.Load()
+	route, refusal := routeOf(config, req)
+	if refusal != "" {
+		return e.finish(nil, req, NotRun(refusal), config)
+	}
+	applyRoute(req, route, time.Now())
+	record := &board.RequestRecord{ID: req.ID, Service: req.Service, Caller: req.Caller, Started: time.Now()}
+	e.Board.Requests.Add(record)
+	defer e.Board.Requests.Remove(record)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	var result *Result
+	if route.IsIdempotent(req.Method) {
+		result = e.serveIdempotent(ctx, req, route, record)
+	} else {
+		result = e.serveOnce(ctx, req, route, record)
+	}
+	result.Body = cancelOnClose(result.Body, cancel)
+	return e.finish(record, req, result, config)
+}
+
+// routeOf finds the route of a request, or the reason to refuse it.
+func routeOf(config *dynconf.Config, req *Request) (*dynconf.Route, board.Reason) {
+	service := config.Services[req.Service]
+	if service == nil {
+		return nil, board.ReasonNoRoute
+	}
+	if service.Retired {
+		return nil, board.ReasonRetired
+	}
+	route := service.Match(req.Method, req.Path)
+	if route == nil {
+		return nil, board.ReasonNoRoute
+	}
+	if route.Retired {
+		return nil, board.ReasonRetired
+	}
+	if req.Depth > MaxDepth {
+		return nil, board.ReasonMalformed
+	}
+	return route, ""
+}
+
+// applyRoute fills in what the caller left open.
+func applyRoute(req *Request, route *dynconf.Route, now time.Time) {
+	if req.Deadline.IsZero() {
+		req.Deadline = now.Add(route.Deadline)
+	}
+	if !req.PrioritySet {
+		req.Priority = route.Priority
+	}
+}
+
+func (e *Entry) finish(record *board.RequestRecord, req *Request, result *Result, config *dynconf.Config) *Result {
+	result.ConfigVersion = config.Version
+	started := time.Time{}
+	if record != nil {
+		record.Finish(result.Outcome)
+		started = record.Started
+	}
+	event := e.Log.Debug()
+	if result.Outcome == board.OutcomeUnknown {
+		event = e.Log.Warn()
+	}
+	event.Str("request_id", req.ID).Str("service", req.Service).Str("caller", req.Caller).
+		Str("backend_server", string(result.Instance)).Int("attempt", result.Attempts).
+		Str("outcome", result.Outcome.String()).Str("reason", string(result.Reason)).
+		Int("status", result.Status).Uint64("config_version", config.Version).
+		Dur("elapsed_ms", elapsedSince(started)).Msg("call finished")
+	return result
+}
+
+func elapsedSince(started time.Time) time.Duration {
+	if started.IsZero() {
+		return 0
+	}
+	return time.Since(started)
+}
+
+// pick chooses an executor for an attempt, or nil when there is none.
+func (e *Entry) pick(service string, exclude []board.InstanceID) *board.Cell {
+	picker := e.Board.Pickers.Load().ByService[service]
+	if picker == nil {
+		return nil
+	}
+	return picker.Pick(&board.PickRequest{Now: time.Now(), Random: rand.Uint64(), Exclude: exclude})
+}
--- /dev/null
+++ b/pkg/call/executor.go
@@ -0,0 +1,161 @@
+package call
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/backend"
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/peer"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// Executor runs calls on the local backend server. Any goroutine may use it.
+type Executor struct {
+	Instance    board.InstanceID
+	Incarnation uint64
+	Board       *board.Board
+	Backend     *backend.Client
+	Log         zerolog.Logger
+
+	inFlight atomic.Int64
+}
+
+// InFlight returns the calls that run on the backend server now.
+func (x *Executor) InFlight() int64 { return x.inFlight.Load() }
+
+// Load returns the load report that rides on each answer.
+func (x *Executor) Load() board.LoadReport {
+	local := x.Board.Local.Load()
+	return board.LoadReport{
+		InFlight: uint32(max(0, x.inFlight.Load())),
+		Limit:    local.Slots,
+		Draining: local.Draining,
+	}
+}
+
+// HandleCall answers a call from another node.
+func (x *Executor) HandleCall(ctx context.Context, frame wire.Frame, stream *peer.Stream) error {
+	var message wire.Call
+	if err := frame.Decode(&message); err != nil {
+		return errors.Trace(err)
+	}
+	result := x.Serve(ctx, &message)
+	head := encodeResponse(&message, result, x)
+	if err := wire.WriteMessage(stream, wire.TypeCallResponse, head); err != nil {
+		closeBody(result.Body)
+		return errors.Trace(err)
+	}
+	if result.Body == nil {
+		return nil
+	}
+	_, err := io.Copy(stream, result.Body)
+	if closeErr := result.Body.Close(); err == nil {
+		err = closeErr
+	}
+	// An error aborts the stream, so that the entry sees an incomplete answer.
+	return errors.Trace(err)
+}
+
+func closeBody(body io.ReadCloser) {
+	if body != nil {
+		_ = body.Close()
+	}
+}
+
+func encodeResponse(message *wire.Call, result *Result, x *Executor) *wire.CallResponse {
+	return &wire.CallResponse{
+		RequestID: message.RequestID, Outcome: result.Outcome, Reason: string(result.Reason),
+		Status: uint16(result.Status), Header: encodeHeader(result.Header),
+		ContentLength: result.ContentLength, Load: x.Load(),
+		AttemptsUsed:  clampByte(result.AttemptsUsed),
+		ConfigVersion: x.Board.Config.Load().Version,
+	}
+}
+
+// Serve checks a call, admits it and runs it on the backend server.
+func (x *Executor) Serve(ctx context.Context, message *wire.Call) *Result {
+	record := &board.RequestRecord{
+		ID: message.RequestID, Service: message.Service, Caller: message.Caller, Digest: message.Digest, Started: time.Now(),
+	}
+	x.Board.Requests.Add(record)
+	result := x.serve(ctx, message, record)
+	record.Finish(result.Outcome)
+	result.Body = onClose(result.Body, func() { x.Board.Requests.Remove(record) })
+	result.Load = x.Load()
+	return result
+}
+
+func (x *Executor) serve(ctx context.Context, message *wire.Call, record *board.RequestRecord) *Result {
+	local := x.Board.Local.Load()
+	if reason := x.refusal(local, message); reason != "" {
+		return NotRun(reason)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.DeadlineMicros)*time.Microsecond)
+	if ctx.Err() != nil {
+		cancel()
+		return NotRun(board.ReasonDeadlineNotRun)
+	}
+	record.Advance(board.RequestRunning)
+	x.inFlight.Add(1)
+	result := x.run(ctx, local, message)
+	result.Body = onClose(result.Body, func() {
+		x.inFlight.Add(-1)
+		cancel()
+	})
+	return result
+}
+
+// refusal returns the reason to refuse a call before the backend server is
+// touched, or "".
+func (x *Executor) refusal(local *board.Local, message *wire.Call) board.Reason {
+	switch {
+	case !local.Announced:
+		return board.ReasonNoBackend
+	case local.Draining:
+		return board.ReasonDraining
+	case local.Service != message.Service:
+		return board.ReasonNoServer
+	case message.ExecutorIncarnation != 0 && message.ExecutorIncarnation != x.Incarnation:
+		return board.ReasonWrongIncarnation
+	}
+	config := x.Board.Config.Load()
+	if service := config.Services[message.Service]; service != nil {
+		route := service.Match(message.Method, message.Path)
+		if service.Retired || (route != nil && route.Retired) {
+			return board.ReasonRetired
+		}
+	}
+	return ""
+}
+
+// run sends the call to the backend server.
+func (x *Executor) run(ctx context.Context, local *board.Local, message *wire.Call) *Result {
+	response, err := x.Backend.Do(ctx, &backend.Request{
+		Addr: local.Addr, Method: message.Method, Path: message.Path, Query: message.Query,
+		Header: decodeHeader(message.Header), Body: message.Body, RequestID: message.RequestID,
+		Caller: message.Caller, Tree: message.Tree, Depth: int(message.Depth), AttemptsLeft: int(message.AttemptsLeft),
+		Key: message.Key,
+	})
+	switch {
+	case err == nil:
+		return &Result{
+			Outcome: outcomeOfStatus(response.Status), Status: response.Status, Header: response.Header,
+			Body: response.Body, ContentLength: response.ContentLength,
+		}
+	case errors.Is(err, backend.ErrNotSent):
+		if ctx.Err() != nil {
+			return NotRun(board.ReasonDeadlineNotRun)
+		}
+		x.Board.Announcements.Post(board.Announcement{Kind: board.AnnounceDown, Server: *local})
+		return NotRun(board.ReasonNoBackend)
+	case ctx.Err() != nil:
+		return Unknown(lostReason(ctx))
+	}
+	return Unknown(board.ReasonConnectionLost)
+}
--- /dev/null
+++ b/pkg/call/send.go
@@ -0,0 +1,117 @@
+package call
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/peer"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// send runs one attempt at the executor of a cell and updates the cell.
+func (e *Entry) send(ctx context.Context, a *Attempt, cell *board.Cell, record *board.RequestRecord) *Result {
+	record.Advance(board.RequestSent)
+	started := time.Now()
+	cell.Started()
+	result := e.sendTo(ctx, a)
+	result.Instance = a.Executor.Instance
+	result.Attempts = a.Number
+	observe(cell, result, time.Since(started))
+	result.Body = onClose(result.Body, cell.Finished)
+	return result
+}
+
+func (e *Entry) sendTo(ctx context.Context, a *Attempt) *Result {
+	if e.Local != nil && a.Executor.Instance == e.Local.Instance {
+		return e.Local.Serve(ctx, a.encode(time.Now(), e.Board.Config.Load().Version))
+	}
+	stream, err := e.Peers.Open(ctx, a.Executor.PeerAddr)
+	if err != nil {
+		// Nothing was written, so the executor cannot have started the call.
+		return NotRun(board.ReasonUnreachable)
+	}
+	stop := context.AfterFunc(ctx, stream.Abort)
+	result := e.exchange(ctx, a, stream)
+	result.Body = onClose(result.Body, func() {
+		stop()
+		stream.CancelRead(0)
+	})
+	return result
+}
+
+// exchange writes the call and reads the head of the answer. Once the first
+// byte may have left, only the executor's word proves that it did not run.
+func (e *Entry) exchange(ctx context.Context, a *Attempt, stream *peer.Stream) *Result {
+	message := a.encode(time.Now(), e.Board.Config.Load().Version)
+	if err := wire.WriteMessage(stream, wire.TypeCall, message); err != nil {
+		stream.Abort()
+		if errors.Is(err, wire.ErrTooLarge) {
+			return NotRun(board.ReasonMalformed)
+		}
+		return Unknown(lostReason(ctx))
+	}
+	_ = stream.Close()
+	var head wire.CallResponse
+	if err := wire.ReadMessage(stream, wire.TypeCallResponse, &head); err != nil {
+		stream.Abort()
+		return Unknown(lostReason(ctx))
+	}
+	if head.RequestID != a.Request.ID {
+		// The answer belongs to another request and must not reach this caller.
+		stream.Abort()
+		return Unknown(board.ReasonResponseCut)
+	}
+	return decodeResponse(&head, stream)
+}
+
+func decodeResponse(head *wire.CallResponse, body io.Reader) *Result {
+	result := &Result{
+		Outcome: head.Outcome, Reason: board.Reason(head.Reason), Status: int(head.Status),
+		Header: decodeHeader(head.Header), ContentLength: head.ContentLength,
+		AttemptsUsed: int(head.AttemptsUsed), Load: head.Load,
+	}
+	switch head.Outcome {
+	case board.OutcomeSucceeded, board.OutcomeFailed:
+		result.Body = io.NopCloser(body)
+	case board.OutcomeNotRun:
+		result.Status = statusOfNotRun(result.Reason)
+	default:
+		result.Outcome = board.OutcomeUnknown
+		result.Status = Unknown(result.Reason).Status
+	}
+	return result
+}
+
+// lostReason says why an attempt got no answer.
+func lostReason(ctx context.Context) board.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return board.ReasonDeadlineExceeded
+	case ctx.Err() != nil:
+		return board.ReasonCanceled
+	}
+	return board.ReasonConnectionLost
+}
+
+// observe updates the figures of a cell after the head of an answer.
+func observe(cell *board.Cell, result *Result, elapsed time.Duration) {
+	if result.Load != (board.LoadReport{}) {
+		report := result.Load
+		report.ReceivedAt = time.Now()
+		cell.Report(report)
+	}
+	switch {
+	case result.Outcome == board.OutcomeSucceeded:
+		cell.Successes.Add(1)
+		cell.ObserveLatency(elapsed)
+	case result.Outcome == board.OutcomeNotRun && result.Reason != board.ReasonUnreachable:
+		cell.Rejections.Add(1)
+	case result.Reason == board.ReasonCanceled:
+	default:
+		cell.Failures.Add(1)
+	}
+}
--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,61 @@
+// Package cli is the operators' command line.
+package cli
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit statuses, documented in docs/operations.md.
+const (
+	ExitOK = 0
+	// ExitFailure: the command failed.
+	ExitFailure = 1
+	// ExitBadInput: arguments, settings or a configuration are not valid;
+	// nothing was changed.
+	ExitBadInput = 2
+	// ExitConflict: another operator changed the configuration first.
+	ExitConflict = 3
+)
+
+const (
+	// callTimeout bounds one command's calls to the store and to nodes.
+	callTimeout = 10 * time.Second
+	// defaultValidity is the life of test certificates.
+	defaultValidity = 30 * 24 * time.Hour
+)
+
+// command is one subcommand with the function that runs it.
+type command struct {
+	parsed *flaggy.Subcommand
+	run    func() int
+}
+
+// Run parses arguments, runs one command and returns its exit status.
+func Run(version string, args []string, stdout, stderr io.Writer) int {
+	parser := flaggy.NewParser("mangostand")
+	parser.Description = "command line for operators of mangostand"
+	parser.Version = version
+	var commands []*command
+	commands = append(commands, configCommands(parser, stdout, stderr)...)
+	commands = append(commands, keysCommands(parser, stdout, stderr)...)
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitBadInput
+	}
+	for _, c := range commands {
+		if c.parsed.Used {
+			return c.run()
+		}
+	}
+	parser.ShowHelp()
+	return ExitBadInput
+}
+
+func fail(stderr io.Writer, err error) int {
+	fmt.Fprintln(stderr, "mangostand:", err)
+	return ExitFailure
+}
--- /dev/null
+++ b/pkg/control/announce/announce.go
@@ -0,0 +1,100 @@
+// Package announce keeps the Local section: the state of the backend server
+// beside this node, from its announcements and from failed connections.
+package announce
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// silenceLimit is how long a backend server may stay silent before it counts
+// as dead; announcements come every second.
+const silenceLimit = 3 * time.Second
+
+const checkInterval = 500 * time.Millisecond
+
+// Controller writes the Local section.
+type Controller struct {
+	board  *board.Board
+	writer *board.Writer[*board.Local]
+	log    zerolog.Logger
+
+	lastHeard time.Time
+	// drainOrdered keeps a drain in force over later announcements of the same
+	// incarnation.
+	drainOrdered bool
+}
+
+// New claims the Local section.
+func New(b *board.Board, log zerolog.Logger) *Controller {
+	return &Controller{board: b, writer: b.Local.Claim("announce"), log: log}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "announce" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-c.board.Announcements.Events():
+			c.handle(a, time.Now())
+		case <-ticker.C:
+			c.checkSilence(time.Now())
+		}
+	}
+}
+
+func (c *Controller) handle(a board.Announcement, now time.Time) {
+	current := c.writer.Load()
+	switch a.Kind {
+	case board.AnnounceHeartbeat:
+		c.heartbeat(current, a.Server, now)
+	case board.AnnounceDrain:
+		c.drainOrdered = true
+		c.publish(current, func(l *board.Local) { l.Draining = true })
+	case board.AnnounceLeave:
+		c.publish(current, func(l *board.Local) { l.Announced = false })
+	case board.AnnounceDown:
+		// The failure belongs to the incarnation that the executor had seen.
+		if current.Announced && a.Server.Incarnation == current.Incarnation {
+			c.log.Warn().Str("backend_server", current.Addr).Msg("backend server refused a connection")
+			c.publish(current, func(l *board.Local) { l.Announced = false })
+		}
+	}
+}
+
+func (c *Controller) heartbeat(current *board.Local, next board.Local, now time.Time) {
+	c.lastHeard = now
+	if next.Incarnation != current.Incarnation {
+		c.drainOrdered = false
+	}
+	next.Draining = next.Draining || c.drainOrdered
+	if next != *current {
+		c.writer.Publish(&next)
+	}
+}
+
+func (c *Controller) publish(current *board.Local, change func(*board.Local)) {
+	next := *current
+	change(&next)
+	if next != *current {
+		c.writer.Publish(&next)
+	}
+}
+
+func (c *Controller) checkSilence(now time.Time) {
+	current := c.writer.Load()
+	if current.Announced && now.Sub(c.lastHeard) > silenceLimit {
+		c.log.Warn().Str("backend_server", current.Addr).Msg("backend server stopped announcing")
+		c.publish(current, func(l *board.Local) { l.Announced = false })
+	}
+}
--- /dev/null
+++ b/pkg/control/control.go
@@ -0,0 +1,27 @@
+// Package control defines what all controllers have in common. Each controller
+// lives in a package of its own, writes its own section of the board and
+// never calls another controller.
+package control
+
+import (
+	"context"
+	"sync"
+)
+
+// Controller reads sections of the board and publishes its own.
+type Controller interface {
+	// Name is the controller's name in the design page and in logs.
+	Name() string
+	// Run works until ctx ends.
+	Run(ctx context.Context)
+}
+
+// RunAll runs the controllers, each on its own goroutine, until ctx ends and
+// all of them have returned.
+func RunAll(ctx context.Context, controllers ...Controller) {
+	var wg sync.WaitGroup
+	for _, c := range controllers {
+		wg.Go(func() { c.Run(ctx) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/pkg/control/load/load.go
@@ -0,0 +1,66 @@
+// Package load keeps the table of cells: one cell for each instance that
+// carries a service. The call path updates the cells.
+package load
+
+import (
+	"context"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// Controller writes the Load section.
+type Controller struct {
+	board  *board.Board
+	writer *board.Writer[*board.LoadTable]
+	wake   <-chan struct{}
+}
+
+// New claims the Load section.
+func New(b *board.Board) *Controller {
+	return &Controller{board: b, writer: b.Load.Claim("load"), wake: b.Members.Subscribe()}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "load" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	for {
+		c.update()
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+	}
+}
+
+// update publishes a table with one cell per member. A cell stays the same
+// while the lives of the node and its backend server last.
+func (c *Controller) update() {
+	old := c.writer.Load()
+	next := &board.LoadTable{Cells: map[board.InstanceID]*board.Cell{}}
+	changed := false
+	for _, members := range c.board.Members.Load().ByService {
+		for _, m := range members {
+			cell, kept := reuse(old.Cells[m.Instance], m)
+			next.Cells[m.Instance] = cell
+			changed = changed || !kept
+		}
+	}
+	if changed || len(next.Cells) != len(old.Cells) {
+		c.writer.Publish(next)
+	}
+}
+
+// reuse returns the old cell when it describes the same record. A changed
+// record of the same life keeps the figures in a new cell.
+func reuse(old *board.Cell, m board.Member) (*board.Cell, bool) {
+	if old == nil || old.Member.Incarnation != m.Incarnation || old.Member.ServerIncarnation != m.ServerIncarnation {
+		return board.NewCell(m), false
+	}
+	if old.Member == m {
+		return old, true
+	}
+	return old.WithMember(m), false
+}
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,26 @@
+// Package metrics sets up tally with its Prometheus reporter, so that the
+// figures of a node can be read over HTTP in the usual text format.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally passes its figures to the reporter.
+const reportInterval = time.Second
+
+// New returns the root scope of a node, the handler that exposes it and a
+// closer that flushes the last figures.
+func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "mangostand", Tags: tags, CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,236 @@
+// Package node builds a node from its settings: the board, its controllers and
+// its listeners.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"mangostand.example/mangostand/pkg/backend"
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/call"
+	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/control/announce"
+	"mangostand.example/mangostand/pkg/control/configsync"
+	"mangostand.example/mangostand/pkg/control/load"
+	"mangostand.example/mangostand/pkg/control/membership"
+	"mangostand.example/mangostand/pkg/control/routing"
+	"mangostand.example/mangostand/pkg/httpfront"
+	"mangostand.example/mangostand/pkg/localapi"
+	"mangostand.example/mangostand/pkg/metrics"
+	"mangostand.example/mangostand/pkg/opsapi"
+	"mangostand.example/mangostand/pkg/peer"
+	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/pkg/security"
+	"mangostand.example/mangostand/pkg/settings"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// Limits of the HTTP listeners.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+	// drainTimeout bounds the wait for calls in flight on a graceful stop.
+	drainTimeout = 30 * time.Second
+	// backendConnections bounds the connections to the backend server.
+	backendConnections = 200
+)
+
+// Node is one running node.
+type Node struct {
+	settings *settings.Node
+	log      zerolog.Logger
+	board    *board.Board
+	peers    *peer.Transport
+	executor *call.Executor
+	entry    *call.Entry
+
+	controllers []control.Controller
+	listeners   []listener
+	scope       tally.Scope
+	metricsHTTP http.Handler
+	metricsDone func() error
+}
+
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+	tls    bool
+}
+
+// New builds a node and binds its addresses. Run starts it.
+func New(s *settings.Node, log zerolog.Logger) (*Node, error) {
+	serverTLS, clientTLS, err := security.LoadPeer(s.PeerTLS)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	peers, err := peer.Listen(s.Peers, serverTLS, clientTLS, log)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := &Node{settings: s, log: log, board: board.New(board.InstanceID(s.Instance)), peers: peers}
+	scope, metricsHTTP, closer := metrics.New(map[string]string{"node": s.Instance})
+	n.scope, n.metricsHTTP, n.metricsDone = scope, metricsHTTP, closer.Close
+	n.buildCallPath()
+	n.buildControllers()
+	if err := n.buildListeners(); err != nil {
+		_ = peers.Close()
+		return nil, errors.Trace(err)
+	}
+	return n, nil
+}
+
+// Board returns the node's board, for programs that embed the library.
+func (n *Node) Board() *board.Board { return n.board }
+
+func (n *Node) buildCallPath() {
+	n.executor = &call.Executor{
+		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
+		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
+	}
+	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Log: n.log}
+}
+
+func (n *Node) buildControllers() {
+	self := board.Member{
+		Instance: n.executor.Instance, Incarnation: n.executor.Incarnation, Sequence: 1,
+		Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
+		PeerAddr: n.settings.AdvertisePeers, State: board.MemberJoining,
+	}
+	n.controllers = []control.Controller{
+		announce.New(n.board, n.log),
+		membership.New(n.board, self, n.peers, n.settings.Seeds, n.log),
+		load.New(n.board),
+		routing.New(n.board, n.settings.FailureDomain),
+	}
+	if n.settings.Store != "" {
+		store := platform.NewClient(n.settings.Store)
+		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
+	}
+}
+
+func (n *Node) handlers() map[wire.Type]peer.Handler {
+	return map[wire.Type]peer.Handler{
+		wire.TypeCall:  n.executor.HandleCall,
+		wire.TypeDelta: membership.HandleDelta(n.board, n.peers),
+	}
+}
+
+func (n *Node) buildListeners() error {
+	listeners := []struct {
+		name, addr string
+		handler    http.Handler
+		tls        security.Files
+	}{
+		{"callers", n.settings.Callers, httpfront.Handler(n.entry), n.settings.CallerTLS},
+		{"local", n.settings.Local, localapi.Handler(n.board), security.Files{}},
+		{"operators", n.settings.Operators, opsapi.Handler(n.board, n.metricsHTTP), n.settings.OperatorTLS},
+	}
+	for _, l := range listeners {
+		if err := n.listen(l.name, l.addr, l.handler, l.tls); err != nil {
+			n.closeListeners()
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (n *Node) listen(name, addr string, handler http.Handler, files security.Files) error {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	server.Protocols = new(http.Protocols)
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetHTTP2(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	if files.Cert != "" {
+		config, err := security.LoadServer(files)
+		if err != nil {
+			return errors.Annotatef(err, "%s listener", name)
+		}
+		server.TLSConfig = config
+	}
+	socket, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Annotatef(err, "%s listener", name)
+	}
+	n.listeners = append(n.listeners, listener{name: name, socket: socket, server: server, tls: files.Cert != ""})
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.socket.Close()
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: it drains, waits for the
+// calls in flight and closes everything.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	controllersDone := make(chan struct{})
+	go func() {
+		control.RunAll(work, n.controllers...)
+		close(controllersDone)
+	}()
+	failed := make(chan error, len(n.listeners)+1)
+	go func() { failed <- n.peers.Serve(work, n.handlers()) }()
+	for _, l := range n.listeners {
+		go func() { failed <- serve(l) }()
+	}
+	n.log.Info().Str("callers", n.settings.Callers).Str("peers", n.settings.Peers).Msg("node started")
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+	}
+	n.closeListeners()
+	cancel()
+	<-controllersDone
+	_ = n.metricsDone()
+	if closeErr := n.peers.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
+
+func serve(l listener) error {
+	if l.tls {
+		return errors.Annotatef(l.server.ServeTLS(l.socket, "", ""), "%s listener", l.name)
+	}
+	return errors.Annotatef(l.server.Serve(l.socket), "%s listener", l.name)
+}
+
+// drain announces that the node leaves and waits for its calls to finish.
+func (n *Node) drain() {
+	n.log.Info().Msg("draining")
+	n.board.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain})
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	for _, l := range n.listeners {
+		if l.name == "callers" {
+			_ = l.server.Shutdown(ctx)
+		}
+	}
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for n.board.Requests.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/wire/frame.go
@@ -0,0 +1,171 @@
+// Package wire encodes the messages between nodes: a CBOR payload in a
+// length-prefixed frame. It holds no decisions.
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Version is the version of the protocol between nodes. A frame with another
+// version is refused.
+const Version = 1
+
+// Limits on the size of a frame in bytes, without its header.
+const (
+	// MaxControlSize bounds control messages.
+	MaxControlSize = 64 << 10
+	// MaxBodySize bounds a buffered request body.
+	MaxBodySize = 1 << 20
+	// MaxCallSize bounds the frame of a call: headers and body.
+	MaxCallSize = MaxControlSize + MaxBodySize
+	// MaxTransferSize bounds one page of an epoch transfer and a configuration
+	// document, which the store limits to 1 MB.
+	MaxTransferSize = 2 << 20
+)
+
+// headerSize is the length of a frame header: version, type, payload length.
+const headerSize = 1 + 1 + 4
+
+// Type identifies the kind of a message.
+type Type uint8
+
+// Message types. The numbers are part of the protocol and are never reused.
+const (
+	TypeCall         Type = 1
+	TypeCallResponse Type = 2
+	TypeClaim        Type = 3
+	TypeClaimAnswer  Type = 4
+	TypeSeal         Type = 5
+	TypeSealAnswer   Type = 6
+	TypeComplete     Type = 7
+	TypeAck          Type = 8
+	TypeTransfer     Type = 9
+	TypeTransferPage Type = 10
+	TypePing         Type = 11
+	TypePingAnswer   Type = 12
+	TypePingIndirect Type = 13
+	TypeDigest       Type = 14
+	TypeDelta        Type = 15
+	TypeRumor        Type = 16
+	TypeConfigPull   Type = 17
+	TypeConfigDoc    Type = 18
+	TypeProbe        Type = 19
+	TypeProbeAnswer  Type = 20
+)
+
+// maxSize returns the limit of a payload of the type, 0 for unknown types.
+func (t Type) maxSize() uint32 {
+	switch t {
+	case TypeCall:
+		return MaxCallSize
+	case TypeTransferPage, TypeConfigDoc, TypeComplete, TypeSealAnswer, TypeClaimAnswer:
+		return MaxTransferSize
+	}
+	if t >= TypeCall && t <= TypeProbeAnswer {
+		return MaxControlSize
+	}
+	return 0
+}
+
+// Errors of the decoder. Callers close the stream on any of them.
+const (
+	// ErrVersion: the sender speaks another version of the protocol.
+	ErrVersion = errors.ConstError("unsupported protocol version")
+	// ErrType: the message type is unknown or not the expected one.
+	ErrType = errors.ConstError("unexpected message type")
+	// ErrTooLarge: the payload exceeds the limit of its type.
+	ErrTooLarge = errors.ConstError("message too large")
+	// ErrMalformed: the payload is not valid for its type.
+	ErrMalformed = errors.ConstError("malformed message")
+)
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxNestedLevels:  8,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 12,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// WriteMessage encodes a message and writes it as one frame.
+func WriteMessage(w io.Writer, t Type, message any) error {
+	payload, err := cbor.Marshal(message)
+	if err != nil {
+		return errors.Annotatef(err, "encoding message type %d", t)
+	}
+	if uint64(len(payload)) > uint64(t.maxSize()) {
+		return errors.Annotatef(ErrTooLarge, "message type %d with %d bytes", t, len(payload))
+	}
+	frame := make([]byte, headerSize, headerSize+len(payload))
+	frame[0] = Version
+	frame[1] = byte(t)
+	binary.BigEndian.PutUint32(frame[2:], uint32(len(payload)))
+	frame = append(frame, payload...)
+	_, err = w.Write(frame)
+	return errors.Trace(err)
+}
+
+// Frame is a received message that is not decoded yet.
+type Frame struct {
+	Type    Type
+	Payload []byte
+}
+
+// ReadFrame reads one frame and checks its version, type and size. The
+// payload is not decoded.
+func ReadFrame(r io.Reader) (Frame, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Frame{}, errors.Trace(err)
+	}
+	if header[0] != Version {
+		return Frame{}, errors.Annotatef(ErrVersion, "version %d", header[0])
+	}
+	t := Type(header[1])
+	size := binary.BigEndian.Uint32(header[2:])
+	limit := t.maxSize()
+	if limit == 0 {
+		return Frame{}, errors.Annotatef(ErrType, "type %d", header[1])
+	}
+	if size > limit {
+		return Frame{}, errors.Annotatef(ErrTooLarge, "type %d with %d bytes", t, size)
+	}
+	payload := make([]byte, size)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return Frame{}, errors.Trace(err)
+	}
+	return Frame{Type: t, Payload: payload}, nil
+}
+
+// Decode decodes the payload into message, a pointer to the struct of the
+// frame's type.
+func (f Frame) Decode(message any) error {
+	if err := decMode.Unmarshal(f.Payload, message); err != nil {
+		return errors.Annotatef(ErrMalformed, "type %d: %v", f.Type, err)
+	}
+	return nil
+}
+
+// ReadMessage reads one frame of the expected type and decodes it.
+func ReadMessage(r io.Reader, expected Type, message any) error {
+	frame, err := ReadFrame(r)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if frame.Type != expected {
+		return errors.Annotatef(ErrType, "got type %d, expected %d", frame.Type, expected)
+	}
+	return frame.Decode(message)
+}
