Bound the at-most-once model

Cause: with duplicates, two rounds and a kill at once the search took 70 million states. Change: duplicates are a macro of their own and dead variables are reset.

--- a/model/atmostonce.pml
+++ b/model/atmostonce.pml
@@ -226,6 +226,7 @@
     od;
 
 finish:
+    atomic { x = 0; grant = 0; round = 0; answer = 0 };
     /* The entry tells "not run" only on the word of the home. */
 #ifdef TELL_WITHOUT_HOME
     atomic {
@@ -240,7 +241,8 @@
         if
         :: answer == A_NOT_RUN -> assert(runs == 0)
         :: else
-        fi
+        fi;
+        e = 0; h = 0; answer = 0
     }
 #endif
 }
@@ -291,7 +293,9 @@
                 fi
             fi
         }
+#ifdef DUPLICATES
     :: atomic { sent[id] && delivered[id] && !duplicated[id] -> duplicated[id] = true; delivered[id] = false }
+#endif
     :: timeout -> break
     od;
     goto end_network;
@@ -310,23 +314,22 @@
         :: else
         fi
     }
-    /* A duplicate may still arrive. */
+#ifdef DUPLICATES
+    /* A duplicate may arrive after the execution. */
     if
-    :: atomic { !duplicated[id] -> duplicated[id] = true; delivered[id] = false };
-       if
-       :: atomic { alive[callX[id]] && inc[callX[id]] == mine && execRec[callX[id]] == X_DONE ->
+    :: atomic { !duplicated[id] && alive[x] && inc[x] == mine ->
+        duplicated[id] = true;
 #ifdef NO_DUPLICATE_CHECK
-            runs++; assert(runs <= 1)
+        runs++; assert(runs <= 1)
 #else
-            skip
+        assert(execRec[x] == X_DONE) /* the record answers the duplicate */
 #endif
-          }
-       :: skip
-       fi
+       }
     :: skip
     fi;
+#endif
 end_network:
-    skip
+    atomic { x = 0; mine = 0 }
 }
 
 /* Kills nodes and brings them back without memory. */
@@ -347,8 +350,8 @@
             epoch[n] = 0; readyFor[n] = 0; lease[n] = 0
         };
         if
-        :: alive[n] = true
-        :: skip
+        :: atomic { alive[n] = true; n = 0 }
+        :: n = 0
         fi
     :: break
     od
@@ -463,7 +466,7 @@
         fi
     }
 gone:
-    skip
+    atomic { h = 0; former = 0; n = 0; mine = 0; got = false; formerAnswered = false; othersAnswered = false; adopted = 0; size = 0 }
 }
 
 init {
