Complete the backend server stand-in and add relay and execution log

Cause: local runs had no faults to switch, no distance between failure domains and lost the execution log with a killed server.

Change: the backend server has a connection limit, swings, cold start, shedding, deadlines, faults over HTTP and answers that carry a token of their request. Non-idempotent executions are posted to a process of their own before the work starts.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
-// Command standin takes the place of the platform's store and of backend
-// servers in local runs and tests. It is not shipped to production.
+// Command standin takes the place of the platform and of backend servers in
+// local runs and tests: the store, backend servers, their execution log and
+// the network between failure domains. It is not shipped to production.
 package main
 
 import (
@@ -12,9 +13,6 @@
 	"time"
 
 	"github.com/integrii/flaggy"
-
-	"mangostand.example/mangostand/pkg/standin/backendserver"
-	"mangostand.example/mangostand/pkg/standin/store"
 )
 
 // version is set at build time.
@@ -22,47 +20,50 @@
 
 const headerTimeout = 5 * time.Second
 
-func main() {
-	flaggy.SetName("standin")
-	flaggy.SetDescription("stand-ins for the platform's store and backend servers")
-	flaggy.SetVersion(version)
-
-	storeAddr := "127.0.0.1:7000"
-	storeCommand := flaggy.NewSubcommand("store")
-	storeCommand.Description = "the key-value service of the platform"
-	storeCommand.String(&storeAddr, "a", "addr", "listen address")
-	flaggy.AttachSubcommand(storeCommand, 1)
+// Exit statuses.
+const (
+	exitFailure  = 1
+	exitBadInput = 2
+)
 
-	server := backendserver.Config{Addr: "127.0.0.1:7200", Node: "http://127.0.0.1:7070", Slots: 10, Connections: 200, ServiceTime: 5 * time.Millisecond}
-	serverCommand := flaggy.NewSubcommand("backend-server")
-	serverCommand.Description = "a backend server that announces itself to its node"
-	serverCommand.String(&server.Service, "s", "service", "service to serve")
-	serverCommand.String(&server.Addr, "a", "addr", "listen address")
-	serverCommand.String(&server.Node, "n", "node", "URL of the node's local listener")
-	serverCommand.Int(&server.Slots, "", "slots", "calls served at once")
-	serverCommand.Duration(&server.ServiceTime, "", "service-time", "time that a call holds a slot")
-	flaggy.AttachSubcommand(serverCommand, 1)
-	flaggy.Parse()
+// command is one subcommand with the function that runs it until ctx ends.
+type command struct {
+	parsed *flaggy.Subcommand
+	run    func(ctx context.Context) error
+}
 
+func main() {
+	parser := flaggy.NewParser("standin")
+	parser.Description = "stand-ins for the platform and for backend servers"
+	parser.Version = version
+	commands := []command{storeCommand(), backendServerCommand(), executionLogCommand(), relayCommand()}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.parsed, 1)
+	}
+	if err := parser.ParseArgs(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(exitBadInput)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var err error
-	switch {
-	case storeCommand.Used:
-		err = serve(ctx, storeAddr, store.New(time.Now).Handler())
-	case serverCommand.Used:
-		s := backendserver.New(server)
-		go func() { _ = s.Announce(ctx) }()
-		err = serve(ctx, server.Addr, s.Handler())
-	default:
-		flaggy.ShowHelpAndExit("")
+	for _, c := range commands {
+		if c.parsed.Used {
+			os.Exit(status(c.run(ctx)))
+		}
 	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	parser.ShowHelp()
+	os.Exit(exitBadInput)
+}
+
+func status(err error) int {
+	if err == nil {
+		return 0
 	}
+	fmt.Fprintln(os.Stderr, "standin:", err)
+	return exitFailure
 }
 
+// serve answers HTTP requests on addr until ctx ends.
 func serve(ctx context.Context, addr string, handler http.Handler) error {
 	server := &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: headerTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- /dev/null
+++ b/cmd/standin/relay.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/standin/relay"
+)
+
+func relayCommand() command {
+	addr, file := "127.0.0.1:7001", "relay.ini"
+	c := flaggy.NewSubcommand("relay")
+	c.Description = "UDP relay that delays packets between failure domains"
+	c.String(&addr, "a", "addr", "listen address of the HTTP commands")
+	c.String(&file, "c", "config", "file with failure domains, nodes and links (INI)")
+	return command{c, func(ctx context.Context) error {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		config, problems := relay.ParseConfig(file, data)
+		if len(problems) > 0 {
+			return problems[0]
+		}
+		r, err := relay.New(config)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		go r.Run(ctx)
+		return serve(ctx, addr, r.Handler())
+	}}
+}
--- a/pkg/standin/backendserver/server.go
+++ b/pkg/standin/backendserver/server.go
@@ -1,134 +1,239 @@
 // Package backendserver stands in for a backend server in local runs and
-// tests: it has slots, announces itself and keeps a log of its executions.
+// tests: it has slots, a connection limit, a cold start and faults that can be
+// switched over HTTP, announces itself and keeps a log of its executions.
 package backendserver
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"sync"
+	"os"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
-	"mangostand.example/mangostand/pkg/localapi"
+	"mangostand.example/mangostand/pkg/backend"
 )
 
-// Config describes one stand-in.
+// Config describes one stand-in. Zero values of the optional parts switch them
+// off.
 type Config struct {
-	Service string
+	// Instance names the server in its execution log.
+	Instance string
+	Service  string
 	// Addr is the listen address, host:port.
 	Addr string
 	// Node is the URL of the node's local listener.
-	Node        string
-	Slots       int
+	Node string
+	// ExecutionLog is the URL of the execution log process, or "".
+	ExecutionLog string
+	// Slots is the number of calls that run at once.
+	Slots int
+	// Connections is the most connections that are open at once; 0 means no limit.
 	Connections int
+	// MaxWaiting is the most calls that wait for a slot; further calls get 503.
+	// 0 means no limit.
+	MaxWaiting int
 	// ServiceTime is how long one call holds a slot.
 	ServiceTime time.Duration
+	// Swing is the largest factor on ServiceTime; the factor is drawn anew
+	// every 5 to 50 ms. Values up to 1 mean a steady service time.
+	Swing float64
+	// ColdStart is the time over which the service time falls from
+	// ColdFactor times its value to its value.
+	ColdStart  time.Duration
+	ColdFactor float64
+	// ConnectTime is the time that a new connection takes.
+	ConnectTime time.Duration
+	// ProbeTime is the time that the load endpoint takes.
+	ProbeTime time.Duration
+	// LargeSize is the size in bytes of answers below LargePath.
+	LargeSize int
+	LargePath string
+	// Seed of the random swings.
+	Seed uint64
 }
 
-// Execution is one entry of the execution log.
-type Execution struct {
-	RequestID string    `json:"request_id"`
-	Key       string    `json:"key,omitempty"`
-	Method    string    `json:"method"`
-	Path      string    `json:"path"`
-	Started   time.Time `json:"started"`
-}
+// HeaderNonce carries a caller's token that the answer must contain.
+const HeaderNonce = "Standin-Nonce"
+
+// HeaderCrash marks a request that ends the process of each server that runs
+// it.
+const HeaderCrash = "Standin-Crash"
+
+// exitCrashed is the exit status after a marked request.
+const exitCrashed = 70
+
+// maxBodySize bounds the body of a call in bytes.
+const maxBodySize = 4 << 20
 
 // Server is one running stand-in.
 type Server struct {
 	config      Config
 	incarnation uint64
+	started     time.Time
 	slots       chan struct{}
-
-	mu         sync.Mutex
-	executions []Execution
+	waiting     atomic.Int64
+	faults      atomic.Pointer[Faults]
+	draining    atomic.Bool
+	report      reportedLoad
+	swing       *swing
+	executions  executions
+	inFlight    atomic.Int64
+	counters    counters
+	// exit ends the process; tests replace it.
+	exit func(status int)
 }
 
 // New returns a stand-in that is not serving yet.
 func New(c Config) *Server {
-	return &Server{config: c, incarnation: uint64(time.Now().UnixNano()), slots: make(chan struct{}, c.Slots)}
+	s := &Server{
+		config: c, incarnation: uint64(time.Now().UnixNano()), started: time.Now(),
+		slots: make(chan struct{}, c.Slots), swing: newSwing(c.Swing, c.Seed), exit: os.Exit,
+	}
+	s.faults.Store(&Faults{})
+	s.executions.collector = newCollector(c.ExecutionLog)
+	return s
 }
 
-// Handler serves calls and, under /standin/, the execution log.
+// Handler serves calls and, under /standin/, load, faults and executions.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/load", s.serveLoad)
 	mux.HandleFunc("GET /standin/executions", func(w http.ResponseWriter, _ *http.Request) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(s.executions)
+		writeJSON(w, s.executions.all())
+	})
+	mux.HandleFunc("GET /standin/counters", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.counters.read())
+	})
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.faults.Load())
+	})
+	mux.HandleFunc("PUT /standin/faults", s.setFaults)
+	mux.HandleFunc("POST /standin/drain", func(w http.ResponseWriter, _ *http.Request) {
+		s.draining.Store(true)
+		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("/", s.serveCall)
 	return mux
 }
 
+// serveCall runs one call: it reads the body, waits for a slot, logs the
+// execution, works and answers.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	faults := s.faults.Load()
+	if faults.FailFast {
+		http.Error(w, "failing fast", http.StatusInternalServerError)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
 	if err != nil {
+		http.Error(w, "body cannot be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	select {
-	case s.slots <- struct{}{}:
-	case <-r.Context().Done():
+	ctx, cancel, err := withDeadline(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	defer func() { <-s.slots }()
-	s.record(r)
-	select {
-	case <-time.After(s.config.ServiceTime):
-	case <-r.Context().Done():
+	defer cancel()
+	if err := s.acquire(ctx); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", s.config.Service, r.Method, r.URL.Path, len(body))
+	defer func() { <-s.slots }()
+	s.run(ctx, w, r, len(body), faults)
 }
 
-func (s *Server) record(r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.executions = append(s.executions, Execution{
-		RequestID: r.Header.Get("Mangostand-Request-Id"), Key: r.Header.Get("Idempotency-Key"),
-		Method: r.Method, Path: r.URL.Path, Started: time.Now(),
-	})
+// run works on a call that holds a slot.
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, size int, faults *Faults) {
+	execution, err := s.executions.begin(ctx, s.config.Instance, r)
+	if err != nil {
+		http.Error(w, "not run: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if r.Header.Get(HeaderCrash) != "" && !faults.IgnoreCrash {
+		s.exit(exitCrashed)
+	}
+	if err := s.work(ctx, faults); err != nil {
+		s.counters.cut.Add(1)
+		s.executions.end(execution, StateCut)
+		http.Error(w, "work was cut: "+err.Error(), http.StatusGatewayTimeout)
+		return
+	}
+	s.counters.completed.Add(1)
+	s.executions.end(execution, StateCompleted)
+	answer := NewAnswer(s.config.Service, s.config.Instance, r.Method, r.URL.Path, r.Header.Get(HeaderNonce), size, s.answerSize(r))
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if faults.Truncate {
+		_, _ = w.Write(answer[:len(answer)/2])
+		// Without a flush a short answer would end before its head.
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer)
 }
 
-// announceInterval is the heartbeat period that nodes expect.
-const announceInterval = time.Second
-
-// Announce repeats the announcement until ctx ends.
-func (s *Server) Announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		if err := s.announceOnce(ctx); err != nil && ctx.Err() != nil {
-			return errors.Trace(err)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+// acquire waits for a slot. It sheds the call when too many wait already.
+func (s *Server) acquire(ctx context.Context) error {
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	waiting := s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	if s.config.MaxWaiting > 0 && waiting > int64(s.config.MaxWaiting) {
+		s.counters.shed.Add(1)
+		return errors.New("shedding load")
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "waiting for a slot")
 	}
 }
 
-func (s *Server) announceOnce(ctx context.Context) error {
-	data, err := json.Marshal(localapi.Announcement{
-		Service: s.config.Service, Addr: s.config.Addr, Slots: uint32(s.config.Slots),
-		Connections: uint32(s.config.Connections), Incarnation: s.incarnation, InFlight: uint32(len(s.slots)),
-	})
-	if err != nil {
-		return errors.Trace(err)
+// work holds the slot for the service time, or until the call is cancelled.
+func (s *Server) work(ctx context.Context, faults *Faults) error {
+	if faults.Hang {
+		<-ctx.Done()
+		return ctx.Err()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.config.Node+"/v1/announce", bytes.NewReader(data))
-	if err != nil {
-		return errors.Trace(err)
+	timer := time.NewTimer(s.serviceTime(faults, time.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	resp, err := http.DefaultClient.Do(req)
+}
+
+// withDeadline returns a context that ends with the call's own deadline or
+// when the caller cancels.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
+	value := r.Header.Get(backend.HeaderDeadlineMS)
+	if value == "" {
+		ctx, cancel := context.WithCancel(r.Context())
+		return ctx, cancel, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 32)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, nil, errors.Errorf("%s: expected milliseconds", backend.HeaderDeadlineMS)
 	}
-	return errors.Trace(resp.Body.Close())
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	return ctx, cancel, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
 }
--- /dev/null
+++ b/pkg/standin/relay/config.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/inifile"
+)
+
+// Config describes the network.
+type Config struct {
+	// Delay is the one-way delay between two failure domains; default 1 ms.
+	Delay time.Duration
+	// Seed of the random faults.
+	Seed    uint64
+	Domains []Domain
+	Nodes   []Node
+	Links   []Link
+}
+
+// Domain is a failure domain with the range of its IP numbers.
+type Domain struct {
+	Name  string
+	Range netip.Prefix
+}
+
+// Node has an address on the relay and a target address that it is bound to.
+type Node struct {
+	Name   string
+	Listen netip.AddrPort
+	Target netip.AddrPort
+}
+
+// Link replaces the delay from one failure domain to another.
+type Link struct {
+	From, To string
+	Delay    time.Duration
+}
+
+// defaultDelay is the one-way delay between the failure domains of both sites.
+const defaultDelay = time.Millisecond
+
+const maxDelay = 10 * time.Second
+
+// ParseConfig reads an INI file with the sections [relay], [domain NAME],
+// [node NAME] and [link FROM/TO].
+func ParseConfig(file string, data []byte) (*Config, []*inifile.Error) {
+	sections, problems := inifile.Parse(file, data)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	config := &Config{Delay: defaultDelay}
+	for _, s := range sections {
+		problems = append(problems, config.apply(s)...)
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return config, nil
+}
+
+func (c *Config) apply(s *inifile.Section) []*inifile.Error {
+	switch s.Kind {
+	case "relay":
+		seed := int(c.Seed)
+		problems := inifile.Apply(s, []inifile.Field{
+			inifile.Duration("delay", &c.Delay, 0, maxDelay),
+			inifile.Int("seed", &seed, 0, 1<<30),
+		})
+		c.Seed = uint64(seed)
+		return problems
+	case "domain":
+		d := Domain{Name: s.Name}
+		problems := inifile.Apply(s, []inifile.Field{parsed("range", &d.Range, netip.ParsePrefix)})
+		c.Domains = append(c.Domains, d)
+		return problems
+	case "node":
+		n := Node{Name: s.Name}
+		problems := inifile.Apply(s, []inifile.Field{
+			parsed("listen", &n.Listen, netip.ParseAddrPort),
+			parsed("target", &n.Target, netip.ParseAddrPort),
+		})
+		if len(problems) == 0 && (!n.Listen.IsValid() || !n.Target.IsValid()) {
+			problems = append(problems, s.Errorf("node %s: listen and target are required", s.Name))
+		}
+		c.Nodes = append(c.Nodes, n)
+		return problems
+	case "link":
+		return c.applyLink(s)
+	}
+	return []*inifile.Error{s.Errorf("unknown section [%s]", s.Title())}
+}
+
+func (c *Config) applyLink(s *inifile.Section) []*inifile.Error {
+	from, to, ok := cutLink(s.Name)
+	if !ok {
+		return []*inifile.Error{s.Errorf("link %q: expected FROM/TO", s.Name)}
+	}
+	link := Link{From: from, To: to, Delay: c.Delay}
+	problems := inifile.Apply(s, []inifile.Field{inifile.Duration("delay", &link.Delay, 0, maxDelay)})
+	c.Links = append(c.Links, link)
+	return problems
+}
+
+func cutLink(name string) (from, to string, ok bool) {
+	for i := range name {
+		if name[i] == '/' {
+			return name[:i], name[i+1:], i > 0 && i+1 < len(name)
+		}
+	}
+	return "", "", false
+}
+
+// parsed returns a field for a value with its own parser.
+func parsed[T any](name string, target *T, parse func(string) (T, error)) inifile.Field {
+	return inifile.Field{Name: name, Set: func(value string) error {
+		v, err := parse(value)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*target = v
+		return nil
+	}}
+}
+
+// domainOf returns the failure domain of an IP number, "" when none has it.
+func (c *Config) domainOf(addr netip.Addr) string {
+	for _, d := range c.Domains {
+		if d.Range.Contains(addr) {
+			return d.Name
+		}
+	}
+	return ""
+}
+
+// delay returns the one-way delay between two failure domains.
+func (c *Config) delay(from, to string) time.Duration {
+	for _, l := range c.Links {
+		if l.From == from && l.To == to {
+			return l.Delay
+		}
+	}
+	if from == to {
+		return 0
+	}
+	return c.Delay
+}
