--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check clean
+.PHONY: build fmt lint vet test check quickstart fuzz clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -31,5 +31,10 @@
 
 check: fmt vet lint test
 
+# Runs a site in small on this machine: make quickstart SITE=great-lakes.
+quickstart: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
+	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/examples/quickstart/input.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Recorded is one call of the recorded input.
+type Recorded struct {
+	Offset time.Duration
+	Kind   string
+	Caller string
+	Method string
+	// Service and Path are the two parts of the path of the call.
+	Service string
+	Path    string
+	Body    string
+}
+
+// period is the time after which the recorded input starts again.
+const period = 2 * time.Second
+
+// columns of the input file: offset in ms, kind, caller, method, path, body.
+const columns = 6
+
+// readInput reads a recorded input file.
+func readInput(file string) ([]Recorded, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer f.Close()
+	var list []Recorded
+	scanner := bufio.NewScanner(f)
+	for line := 1; scanner.Scan(); line++ {
+		text := scanner.Text()
+		if text == "" || text[0] == '#' {
+			continue
+		}
+		r, err := parseRecorded(text)
+		if err != nil {
+			return nil, errors.Errorf("%s:%d: %v", file, line, err)
+		}
+		if len(list) > 0 && r.Offset < list[len(list)-1].Offset {
+			return nil, errors.Errorf("%s:%d: offset is lower than the one before", file, line)
+		}
+		list = append(list, r)
+	}
+	if len(list) == 0 {
+		return nil, errors.Errorf("%s holds no call", file)
+	}
+	return list, errors.Trace(scanner.Err())
+}
+
+func parseRecorded(text string) (Recorded, error) {
+	fields := strings.Split(text, "\t")
+	if len(fields) != columns {
+		return Recorded{}, errors.Errorf("expected %d columns, got %d", columns, len(fields))
+	}
+	ms, err := strconv.ParseFloat(fields[0], 64)
+	offset := time.Duration(ms * float64(time.Millisecond))
+	if err != nil || offset < 0 || offset >= period {
+		return Recorded{}, errors.Errorf("offset %q: expected 0 to %d ms", fields[0], period.Milliseconds())
+	}
+	service, path, ok := strings.Cut(strings.TrimPrefix(fields[4], "/"), "/")
+	if !ok || service == "" {
+		return Recorded{}, errors.Errorf("path %q: expected /SERVICE/PATH", fields[4])
+	}
+	body := fields[5]
+	if body == "-" {
+		body = ""
+	}
+	return Recorded{
+		Offset: offset, Kind: fields[1], Caller: fields[2], Method: fields[3],
+		Service: service, Path: "/" + path, Body: body,
+	}, nil
+}
--- /dev/null
+++ b/examples/quickstart/measuring.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// measuringNames are the parts of the metrics' names that count the cost of
+// measuring and of control messages.
+var measuringNames = []string{"probe", "control_bytes"}
+
+// printMeasuring sums the cost of measuring over all nodes and shows it beside
+// the budget of one node.
+func printMeasuring(ctx context.Context, f *fleet) {
+	totals := map[string]float64{}
+	nodes := 0
+	for _, h := range f.hosts {
+		data, err := get(ctx, http.MethodGet, "http://"+h.operators+"/metrics")
+		if err != nil {
+			fmt.Printf("no metrics from %s: %v\n", h.name, err)
+			continue
+		}
+		nodes++
+		addMetrics(totals, data)
+	}
+	names := make([]string, 0, len(totals))
+	for name := range totals {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	w := newTable(fmt.Sprintf("cost of measuring, sum over %d nodes\tvalue", nodes))
+	for _, name := range names {
+		_, _ = fmt.Fprintf(w, "%s\t%.0f\n", name, totals[name])
+	}
+	if !containsProbe(names) {
+		_, _ = fmt.Fprintln(w, "probes\tno metric")
+	}
+	_, _ = fmt.Fprintf(w, "probe budget per node and second\t%d probes, %d bytes\n", defaultProbes.Rate, defaultProbes.Bytes)
+	endTable(w)
+}
+
+func containsProbe(names []string) bool {
+	for _, n := range names {
+		if strings.Contains(n, "probe") {
+			return true
+		}
+	}
+	return false
+}
+
+// addMetrics adds the samples of one node's metrics in the text format.
+func addMetrics(totals map[string]float64, data []byte) {
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	for scanner.Scan() {
+		line := scanner.Text()
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line, "{")
+		space := strings.LastIndexByte(line, ' ')
+		if space < 0 || !isMeasuring(name) {
+			continue
+		}
+		if value, err := strconv.ParseFloat(line[space+1:], 64); err == nil {
+			totals[name] += value
+		}
+	}
+}
+
+func isMeasuring(name string) bool {
+	for _, part := range measuringNames {
+		if strings.Contains(name, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// defaultProbes is the budget in force: the examples leave it at its default.
+var defaultProbes = dynconf.Default().Probes
--- /dev/null
+++ b/examples/quickstart/ports.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// Ports are taken from a range below the usual ephemeral ports, so that no
+// outgoing connection takes one between its check and its use.
+const (
+	firstPort    = 20000
+	lastPort     = 32000
+	portsPerRun  = 120
+	parallelRuns = (lastPort - firstPort) / portsPerRun
+)
+
+// ports hands out free ports. Runs at the same time start at different ones.
+type ports struct {
+	next int
+}
+
+func newPorts() *ports {
+	return &ports{next: firstPort + os.Getpid()%parallelRuns*portsPerRun}
+}
+
+// take returns IP:port with a port that is free for TCP and UDP.
+func (p *ports) take(ip string) (string, error) {
+	for p.next < lastPort {
+		addr := net.JoinHostPort(ip, strconv.Itoa(p.next))
+		p.next++
+		if isFree(addr) {
+			return addr, nil
+		}
+	}
+	return "", errors.Errorf("no free port between %d and %d", firstPort, lastPort)
+}
+
+func isFree(addr string) bool {
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
