--- a/examples/quickstart/input.go
+++ b/examples/quickstart/input.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"os"
 	"strconv"
 	"strings"
@@ -30,13 +31,12 @@
 
 // readInput reads a recorded input file.
 func readInput(file string) ([]Recorded, error) {
-	f, err := os.Open(file)
+	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer f.Close()
 	var list []Recorded
-	scanner := bufio.NewScanner(f)
+	scanner := bufio.NewScanner(bytes.NewReader(data))
 	for line := 1; scanner.Scan(); line++ {
 		text := scanner.Text()
 		if text == "" || text[0] == '#' {
--- a/examples/quickstart/ports.go
+++ b/examples/quickstart/ports.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return false
 	}
-	defer tcp.Close()
+	defer func() { _ = tcp.Close() }()
 	udp, err := net.ListenPacket("udp", addr)
 	if err != nil {
 		return false
