--- a/cmd/mangostandd/main.go
+++ b/cmd/mangostandd/main.go
@@ -30,6 +30,7 @@
 	flaggy.SetName("mangostandd")
 	flaggy.SetDescription("mangostand node: runs beside one backend server and carries calls")
 	flaggy.SetVersion(version)
+	flaggy.DefaultParser.ShowCompletion = false
 	flaggy.String(&file, "s", "settings", "settings file of the node (INI)")
 	flaggy.Parse()
 	os.Exit(run(file))
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 	parser := flaggy.NewParser("standin")
 	parser.Description = "stand-ins for the platform and for backend servers"
 	parser.Version = version
+	parser.ShowCompletion = false
 	commands := []command{storeCommand(), backendServerCommand(), executionLogCommand(), relayCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.parsed, 1)
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -19,6 +19,8 @@
 	// Local is the executor of this node; calls to it skip the network.
 	Local *Executor
 	Log   zerolog.Logger
+	// Observer may be nil.
+	Observer Observer
 }
 
 // Serve carries one call and returns its result. The result's body, when there
@@ -83,15 +85,7 @@
 		record.Finish(result.Outcome)
 		started = record.Started
 	}
-	event := e.Log.Debug()
-	if result.Outcome == board.OutcomeUnknown {
-		event = e.Log.Warn()
-	}
-	event.Str("request_id", req.ID).Str("service", req.Service).Str("caller", req.Caller).
-		Str("backend_server", string(result.Instance)).Int("attempt", result.Attempts).
-		Str("outcome", result.Outcome.String()).Str("reason", string(result.Reason)).
-		Int("status", result.Status).Uint64("config_version", config.Version).
-		Dur("elapsed_ms", elapsedSince(started)).Msg("call finished")
+	e.report(req, result, config, elapsedSince(started))
 	return result
 }
 
--- /dev/null
+++ b/pkg/control/telemetry/telemetry.go
@@ -0,0 +1,94 @@
+// Package telemetry reads the board once per second and sets the gauges of the
+// node's metrics. It writes no section.
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/peer"
+)
+
+const interval = time.Second
+
+// Controller sets the gauges.
+type Controller struct {
+	board   *board.Board
+	traffic *peer.Traffic
+	scope   tally.Scope
+	// counted holds the totals that the counters already contain.
+	counted map[string]uint64
+}
+
+// New returns the controller for a node's board and its control traffic.
+func New(b *board.Board, traffic *peer.Traffic, scope tally.Scope) *Controller {
+	return &Controller{board: b, traffic: traffic, scope: scope, counted: map[string]uint64{}}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "telemetry" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		c.update()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) update() {
+	c.scope.Gauge("calls_in_flight").Update(float64(c.board.Requests.Len()))
+	c.scope.Gauge("config_version").Update(float64(c.board.Config.Load().Version))
+	c.updateMembers()
+	c.updateLocal()
+	c.count("control_bytes_sent_total", c.traffic.Sent.Load())
+	c.count("control_bytes_received_total", c.traffic.Received.Load())
+	c.countDropped("gossip", c.board.Gossip.Dropped())
+	c.countDropped("announcements", c.board.Announcements.Dropped())
+	c.countDropped("rumors_out", c.board.RumorsOut.Dropped())
+}
+
+func (c *Controller) updateMembers() {
+	var byState [board.MemberDead + 1]int
+	for _, m := range c.board.Members.Load().ByInstance {
+		if int(m.State) < len(byState) {
+			byState[m.State]++
+		}
+	}
+	for state, n := range byState {
+		tags := map[string]string{"state": board.MemberState(state).String()}
+		c.scope.Tagged(tags).Gauge("members").Update(float64(n))
+	}
+}
+
+func (c *Controller) updateLocal() {
+	local := c.board.Local.Load()
+	ready := 0.0
+	if local.Ready() {
+		ready = 1
+	}
+	c.scope.Gauge("backend_server_ready").Update(ready)
+	c.scope.Gauge("backend_server_slots").Update(float64(local.Slots))
+	c.scope.Gauge("backend_server_reported_in_flight").Update(float64(local.ReportedInFlight))
+}
+
+// count raises a counter to a total.
+func (c *Controller) count(name string, total uint64) {
+	c.scope.Counter(name).Inc(int64(total - c.counted[name]))
+	c.counted[name] = total
+}
+
+func (c *Controller) countDropped(inbox string, total uint64) {
+	key := "inbox_dropped_total " + inbox
+	c.scope.Tagged(map[string]string{"inbox": inbox}).Counter("inbox_dropped_total").Inc(int64(total - c.counted[key]))
+	c.counted[key] = total
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -27,3 +27,13 @@
 	zerolog.SetGlobalLevel(level)
 	return nil
 }
+
+// infoBurst is the most info lines per second of a sampled logger; an overload
+// must not turn into a flood of lines.
+const infoBurst = 100
+
+// Sampled returns a logger that writes at most 100 lines per second at info
+// level. Other levels are not limited.
+func Sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: infoBurst, Period: time.Second}})
+}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -15,12 +17,25 @@
 const reportInterval = time.Second
 
 // New returns the root scope of a node, the handler that exposes it and a
-// closer that flushes the last figures.
+// closer that flushes the last figures. Each node has a registry of its own,
+// so that several nodes can run in one process.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "mangostand", Tags: tags, CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: sanitizeOptions(),
 	}, reportInterval)
 	return scope, reporter.HTTPHandler(), closer
 }
+
+// sanitizeOptions keeps the characters of instance and service names in label
+// values, which the text format allows.
+func sanitizeOptions() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{
+		Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', ':', '/'},
+	}
+	return &options
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
@@ -21,8 +22,10 @@
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
 	"mangostand.example/mangostand/pkg/control/routing"
+	"mangostand.example/mangostand/pkg/control/telemetry"
 	"mangostand.example/mangostand/pkg/httpfront"
 	"mangostand.example/mangostand/pkg/localapi"
+	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/opsapi"
 	"mangostand.example/mangostand/pkg/peer"
@@ -97,7 +100,9 @@
 		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
 		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
 	}
-	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Log: n.log}
+	n.entry = &call.Entry{
+		Board: n.board, Peers: n.peers, Local: n.executor, Log: logging.Sampled(n.log), Observer: metrics.NewCalls(n.scope),
+	}
 }
 
 func (n *Node) buildControllers() {
@@ -111,6 +116,7 @@
 		membership.New(n.board, self, n.peers, n.settings.Seeds, n.log),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
+		telemetry.New(n.board, &n.peers.Traffic, n.scope),
 	}
 	if n.settings.Store != "" {
 		store := platform.NewClient(n.settings.Store)
@@ -148,6 +154,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(n.log.With().Str("listener", name).Logger(), "", 0),
 	}
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -3,9 +3,11 @@
 package opsapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/logging"
@@ -21,6 +23,8 @@
 	Local         board.Local      `json:"local"`
 	Members       []board.Member   `json:"members"`
 	InFlight      int              `json:"in_flight"`
+	// Instances lists what this node knows of the load of each instance.
+	Instances []InstanceStatus `json:"instances"`
 	// Sections maps each section to its version and its writer.
 	Sections map[string]SectionStatus `json:"sections"`
 }
@@ -35,6 +39,7 @@
 func Handler(b *board.Board, metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { ready(b, w) })
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, StatusOf(b)) })
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		b.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain})
@@ -50,7 +55,7 @@
 	members := b.Members.Load()
 	status := Status{
 		Instance: members.Self, ConfigVersion: b.Config.Load().Version, Local: *b.Local.Load(),
-		InFlight: b.Requests.Len(),
+		InFlight: b.Requests.Len(), Instances: instancesOf(b),
 		Sections: map[string]SectionStatus{
 			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
 			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
@@ -62,6 +67,7 @@
 	for _, m := range members.ByInstance {
 		status.Members = append(status.Members, m)
 	}
+	slices.SortFunc(status.Members, func(x, y board.Member) int { return cmp.Compare(x.Instance, y.Instance) })
 	return status
 }
 
