Refuse ambiguous paths, absurd announcements and claimed sizes; fuzz decoders

Cause: a path such as /histories/../bookings was matched to the route of a read, while a backend server that cleans paths may take it for a booking; an announcement could claim four billion slots; the header of a frame could claim 2 MB of memory without sending it.

Change: paths with dot segments or encoded slashes get not-run with 400; announcements are bounded with an error that names the field; the memory of a large frame grows with its bytes. Each decoder has a fuzz target with a seed corpus, and make fuzz runs them for 10 s each.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,11 @@
 
 clean:
 	rm -rf $(BIN)
+
+FUZZTIME ?= 10s
+
+# Fuzzes each decoder for a short time. go test runs the seeds anyway.
+fuzz:
+	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./pkg/httpfront -run '^$$' -fuzz '^FuzzParseRequest$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./pkg/localapi -run '^$$' -fuzz '^FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) -parallel 4
--- a/pkg/httpfront/front.go
+++ b/pkg/httpfront/front.go
@@ -63,6 +63,9 @@
 // ParseRequest reads a caller's request. It returns an error when a part is
 // malformed or too large.
 func ParseRequest(w http.ResponseWriter, r *http.Request) (*call.Request, error) {
+	if err := checkPath(r.URL); err != nil {
+		return nil, err
+	}
 	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	req := &call.Request{
 		ID: newID(), Service: service, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
@@ -72,6 +75,10 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodySize))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errors.Errorf("request body is larger than %d bytes", tooLarge.Limit)
+	}
 	if err != nil {
 		return nil, errors.Errorf("request body cannot be read: %v", err)
 	}
--- a/pkg/localapi/localapi.go
+++ b/pkg/localapi/localapi.go
@@ -3,7 +3,6 @@
 package localapi
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 
@@ -47,13 +46,9 @@
 		http.Error(w, "announcement too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	var a Announcement
-	if err := json.Unmarshal(data, &a); err != nil {
-		http.Error(w, "malformed announcement: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	if a.Service == "" || a.Addr == "" || a.Slots == 0 {
-		http.Error(w, "service, addr and slots are required", http.StatusBadRequest)
+	a, err := ParseAnnouncement(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	post(b, w, board.Announcement{Kind: board.AnnounceHeartbeat, Server: board.Local{
--- /dev/null
+++ b/pkg/node/node_test.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/security"
+	"mangostand.example/mangostand/pkg/settings"
+	"mangostand.example/mangostand/pkg/standin/backendserver"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// answer is what a caller sees.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+}
+
+func do(t *testing.T, client *http.Client, method, url string, header map[string]string, body []byte) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	require.NoError(t, err)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return answer{resp.StatusCode, resp.Header.Get("Mangostand-Outcome"), resp.Header.Get("Mangostand-Reason"), string(data)}
+}
+
+// Guards against a fleet that does not carry the calls of the example
+// configuration, tells a wrong outcome, or is hurt by a request it refuses:
+// the good calls come last, after all the bad ones.
+func TestCallsFromEndToEnd(t *testing.T) {
+	f := newTestFleet(t, nil, "atelier-1", "atelier-2")
+	key := uuid.Must(uuid.NewV7()).String()
+	cases := []struct {
+		name, method, path string
+		header             map[string]string
+		body               []byte
+		status             int
+		outcome, reason    string
+	}{
+		{"unknown service", "GET", "/none/x", nil, nil, 404, "not-run", "no-route"},
+		{"unknown route", "GET", "/atelier-suivi/none", nil, nil, 404, "not-run", "no-route"},
+		{"no service", "GET", "/", nil, nil, 404, "not-run", "no-route"},
+		{"service without server", "GET", "/plan-depot/drawings/1", nil, nil, 503, "not-run", "no-server"},
+		{"bad key", "POST", "/atelier-suivi/bookings/1", map[string]string{"Idempotency-Key": "x"}, nil, 400, "not-run", "malformed-request"},
+		{"body too large", "POST", "/atelier-suivi/bookings/1", nil, make([]byte, wire.MaxBodySize+1), 400, "not-run", "malformed-request"},
+		{"path of two readings", "GET", "/atelier-suivi/histories/%2e%2e/bookings", nil, nil, 400, "not-run", "malformed-request"},
+		{"odd path", "GET", "/atelier-suivi/histories/%00%ff%3f", nil, nil, 200, "succeeded", ""},
+		{"read", "GET", "/atelier-suivi/histories/wheelset-1", nil, nil, 200, "succeeded", ""},
+		{"large answer", "GET", "/atelier-suivi/histories/wheelset-1?size=300000", nil, nil, 200, "succeeded", ""},
+		{"booking", "POST", "/atelier-suivi/bookings/lathe-1", map[string]string{"Idempotency-Key": key}, []byte("{}"), 200, "succeeded", ""},
+	}
+	for i, c := range cases {
+		n := f.nodes[i%len(f.nodes)]
+		header := map[string]string{backendserver.HeaderNonce: c.name}
+		for name, value := range c.header {
+			header[name] = value
+		}
+		got := do(t, http.DefaultClient, c.method, "http://"+n.settings.Callers+c.path, header, c.body)
+		require.Equal(t, c.status, got.status, "%s: %s", c.name, got.body)
+		require.Equal(t, c.outcome, got.outcome, c.name)
+		require.Equal(t, c.reason, got.reason, c.name)
+		if strings.Contains(c.path, "wheelset") {
+			require.NoError(t, backendserver.VerifyAnswer([]byte(got.body), c.method, "/histories/wheelset-1", c.name))
+		}
+	}
+	executions := f.executions.All()
+	require.Len(t, executions, 1)
+	require.Equal(t, "/bookings/lathe-1", executions[0].Path)
+}
+
+// Guards against a caller that holds connections with unfinished requests and
+// so keeps others from being served, and against a listener without limits.
+func TestUnfinishedRequestsDoNotHurtOthers(t *testing.T) {
+	f := newTestFleet(t, nil, "atelier-1")
+	addr := f.nodes[0].settings.Callers
+	for _, text := range []string{"", "GET / HTTP/1.1\r\nX: ", "POST /atelier-suivi/bookings HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n1"} {
+		for range 50 {
+			conn, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte(text))
+			require.NoError(t, err)
+		}
+	}
+	got := do(t, http.DefaultClient, "GET", "http://"+addr+"/atelier-suivi/histories/1", nil, nil)
+	require.Equal(t, "succeeded", got.outcome)
+	require.Len(t, f.nodes[0].listeners, 3)
+	for _, l := range f.nodes[0].listeners {
+		require.Positive(t, l.server.ReadHeaderTimeout, l.name)
+		require.Positive(t, l.server.ReadTimeout, l.name)
+		require.Positive(t, l.server.IdleTimeout, l.name)
+		require.Positive(t, l.server.MaxHeaderBytes, l.name)
+	}
+	require.Empty(t, f.executions.All())
+}
+
+// Guards against TLS settings that a listener ignores: callers without a
+// certificate are refused, the name in the certificate is the caller's
+// identity and cannot be overridden, and operators get TLS.
+func TestTLSListeners(t *testing.T) {
+	f := newTestFleet(t, func(s *settings.Node) {
+		s.CallerTLS = security.Files{Cert: s.PeerTLS.Cert, Key: s.PeerTLS.Key, CA: s.PeerTLS.CA}
+		s.OperatorTLS = security.Files{Cert: s.PeerTLS.Cert, Key: s.PeerTLS.Key}
+	}, "atelier-1")
+	s := f.nodes[0].settings
+	foreman := f.certificate("foreman", false)
+
+	bare := tlsClient(t, s.PeerTLS.CA, nil)
+	_, err := bare.Get("https://" + s.Callers + "/atelier-suivi/histories/1")
+	require.Error(t, err, "a caller without a certificate")
+
+	known := tlsClient(t, s.PeerTLS.CA, &foreman)
+	got := do(t, known, "POST", "https://"+s.Callers+"/atelier-suivi/bookings/1", map[string]string{"Mangostand-Caller": "inspector"}, nil)
+	require.Equal(t, "succeeded", got.outcome, got.body)
+	require.Equal(t, "foreman", f.executions.All()[0].Caller)
+
+	require.Equal(t, 200, do(t, bare, "GET", "https://"+s.Operators+"/healthz", nil, nil).status)
+	require.Equal(t, 400, do(t, http.DefaultClient, "GET", "http://"+s.Operators+"/healthz", nil, nil).status)
+}
+
+func tlsClient(t *testing.T, ca string, own *security.Files) *http.Client {
+	t.Helper()
+	pem, err := os.ReadFile(ca)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	require.True(t, pool.AppendCertsFromPEM(pem))
+	config := &tls.Config{RootCAs: pool}
+	if own != nil {
+		cert, err := tls.LoadX509KeyPair(own.Cert, own.Key)
+		require.NoError(t, err)
+		config.Certificates = []tls.Certificate{cert}
+	}
+	transport := &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 30 * time.Second}
+}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -142,13 +143,29 @@
 	if size > limit {
 		return Frame{}, errors.Annotatef(ErrTooLarge, "type %d with %d bytes", t, size)
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, size)
+	if err != nil {
 		return Frame{}, errors.Trace(err)
 	}
 	return Frame{Type: t, Payload: payload}, nil
 }
 
+// readPayload reads size bytes. The memory of a large payload grows with the
+// bytes that arrive, so that a header alone cannot claim it.
+func readPayload(r io.Reader, size uint32) ([]byte, error) {
+	if size <= MaxControlSize {
+		payload := make([]byte, size)
+		_, err := io.ReadFull(r, payload)
+		return payload, err
+	}
+	var buffer bytes.Buffer
+	_, err := io.CopyN(&buffer, r, int64(size))
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return buffer.Bytes(), err
+}
+
 // Decode decodes the payload into message, a pointer to the struct of the
 // frame's type.
 func (f Frame) Decode(message any) error {
