--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check quickstart fuzz clean
+.PHONY: build fmt lint vet test check quickstart site fuzz clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
@@ -39,6 +39,11 @@
 clean:
 	rm -rf $(BIN)
 
+# Starts a site and leaves it running until an interrupt.
+site: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
+	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples --hold
+
 FUZZTIME ?= 10s
 
 # Fuzzes each decoder for a short time. go test runs the seeds anyway.
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -37,6 +37,8 @@
 	bin      string
 	examples string
 	keep     bool
+	// hold starts the site and leaves it running until an interrupt.
+	hold bool
 }
 
 func init() {
@@ -55,6 +57,7 @@
 	parser.String(&o.bin, "b", "bin", "directory of the programs")
 	parser.String(&o.examples, "e", "examples", "directory of the examples")
 	parser.Bool(&o.keep, "k", "keep", "keep settings and logs after a run that passed")
+	parser.Bool(&o.hold, "", "hold", "start the site and leave it running until an interrupt")
 	if err := parser.ParseArgs(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "quickstart:", err)
 		os.Exit(exitBadInput)
@@ -80,8 +83,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
-	defer cancel()
+	if !o.hold {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, totalTimeout)
+		defer cancel()
+	}
 	passed, err := runSite(ctx, site, recorded, o, dir)
 	if passed && !o.keep {
 		_ = os.RemoveAll(dir)
@@ -114,6 +120,10 @@
 		return false, errors.Trace(err)
 	}
 	fmt.Printf("%s: %d nodes and backend servers ready after %.1f s\n", site.Title, len(fleet.hosts), time.Since(started).Seconds())
+	if o.hold {
+		holdSite(ctx, fleet)
+		return true, nil
+	}
 	results, err := runPhases(ctx, fleet, recorded)
 	if err != nil {
 		return false, errors.Trace(err)
@@ -122,3 +132,15 @@
 	fmt.Printf("run time %.1f s\n", time.Since(started).Seconds())
 	return passed, errors.Trace(err)
 }
+
+// holdSite shows the addresses of a running site and waits for an interrupt.
+func holdSite(ctx context.Context, f *fleet) {
+	w := newTable("instance\tfailure domain\tcallers\toperators\tbackend server")
+	for _, h := range f.hosts {
+		_, _ = fmt.Fprintf(w, "%s\t%s\thttp://%s\thttp://%s\thttp://%s\n", h.name, h.domain, h.callers, h.operators, h.server)
+	}
+	endTable(w)
+	fmt.Printf("store http://%s, execution log http://%s, relay http://%s\n", f.store, f.executionLog, f.relay)
+	fmt.Printf("settings and logs in %s; interrupt to stop\n", f.dir)
+	<-ctx.Done()
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -43,6 +43,7 @@
 	commands = append(commands, configCommands(parser, stdout, stderr)...)
 	commands = append(commands, keysCommands(parser, stdout, stderr)...)
 	commands = append(commands, statusCommands(parser, stdout, stderr)...)
+	commands = append(commands, newKeyCommand(parser, stdout, stderr)...)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitBadInput
--- /dev/null
+++ b/pkg/cli/newkey.go
@@ -0,0 +1,24 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+)
+
+// newKeyCommand adds "new-key", for callers that use curl.
+func newKeyCommand(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
+	newKey := flaggy.NewSubcommand("new-key")
+	newKey.Description = "print a new idempotency key (UUID version 7)"
+	parser.AttachSubcommand(newKey, 1)
+	return []*command{{newKey, func() int {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return fail(stderr, err)
+		}
+		fmt.Fprintln(stdout, key)
+		return ExitOK
+	}}}
+}
--- a/pkg/standin/backendserver/answer.go
+++ b/pkg/standin/backendserver/answer.go
@@ -27,7 +27,7 @@
 
 // token names the request that an answer belongs to.
 func token(method, path, nonce string) string {
-	return fmt.Sprintf("%s %s %s", method, path, nonce)
+	return strings.TrimRight(method+" "+path+" "+nonce, " ")
 }
 
 // NewAnswer returns the body of an answer: the token of its request in the
