Cut off callers that do not read their answers

Cause: a caller that did not read a large answer held the call, the slot of the backend server and the in-flight count that routing uses without a limit.

--- a/pkg/httpfront/front.go
+++ b/pkg/httpfront/front.go
@@ -48,6 +48,7 @@
 			return
 		}
 		result := server.Serve(r.Context(), req)
+		defer limitWriting(w, req.Deadline)()
 		writeResult(w, req, result, "")
 	})
 }
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -114,6 +114,25 @@
 	require.Empty(t, f.executions.All())
 }
 
+// Guards against a caller that does not read its answer and so holds the call,
+// and the figures that routing uses, for ever.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	f := newTestFleet(t, nil, "atelier-1")
+	n := f.nodes[0]
+	conn, err := net.Dial("tcp", n.settings.Callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET /atelier-suivi/histories/1?size=16000000 HTTP/1.1\r\nHost: h\r\nMangostand-Deadline-Ms: 4000\r\n\r\n"))
+	require.NoError(t, err)
+	head := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(conn, head)
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 200", string(head))
+	require.Eventually(t, func() bool { return n.executor.InFlight() == 0 }, 60*time.Second, 10*time.Millisecond)
+	cell := n.Board().Load.Load().Cells["atelier-1"]
+	require.Eventually(t, func() bool { return cell.OwnInFlight() == 0 }, 60*time.Second, 10*time.Millisecond)
+}
+
 // Guards against TLS settings that a listener ignores: callers without a
 // certificate are refused, the name in the certificate is the caller's
 // identity and cannot be overridden, and operators get TLS.
--- a/pkg/standin/backendserver/answer.go
+++ b/pkg/standin/backendserver/answer.go
@@ -36,13 +36,23 @@
 	var b bytes.Buffer
 	own := token(method, path, nonce)
 	fmt.Fprintf(&b, "%s\n%s %s read %d bytes\n", own, service, instance, bodySize)
+	padding := paddingOf(own)
 	for line := 0; b.Len()+len(own) < size; line++ {
-		fmt.Fprintf(&b, "%08d %s\n", line, own)
+		fmt.Fprintf(&b, "%08d %s\n", line, padding)
 	}
 	b.WriteString(own + "\n")
 	return b.Bytes()
 }
 
+// paddingSize is the least size of a padding line in bytes; shorter lines make
+// large answers slow to build.
+const paddingSize = 1000
+
+// paddingOf repeats a token up to the size of a padding line.
+func paddingOf(own string) string {
+	return strings.Repeat(own+" ", paddingSize/(len(own)+1)+1)
+}
+
 // VerifyAnswer returns an error when a body is not the whole answer to the
 // request with this method, path and nonce.
 func VerifyAnswer(body []byte, method, path, nonce string) error {
@@ -56,8 +66,9 @@
 	if lines[0] != own || lines[len(lines)-2] != own {
 		return errors.Errorf("answer begins with %q and ends with %q, expected %q", lines[0], lines[len(lines)-2], own)
 	}
+	padding := paddingOf(own)
 	for n, line := range lines[2 : len(lines)-2] {
-		if line != fmt.Sprintf("%08d %s", n, own) {
+		if line != fmt.Sprintf("%08d %s", n, padding) {
 			return errors.Errorf("line %d of the answer belongs to another request: %q", n, line)
 		}
 	}
