Show executions per booking and the cost of measuring per node and second

Cause: the budget of probes holds per node and second, while the table showed sums; executions were only part of a check's text.

Change: both are tables of their own in the quickstart.

--- a/examples/quickstart/checks.go
+++ b/examples/quickstart/checks.go
@@ -16,14 +16,7 @@
 
 // runChecks judges a run by what the clients saw and by the execution log.
 func runChecks(f *fleet, r *results, executions []executionlog.Execution) []check {
-	runs := map[string]int{}
-	for _, e := range executions {
-		runs[e.Nonce]++
-	}
-	var all []Result
-	for _, p := range r.phases() {
-		all = append(all, p.results...)
-	}
+	runs, all := countRuns(executions), r.all()
 	return []check{
 		checkAtMostOnce(f, all, runs),
 		checkOutcomes(all, runs),
@@ -34,22 +27,46 @@
 	}
 }
 
-// checkAtMostOnce finds bookings that ran more than once.
-func checkAtMostOnce(f *fleet, all []Result, runs map[string]int) check {
-	bookings := map[string]bool{}
-	spread := map[int]int{}
+// countRuns counts the executions of each call.
+func countRuns(executions []executionlog.Execution) map[string]int {
+	runs := map[string]int{}
+	for _, e := range executions {
+		runs[e.Nonce]++
+	}
+	return runs
+}
+
+// spread counts bookings by the number of their executions.
+type spread struct{ none, one, more int }
+
+func executionsPerBooking(f *fleet, all []Result, runs map[string]int) spread {
+	var s spread
+	counted := map[string]bool{}
 	for _, r := range all {
-		if r.Kind == f.site.Booking && !bookings[r.Nonce] {
-			bookings[r.Nonce] = true
-			spread[runs[r.Nonce]]++
+		if r.Kind != f.site.Booking || counted[r.Nonce] {
+			continue
+		}
+		counted[r.Nonce] = true
+		switch runs[r.Nonce] {
+		case 0:
+			s.none++
+		case 1:
+			s.one++
+		default:
+			s.more++
 		}
 	}
-	c := check{name: fmt.Sprintf("%d %ss: %d ran once, %d did not run, none may run more often",
-		len(bookings), f.site.Booking, spread[1], spread[0])}
-	if more := len(bookings) - spread[0] - spread[1]; more > 0 {
-		c.problem = fmt.Sprintf("%d ran more than once", more)
+	return s
+}
+
+// checkAtMostOnce finds bookings that ran more than once.
+func checkAtMostOnce(f *fleet, all []Result, runs map[string]int) check {
+	s := executionsPerBooking(f, all, runs)
+	c := check{name: fmt.Sprintf("each %s ran at most once", f.site.Booking)}
+	if s.more > 0 {
+		c.problem = fmt.Sprintf("%d ran more than once", s.more)
 	}
-	if len(bookings) == 0 {
+	if s == (spread{}) {
 		c.problem = "no booking was sent"
 	}
 	return c
--- a/examples/quickstart/fleet.go
+++ b/examples/quickstart/fleet.go
@@ -31,6 +31,7 @@
 	options options
 	dir     string
 	hosts   []*host
+	started time.Time
 
 	store, executionLog, relay string
 	platform                   []*child
@@ -38,7 +39,7 @@
 
 // newFleet names the instances and chooses their addresses.
 func newFleet(site *Site, o options, dir string) (*fleet, error) {
-	f := &fleet{site: site, options: o, dir: dir}
+	f := &fleet{site: site, options: o, dir: dir, started: time.Now()}
 	p := newPorts()
 	var failed error
 	take := func(ip string) string {
--- a/examples/quickstart/measuring.go
+++ b/examples/quickstart/measuring.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"mangostand.example/mangostand/pkg/dynconf"
 )
@@ -36,14 +37,16 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	w := newTable(fmt.Sprintf("cost of measuring, sum over %d nodes\tvalue", nodes))
+	nodeSeconds := float64(nodes) * time.Since(f.started).Seconds()
+	w := newTable(fmt.Sprintf("cost of measuring\tsum over %d nodes\tper node and second", nodes))
 	for _, name := range names {
-		_, _ = fmt.Fprintf(w, "%s\t%.0f\n", name, totals[name])
+		_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.1f\n", name, totals[name], totals[name]/nodeSeconds)
 	}
 	if !containsProbe(names) {
 		_, _ = fmt.Fprintln(w, "probes\tno metric")
 	}
-	_, _ = fmt.Fprintf(w, "probe budget per node and second\t%d probes, %d bytes\n", defaultProbes.Rate, defaultProbes.Bytes)
+	_, _ = fmt.Fprintf(w, "budget of probes\t\t%d\n", defaultProbes.Rate)
+	_, _ = fmt.Fprintf(w, "budget of probe bytes\t\t%d\n", defaultProbes.Bytes)
 	endTable(w)
 }
 
--- a/examples/quickstart/report.go
+++ b/examples/quickstart/report.go
@@ -24,6 +24,7 @@
 	printOutcomes(r)
 	printLatencies(r)
 	printMeasuring(ctx, f)
+	printExecutions(f, r, executions)
 	checks := runChecks(f, r, executions)
 	passed := true
 	for _, c := range checks {
@@ -40,6 +41,14 @@
 	return passed, nil
 }
 
+// printExecutions shows how often the bookings ran.
+func printExecutions(f *fleet, r *results, executions []executionlog.Execution) {
+	spread := executionsPerBooking(f, r.all(), countRuns(executions))
+	w := newTable(fmt.Sprintf("executions per %s\tnone\tone\tmore", f.site.Booking))
+	_, _ = fmt.Fprintf(w, "%ss\t%d\t%d\t%d\n", f.site.Booking, spread.none, spread.one, spread.more)
+	endTable(w)
+}
+
 func newTable(header string) *tabwriter.Writer {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, header)
@@ -63,6 +72,15 @@
 	}
 }
 
+// all returns the results of all phases.
+func (r *results) all() []Result {
+	var all []Result
+	for _, p := range r.phases() {
+		all = append(all, p.results...)
+	}
+	return all
+}
+
 // measured returns the phases whose latencies count.
 func (r *results) measured() []phase { return r.phases()[1:4] }
 
