Give the stand-ins exit status 2 for bad input and test their stop

Cause: a missing argument or a bad relay file ended with status 1, and only the first problem of the file was shown. The connection limit and the drain of the backend server stand-in had no test.

Change: bad input gives status 2; all problems are printed; two tests.

--- a/cmd/standin/backendserver.go
+++ b/cmd/standin/backendserver.go
@@ -41,7 +41,7 @@
 	c.UInt64(&config.Seed, "", "seed", "seed of the swings")
 	return command{c, func(ctx context.Context) error {
 		if config.Service == "" || config.Slots < 1 {
-			return errors.New("--service and at least one slot are required")
+			return errors.Annotate(errBadInput, "--service and at least one slot are required")
 		}
 		return backendserver.New(config).Run(ctx)
 	}}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
 )
 
 // version is set at build time.
@@ -26,6 +27,9 @@
 	exitBadInput = 2
 )
 
+// errBadInput marks errors in arguments and files.
+const errBadInput = errors.ConstError("bad input")
+
 // command is one subcommand with the function that runs it until ctx ends.
 type command struct {
 	parsed *flaggy.Subcommand
@@ -61,6 +65,9 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "standin:", err)
+	if errors.Is(err, errBadInput) {
+		return exitBadInput
+	}
 	return exitFailure
 }
 
--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -19,11 +20,14 @@
 	return command{c, func(ctx context.Context) error {
 		data, err := os.ReadFile(file)
 		if err != nil {
-			return errors.Trace(err)
+			return errors.WithType(err, errBadInput)
 		}
 		config, problems := relay.ParseConfig(file, data)
+		for _, p := range problems {
+			fmt.Fprintln(os.Stderr, p)
+		}
 		if len(problems) > 0 {
-			return problems[0]
+			return errors.Annotatef(errBadInput, "%s", file)
 		}
 		r, err := relay.New(config)
 		if err != nil {
--- a/pkg/standin/backendserver/server_test.go
+++ b/pkg/standin/backendserver/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -176,3 +177,63 @@
 	require.GreaterOrEqual(t, len(seen), 20)
 	require.LessOrEqual(t, len(seen), 200)
 }
+
+// Guards against a connection limit that is not kept, or that a closed
+// connection goes on counting for.
+func TestConnectionLimit(t *testing.T) {
+	config := testConfig()
+	config.Addr, config.Connections, config.ConnectTime = "127.0.0.1:0", 1, time.Millisecond
+	socket, err := New(config).Listen()
+	require.NoError(t, err)
+	defer func() { _ = socket.Close() }()
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", socket.Addr().String())
+		require.NoError(t, err)
+		return conn
+	}
+	defer func(c net.Conn) { _ = c.Close() }(dial())
+	first := <-accepted
+	refused := dial()
+	_, err = refused.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Empty(t, accepted)
+	require.NoError(t, first.Close())
+	defer func(c net.Conn) { _ = c.Close() }(dial())
+	<-accepted
+}
+
+// Guards against a stop that cuts calls, or that the node does not learn of.
+func TestStopDrainsAndLeaves(t *testing.T) {
+	posts := make(chan string, 100)
+	node := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		posts <- r.URL.Path + " " + string(body)
+	}))
+	defer node.Close()
+	config := testConfig()
+	config.Addr, config.Node = "127.0.0.1:0", node.URL
+	s := New(config)
+	s.inFlight.Add(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	require.Contains(t, <-posts, `"draining":false`)
+	cancel()
+	for !strings.Contains(<-posts, `"draining":true`) {
+	}
+	require.Empty(t, done, "the server stopped with a call in flight")
+	s.inFlight.Add(-1)
+	for !strings.Contains(<-posts, "/v1/leave") {
+	}
+	require.NoError(t, <-done)
+}
