--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check clean
+.PHONY: build fmt lint vet test check quickstart site fuzz clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -31,5 +31,23 @@
 
 check: fmt vet lint test
 
+# Runs a site in small on this machine: make quickstart SITE=great-lakes.
+quickstart: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
+	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples
+
 clean:
 	rm -rf $(BIN)
+
+# Starts a site and leaves it running until an interrupt.
+site: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
+	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples --hold
+
+FUZZTIME ?= 10s
+
+# Fuzzes each decoder for a short time. go test runs the seeds anyway.
+fuzz:
+	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./pkg/httpfront -run '^$$' -fuzz '^FuzzParseRequest$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./pkg/localapi -run '^$$' -fuzz '^FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) -parallel 4
