Let the model lose the store of votes and use four nodes

Cause: with epoch 3 the model found a second fault of the lease: a member that restarted without memory voted for an epoch that its former incarnation had already left, so two homes acted at once (assertion runs==0, 11,611,409 states). Change: only the incarnation named in the epoch counts as a vote; four nodes are a macro, since an incomplete transfer cannot be served with three. Seen: -DROUNDS=1 -DMAX_EPOCH=3 ends with 0 errors in 64,304,574 states (125 s). Each of the eleven removed guards is found.

--- a/model/atmostonce.pml
+++ b/model/atmostonce.pml
@@ -1,10 +1,10 @@
 /*
  * At most once for one non-idempotent key, as pkg/atmostonce implements it.
  *
- * Three nodes of one service are homes and executors. Epoch 1 holds nodes 0,
- * 1 and 2 and the home of the key is node 0. When node 0 is declared dead,
- * which may be false, epoch 2 holds nodes 1 and 2 and the home is node 1.
- * When node 0 comes back, epoch 3 holds all three and the home is node 0.
+ * Three or four nodes of one service are homes and executors. Epoch 1 holds
+ * all of them and the home of the key is node 0. When node 0 is declared dead,
+ * which may be false, epoch 2 holds the others and the home is node 1. When
+ * node 0 comes back, epoch 3 holds all again and the home is node 0.
  *
  * Two entries carry the same key. A process may stop between any two steps,
  * which stands for a pause. Answers may be lost, call messages may be late,
@@ -29,7 +29,9 @@
 #define ROUNDS 2
 #endif
 
+#ifndef NODES
 #define NODES 3
+#endif
 #define NOBODY 7
 
 /* Home of the key and membership by epoch. */
@@ -37,17 +39,27 @@
 #define MEMBER(e, n) ((e) != 2 || (n) != 0)
 
 /* A home acts when it has adopted the epoch, its transfer is complete and it holds the lease. */
-#ifdef NO_TRANSFER
-#define TRANSFERRED(h, e) true
-#else
-#define TRANSFERRED(h, e) (readyFor[h] == (e))
-#endif
 #ifdef NO_LEASE
 #define LEASED(h, e) true
 #else
 #define LEASED(h, e) (lease[h] == (e))
 #endif
-#define MAY_ACT(h, e) (epoch[h] == (e) && HOME(e) == (h) && TRANSFERRED(h, e) && LEASED(h, e))
+#define MAY_ACT(h, e) (epoch[h] == (e) && HOME(e) == (h) && readyFor[h] == (e) && LEASED(h, e))
+
+/* A majority of epoch e has not adopted a higher one, so its home can renew the lease. */
+#ifdef LEASE_FROM_ANY_INCARNATION
+#define MEMBER_INC(e, n) inc[n]
+#else
+#define MEMBER_INC(e, n) ((n) == 0 -> memberInc[e] : 1)
+#endif
+#define NOT_BEYOND(e, n) (MEMBER(e, n) && alive[n] && inc[n] == MEMBER_INC(e, n) && epoch[n] <= (e) -> 1 : 0)
+#define EPOCH_SIZE(e) ((e) == 2 -> NODES - 1 : NODES)
+#if NODES == 3
+#define VOTES(e) (NOT_BEYOND(e, 0) + NOT_BEYOND(e, 1) + NOT_BEYOND(e, 2))
+#else
+#define VOTES(e) (NOT_BEYOND(e, 0) + NOT_BEYOND(e, 1) + NOT_BEYOND(e, 2) + NOT_BEYOND(e, 3))
+#endif
+#define CAN_RENEW(e) (2 * VOTES(e) > EPOCH_SIZE(e))
 
 /* Records of a home. */
 #define H_NONE 0
@@ -193,6 +205,9 @@
             :: MEMBER(e, 0) -> x = 0
             :: x = 1
             :: x = 2
+#if NODES == 4
+            :: x = 3
+#endif
             fi
         }
 #ifndef HOME_MAY_EXECUTE
@@ -342,6 +357,9 @@
             :: n = 0
             :: n = 1
             :: n = 2
+#if NODES == 4
+            :: n = 3
+#endif
             fi;
             alive[n] = false; kills++;
             inc[n] = inc[n] + 1;
@@ -379,6 +397,7 @@
     if
     :: epoch[n] != e -> got = false
     :: else ->
+#ifndef NO_TRANSFER
         if
         :: n == HOME(e - 1) ->
             if
@@ -401,6 +420,9 @@
         :: else
         fi;
         homeG[h] = (execG[n] > homeG[h] -> execG[n] : homeG[h])
+#else
+        skip
+#endif
     fi
 }
 
@@ -459,8 +481,9 @@
             :: else -> lossy[h] = true
             fi;
             if
-            :: formerAnswered || 2 * adopted >= size -> lease[former] = 0; lease[h] = e; readyFor[h] = e
-            :: else /* the former home may still renew, so the new one waits */
+            :: (formerAnswered || 2 * adopted >= size) && CAN_RENEW(e) ->
+                lease[former] = 0; lease[h] = e; readyFor[h] = e
+            :: else /* the former home may still renew, or this one can not */
             fi
         :: else
         fi
