Replace the full-table exchange by ring gossip

Cause: the first membership sent the whole table to a random peer every 500 ms, so its cost grew with the fleet, and it detected no failures.

Change: pkg/decide/membership holds the merge rule, the hash ring, the bucketed digest, suspicion, refutation, tombstones and the choice of dead members to try again. pkg/control/membership pings the two nearest successors that are not suspected, confirms through two neighbours, declares death after 2 s, floods changes and rumors, compares digests every second, holds contact keys by lease and tells other controllers which peer has a newer version. A received declaration of death takes effect after 500 ms, so that living members refute it when regions meet again. A new life makes the peer transport dial again, since the old connection of a killed process would be used until its idle timeout. Graceful stop moves to pkg/node/stop.go; it waits for the longest deadline of a call instead of 30 s, and keeps all listeners but that for callers until the end.

Supersedes moves from pkg/board to pkg/decide/membership.

--- a/cmd/mangostandd/main.go
+++ b/cmd/mangostandd/main.go
@@ -55,6 +55,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process without waiting for calls in flight.
+	context.AfterFunc(ctx, stop)
 	if err := n.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("node failed")
 		return exitFailure
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -10,6 +10,7 @@
 	gossipInboxSize       = 1024
 	announcementInboxSize = 64
 	rumorInboxSize        = 1024
+	versionInboxSize      = 256
 )
 
 // Board is the blackboard of one node. Section 2.1 of the design page lists
@@ -22,9 +23,25 @@
 	Pickers  *Section[*Pickers]
 	Requests Requests
 
-	// Gossip carries member records received from other nodes to the
-	// membership controller.
-	Gossip *Inbox[[]Member]
+	Neighbours *Section[*Neighbours]
+	Digest     *Section[*MemberDigest]
+	Versions   *Section[*Versions]
+	Quarantine *Section[*Quarantine]
+
+	// Gossip carries messages of other nodes to the membership controller.
+	Gossip *Inbox[Gossip]
+	// VersionsOut carries the version numbers of this node to the membership
+	// controller, which tells them to its peers.
+	VersionsOut *Inbox[Version]
+	// ConfigVersions and EpochVersions tell configsync and the epoch
+	// controller which peer has a higher version.
+	ConfigVersions *Inbox[PeerVersion]
+	EpochVersions  *Inbox[PeerVersion]
+	// Executions and QuarantineLifts are read by the quarantine controller.
+	Executions      *Inbox[Execution]
+	QuarantineLifts *Inbox[QuarantineLift]
+	// StopOrders asks the node to drain and exit.
+	StopOrders *Inbox[struct{}]
 	// Announcements carries the backend server's announcements to the
 	// announce controller.
 	Announcements *Inbox[Announcement]
@@ -45,9 +62,21 @@
 		Local:         NewSection("local", &Local{}),
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
 		Pickers:       NewSection("pickers", &Pickers{ByService: map[string]Picker{}}),
-		Gossip:        NewInbox[[]Member](gossipInboxSize),
+		Gossip:        NewInbox[Gossip](gossipInboxSize),
 		Announcements: NewInbox[Announcement](announcementInboxSize),
 
+		Neighbours: NewSection("neighbours", &Neighbours{}),
+		Digest:     NewSection("digest", &MemberDigest{}),
+		Versions:   NewSection("versions", &Versions{}),
+		Quarantine: NewSection("quarantine", &Quarantine{}),
+
+		VersionsOut:     NewInbox[Version](versionInboxSize),
+		ConfigVersions:  NewInbox[PeerVersion](versionInboxSize),
+		EpochVersions:   NewInbox[PeerVersion](versionInboxSize),
+		Executions:      NewInbox[Execution](rumorInboxSize),
+		QuarantineLifts: NewInbox[QuarantineLift](announcementInboxSize),
+		StopOrders:      NewInbox[struct{}](1),
+
 		RumorsOut:        NewInbox[Rumor](rumorInboxSize),
 		ConfigRumors:     NewInbox[Rumor](rumorInboxSize),
 		EpochRumors:      NewInbox[Rumor](rumorInboxSize),
@@ -68,6 +97,10 @@
 	AnnounceLeave
 	// AnnounceDown says that the executor found the backend server dead.
 	AnnounceDown
+	// AnnounceStop drains because the node stops; no announcement undoes it.
+	AnnounceStop
+	// AnnounceStopped says that the node has finished all its calls.
+	AnnounceStopped
 )
 
 // Announcement is an event about the local backend server.
--- a/pkg/board/local.go
+++ b/pkg/board/local.go
@@ -6,7 +6,11 @@
 	// server died.
 	Announced bool `json:"announced"`
 	// Draining is set by the backend server, by command or when the node stops.
-	Draining bool   `json:"draining"`
+	Draining bool `json:"draining"`
+	// Stopping is set while the node drains to exit, Stopped when its calls
+	// have ended. A later announcement does not undo either.
+	Stopping bool   `json:"stopping"`
+	Stopped  bool   `json:"stopped"`
 	Service  string `json:"service"`
 	// Addr is the HTTP address of the backend server, host:port.
 	Addr        string `json:"addr"`
--- a/pkg/board/member.go
+++ b/pkg/board/member.go
@@ -56,18 +56,6 @@
 	ServerIncarnation uint64 `cbor:"11,keyasint,omitempty" json:"server_incarnation"`
 }
 
-// Supersedes reports whether the record m replaces old in a merge: a higher
-// incarnation wins, then a higher sequence, then the worse state.
-func (m Member) Supersedes(old Member) bool {
-	if m.Incarnation != old.Incarnation {
-		return m.Incarnation > old.Incarnation
-	}
-	if m.Sequence != old.Sequence {
-		return m.Sequence > old.Sequence
-	}
-	return m.State > old.State
-}
-
 // Members is the membership as this node knows it.
 type Members struct {
 	Self       InstanceID
--- /dev/null
+++ b/pkg/board/quarantine.go
@@ -0,0 +1,64 @@
+package board
+
+import "time"
+
+// Life is one run of a backend server, from its start to its end.
+type Life struct {
+	Instance InstanceID `cbor:"1,keyasint" json:"instance"`
+	// ServerIncarnation is the incarnation that the backend server announced.
+	ServerIncarnation uint64 `cbor:"2,keyasint" json:"server_incarnation"`
+}
+
+// QuarantineEntry is what is known about one suspected request.
+type QuarantineEntry struct {
+	Digest string `json:"digest"`
+	// Summary names service, method and path for operators.
+	Summary string `json:"summary"`
+	// Deaths are the lives that ended while the request ran on them, without
+	// those that a completion or an operator cleared.
+	Deaths []Life `json:"deaths"`
+	// Quarantined is set when the deaths suffice to refuse the request.
+	Quarantined bool      `json:"quarantined"`
+	Until       time.Time `json:"until"`
+}
+
+// Quarantine holds the suspected and the quarantined requests by digest. The
+// quarantine controller writes it; entry and executor read it for each call.
+type Quarantine struct {
+	Entries map[string]QuarantineEntry
+}
+
+// Empty reports whether no request is suspected, so that no digest is needed.
+func (q *Quarantine) Empty() bool { return len(q.Entries) == 0 }
+
+// Refuses reports whether a request must not run at now.
+func (q *Quarantine) Refuses(digest string, now time.Time) bool {
+	entry, found := q.Entries[digest]
+	return found && entry.Quarantined && now.Before(entry.Until)
+}
+
+// ExecutionKind is what an execution tells the quarantine controller.
+type ExecutionKind uint8
+
+// Kinds of executions.
+const (
+	// ExecutionLost: the connection broke while the request ran.
+	ExecutionLost ExecutionKind = iota
+	// ExecutionCompleted: a suspected request got its whole answer.
+	ExecutionCompleted
+)
+
+// Execution is the end of a request on the local backend server.
+type Execution struct {
+	Kind    ExecutionKind
+	Digest  string
+	Summary string
+	// ServerIncarnation and Addr are those of the backend server it ran on.
+	ServerIncarnation uint64
+	Addr              string
+}
+
+// QuarantineLift is an operator's order to lift the quarantine of a request.
+type QuarantineLift struct {
+	Digest string
+}
--- a/pkg/board/request.go
+++ b/pkg/board/request.go
@@ -60,11 +60,15 @@
 type RequestRecord struct {
 	ID      string
 	Service string
-	// Digest identifies the content of the request, see section 7 of the
+	// Digest binds a non-idempotent call to its grant, see section 6 of the
 	// design page.
 	Digest  string
 	Caller  string
 	Started time.Time
+	// Execution describes the call for the quarantine, see section 7 of the
+	// design page. It is nil at the entry. It is computed on demand, because
+	// hashing each body would cost about 1 ms per MB.
+	Execution func() Execution
 
 	state   atomic.Uint32
 	outcome atomic.Uint32
--- a/pkg/control/announce/announce.go
+++ b/pkg/control/announce/announce.go
@@ -25,7 +25,7 @@
 
 	lastHeard time.Time
 	// drainOrdered keeps a drain in force over later announcements of the same
-	// incarnation.
+	// incarnation. A restarted backend server has another one and serves again.
 	drainOrdered bool
 }
 
@@ -61,6 +61,10 @@
 	case board.AnnounceDrain:
 		c.drainOrdered = true
 		c.publish(current, func(l *board.Local) { l.Draining = true })
+	case board.AnnounceStop:
+		c.publish(current, func(l *board.Local) { l.Draining, l.Stopping = true, true })
+	case board.AnnounceStopped:
+		c.publish(current, func(l *board.Local) { l.Draining, l.Stopping, l.Stopped = true, true, true })
 	case board.AnnounceLeave:
 		c.publish(current, func(l *board.Local) { l.Announced = false })
 	case board.AnnounceDown:
@@ -77,7 +81,8 @@
 	if next.Incarnation != current.Incarnation {
 		c.drainOrdered = false
 	}
-	next.Draining = next.Draining || c.drainOrdered
+	next.Stopping, next.Stopped = current.Stopping, current.Stopped
+	next.Draining = next.Draining || c.drainOrdered || next.Stopping
 	if next != *current {
 		c.writer.Publish(&next)
 	}
--- a/pkg/control/membership/membership.go
+++ b/pkg/control/membership/membership.go
@@ -1,43 +1,120 @@
 // Package membership keeps the Members section: which instances there are,
-// what they serve and in which state they are.
+// what they serve and in which state they are. It also carries the rumors of
+// other controllers and tells them which peer has a newer version.
 package membership
 
 import (
+	"cmp"
 	"context"
-	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/peer"
+	decide "mangostand.example/mangostand/pkg/decide/membership"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
 const (
-	exchangeInterval = 500 * time.Millisecond
-	exchangeTimeout  = 400 * time.Millisecond
+	// pingInterval spaces the ping rounds.
+	pingInterval = 500 * time.Millisecond
+	// exchangeInterval spaces the digest exchanges.
+	exchangeInterval = time.Second
+	// checkInterval spaces the checks of suspicions and held claims.
+	checkInterval = 100 * time.Millisecond
+	// floodDelay gathers changes that arrive together into one message.
+	floodDelay = 20 * time.Millisecond
+	// retryInterval spaces the tries of dead members.
+	retryInterval = 2 * time.Second
+	// maxChallenges bounds the instances asked on the word of others per second.
+	maxChallenges = 4
+	// seedRounds is the number of exchanges after which one goes to a seed or
+	// contact that is not a live member.
+	seedRounds = 10
 )
 
-// Controller writes the Members section.
+// Peers sends control messages to other nodes. *peer.Transport implements it.
+type Peers interface {
+	Exchange(ctx context.Context, addr string, send wire.Type, message any, receive wire.Type, answer any) error
+	// Forget makes the next exchange with addr use a new connection.
+	Forget(addr string)
+}
+
+// Options configures the controller of one node.
+type Options struct {
+	// Self is the first record of this node.
+	Self board.Member
+	// Seeds lists peer addresses that are tried first.
+	Seeds []string
+	// Store holds the contact keys; nil means that there is none.
+	Store ContactStore
+	Peers Peers
+	Log   zerolog.Logger
+	// Seed fixes the random choices; 0 means a random seed.
+	Seed uint64
+	// TombstoneTime is how long left and dead records are kept and the dead are
+	// tried again; 0 means 30 min.
+	TombstoneTime time.Duration
+}
+
+// Controller writes the Members, Neighbours, Digest and Versions sections.
 type Controller struct {
-	board  *board.Board
-	writer *board.Writer[*board.Members]
-	peers  *peer.Transport
-	seeds  []string
-	log    zerolog.Logger
-	local  <-chan struct{}
+	board      *board.Board
+	members    *board.Writer[*board.Members]
+	neighbours *board.Writer[*board.Neighbours]
+	digest     *board.Writer[*board.MemberDigest]
+	versions   *board.Writer[*board.Versions]
+	peers      Peers
+	seeds      []string
+	log        zerolog.Logger
+	localWake  <-chan struct{}
+	configWake <-chan struct{}
+	contacts   *contacts
+	random     *rand.Rand
+
+	// The fields below belong to the goroutine of Run.
+	table     *table
+	rumors    *rumorLog
+	ring      *decide.Ring
+	suspects  map[board.InstanceID]decide.Suspicion
+	pinging   map[board.InstanceID]bool
+	lastRound time.Time
+	rounds    int
+	contact   board.Contact
+	found     []string
+	flood     pending
+	leftSent  bool
+	// challenges counts those since challengeWindow.
+	challenges      int
+	challengeWindow time.Time
+
+	results chan func()
+	work    sync.WaitGroup
 }
 
-// New claims the Members section for a node that starts with the record self.
-func New(b *board.Board, self board.Member, peers *peer.Transport, seeds []string, log zerolog.Logger) *Controller {
+// New claims the sections and publishes the node's first record.
+func New(b *board.Board, o Options) *Controller {
 	c := &Controller{
-		board: b, writer: b.Members.Claim("membership"), peers: peers, seeds: seeds, log: log,
-		local: b.Local.Subscribe(),
+		board:   b,
+		members: b.Members.Claim("membership"), neighbours: b.Neighbours.Claim("membership"),
+		digest: b.Digest.Claim("membership"), versions: b.Versions.Claim("membership"),
+		peers: o.Peers, seeds: o.Seeds, log: o.Log,
+		localWake: b.Local.Subscribe(), configWake: b.Config.Subscribe(),
+		table: newTable(o.Self, cmp.Or(o.TombstoneTime, decide.TombstoneTime)), rumors: newRumorLog(),
+		suspects: map[board.InstanceID]decide.Suspicion{}, pinging: map[board.InstanceID]bool{},
+		results: make(chan func()),
 	}
-	c.writer.Publish(board.NewMembers(self.Instance, map[board.InstanceID]board.Member{self.Instance: self}))
+	seed := o.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	c.random = rand.New(rand.NewPCG(seed, 1))
+	if o.Store != nil {
+		c.contacts = newContacts(b, o.Store, rand.New(rand.NewPCG(seed, 2)), o.Log)
+	}
+	c.publish()
 	return c
 }
 
@@ -46,71 +123,181 @@
 
 // Run implements control.Controller.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
-	go c.exchange(ctx)
+	defer c.work.Wait()
+	if c.contacts != nil {
+		c.work.Go(func() { c.runContacts(ctx) })
+	}
+	pings, exchanges := time.NewTicker(pingInterval), time.NewTicker(exchangeInterval)
+	checks, retries := time.NewTicker(checkInterval), time.NewTicker(retryInterval)
+	for _, t := range []*time.Ticker{pings, exchanges, checks, retries} {
+		defer t.Stop()
+	}
+	flush := time.NewTimer(0)
+	defer flush.Stop()
+	c.updateSelf()
+	c.exchangeRound(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case records := <-c.board.Gossip.Events():
-			c.merge(records)
-		case <-c.local:
+		case message := <-c.board.Gossip.Events():
+			c.receive(ctx, message, time.Now())
+		case rumor := <-c.board.RumorsOut.Events():
+			c.sendRumor(rumor, time.Now())
+		case version := <-c.board.VersionsOut.Events():
+			c.raiseVersion(version)
+		case <-c.localWake:
 			c.updateSelf()
-		case <-ticker.C:
-			go c.exchange(ctx)
+		case <-c.configWake:
+			c.raiseVersion(board.Version{Name: board.VersionConfig, Number: c.board.Config.Load().Version})
+		case result := <-c.results:
+			result()
+		case now := <-pings.C:
+			c.pingRound(ctx, now)
+		case now := <-checks.C:
+			c.check(now)
+		case <-exchanges.C:
+			c.exchangeRound(ctx)
+		case <-retries.C:
+			c.retryDead(ctx)
+		case <-flush.C:
+			c.flush(ctx)
+		}
+		c.publish()
+		if !c.flood.empty() && !c.flood.scheduled {
+			c.flood.scheduled = true
+			flush.Reset(floodDelay)
 		}
 	}
 }
 
-func (c *Controller) merge(records []board.Member) {
-	current := c.writer.Load()
-	next := maps.Clone(current.ByInstance)
-	changed := false
-	for _, r := range records {
-		old, known := next[r.Instance]
-		if known && !r.Supersedes(old) {
-			continue
+// runContacts keeps the contact keys and takes over what they report.
+func (c *Controller) runContacts(ctx context.Context) {
+	c.contacts.run(ctx, func(held board.Contact, addrs []string) {
+		c.report(ctx, func() {
+			c.contact = held
+			if addrs != nil {
+				c.found = addrs
+			}
+		})
+	})
+}
+
+// report runs f on the goroutine of Run, unless the controller ends first.
+func (c *Controller) report(ctx context.Context, f func()) {
+	select {
+	case c.results <- f:
+	case <-ctx.Done():
+	}
+}
+
+// receive handles one message of another node.
+func (c *Controller) receive(ctx context.Context, message board.Gossip, now time.Time) {
+	for _, record := range message.Members {
+		c.receiveRecord(ctx, record, message.From, now)
+	}
+	for _, rumor := range message.Rumors {
+		c.receiveRumor(rumor, message.From, now)
+	}
+	c.compareVersions(message)
+}
+
+func (c *Controller) receiveRecord(ctx context.Context, record board.Member, from board.InstanceID, now time.Time) {
+	if !decide.Valid(record) {
+		c.log.Warn().Str("peer", string(from)).Msg("refused an invalid member record")
+		return
+	}
+	old := c.table.members[record.Instance]
+	switch result := c.table.receive(record, now); result {
+	case accepted:
+		if old.Incarnation != record.Incarnation {
+			// A connection to the address may lead to an earlier life.
+			c.peers.Forget(record.PeerAddr)
 		}
-		if r.Instance == current.Self {
-			r = refute(old, r)
+		c.flood.addMember(record, from)
+	case held:
+		c.flood.addMember(record, from)
+	case refuted:
+		c.log.Warn().Str("claimed_state", record.State.String()).Msg("refuted a claim about this node")
+		c.flood.addMember(c.table.self(), "")
+	case replaced:
+		c.log.Error().Uint64("incarnation", record.Incarnation).Msg("another process runs under the name of this instance")
+	case below:
+		if from == record.Instance || c.mayChallenge(record.Instance, now) {
+			c.challenge(ctx, record)
 		}
-		next[r.Instance] = r
-		changed = true
 	}
-	if changed {
-		c.writer.Publish(board.NewMembers(current.Self, next))
+}
+
+// mayChallenge reports whether an instance that another node holds for live is
+// to be asked. Only the position of its dead record is left here, so that the
+// digest exchange cannot settle who is right.
+func (c *Controller) mayChallenge(id board.InstanceID, now time.Time) bool {
+	if _, found := c.table.floors[id]; !found {
+		return false
+	}
+	if now.Sub(c.challengeWindow) >= time.Second {
+		c.challengeWindow, c.challenges = now, 0
 	}
+	c.challenges++
+	return c.challenges <= maxChallenges
 }
 
-// refute answers a false record about this node with a higher sequence.
-func refute(self, claim board.Member) board.Member {
-	self.Sequence = max(self.Sequence, claim.Sequence) + 1
-	return self
+// challenge tells a living instance which record holds it for dead, so that it
+// refutes it.
+func (c *Controller) challenge(ctx context.Context, record board.Member) {
+	claim, found := c.table.claimAgainst(record)
+	if !found {
+		return
+	}
+	message := wire.Delta{From: c.table.selfID, Members: []board.Member{claim}}
+	c.work.Go(func() {
+		var answer wire.Delta
+		c.send(ctx, record.PeerAddr, wire.TypeDelta, message, wire.TypeDelta, &answer)
+	})
+}
+
+// check ends suspicions, held claims and old tombstones.
+func (c *Controller) check(now time.Time) {
+	for id, suspicion := range c.suspects {
+		record, known := c.table.members[id]
+		switch verdict := decide.Judge(suspicion, record, now); {
+		case !known, verdict == decide.VerdictClear:
+			delete(c.suspects, id)
+		case verdict == decide.VerdictDead:
+			delete(c.suspects, id)
+			c.log.Warn().Str("instance", string(id)).Msg("declared dead")
+			c.table.set(decide.Dead(record), now)
+			c.flood.addMember(decide.Dead(record), "")
+		}
+	}
+	c.table.applyHeld(now)
+	c.table.dropOld(now)
+	c.rumors.dropOld(now)
 }
 
 // updateSelf raises the sequence of this node's record after a change of its
 // backend server.
 func (c *Controller) updateSelf() {
-	current := c.writer.Load()
 	local := c.board.Local.Load()
-	self := current.ByInstance[current.Self]
+	self := c.table.self()
 	next := self
 	next.State = stateOf(local)
 	next.Service, next.Slots, next.Connections = local.Service, local.Slots, local.Connections
 	next.ServerIncarnation = local.Incarnation
-	if next == self {
+	if next == self || c.table.replacedSelf {
 		return
 	}
 	next.Sequence++
-	records := maps.Clone(current.ByInstance)
-	records[current.Self] = next
-	c.writer.Publish(board.NewMembers(current.Self, records))
+	c.table.set(next, time.Now())
+	c.flood.addMember(next, "")
 }
 
 func stateOf(local *board.Local) board.MemberState {
 	switch {
-	case local.Announced && local.Draining:
+	case local.Stopped:
+		return board.MemberLeft
+	case local.Stopping, local.Announced && local.Draining:
 		return board.MemberDraining
 	case local.Announced:
 		return board.MemberServing
@@ -118,62 +305,45 @@
 	return board.MemberJoining
 }
 
-// exchange sends all records to one peer and merges its answer.
-func (c *Controller) exchange(ctx context.Context) {
-	members := c.board.Members.Load()
-	addr := c.choosePeer(members)
-	if addr == "" {
-		return
+// publish writes the sections that changed.
+func (c *Controller) publish() {
+	tableChanged, rumorsChanged := c.table.changed, c.rumors.changed
+	if tableChanged {
+		members := c.table.snapshot()
+		c.members.Publish(members)
+		c.ring = decide.NewRing(members)
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	var answer wire.Delta
-	err := c.peers.Exchange(ctx, addr, wire.TypeDelta, wire.Delta{Members: recordsOf(members)}, wire.TypeDelta, &answer)
-	if err != nil {
-		c.log.Debug().Err(err).Str("peer", addr).Msg("membership exchange failed")
-		return
+	if tableChanged || rumorsChanged {
+		c.publishDigest()
 	}
-	c.board.Gossip.Post(answer.Members)
+	c.publishNeighbours()
 }
 
-func (c *Controller) choosePeer(members *board.Members) string {
-	self := members.ByInstance[members.Self]
-	var addrs []string
-	for _, m := range members.ByInstance {
-		if m.Instance != members.Self && m.State < board.MemberLeft {
-			addrs = append(addrs, m.PeerAddr)
-		}
-	}
-	if len(addrs) == 0 || rand.IntN(8) == 0 {
-		for _, s := range c.seeds {
-			if s != self.PeerAddr {
-				addrs = append(addrs, s)
-			}
-		}
-	}
-	if len(addrs) == 0 {
-		return ""
-	}
-	return addrs[rand.IntN(len(addrs))]
+func (c *Controller) publishDigest() {
+	digest := &board.MemberDigest{Kept: c.rumors.keptCopy()}
+	digest.Buckets, digest.Root = decide.Digest(c.members.Load())
+	digest.Rumors = decide.HashRumors(digest.Kept)
+	c.digest.Publish(digest)
 }
 
-func recordsOf(members *board.Members) []board.Member {
-	records := make([]board.Member, 0, len(members.ByInstance))
-	for _, m := range members.ByInstance {
-		records = append(records, m)
+func (c *Controller) publishNeighbours() {
+	next := &board.Neighbours{Contact: c.contact, LeftSent: c.leftSent}
+	for _, m := range c.ring.Neighbours(c.table.selfID) {
+		next.Ring = append(next.Ring, board.Neighbour{Instance: m.Instance, Addr: m.PeerAddr})
+	}
+	if !sameNeighbours(c.neighbours.Load(), next) {
+		c.neighbours.Publish(next)
 	}
-	return records
 }
 
-// HandleDelta answers an exchange from another node.
-func HandleDelta(b *board.Board, peers *peer.Transport) peer.Handler {
-	return func(_ context.Context, frame wire.Frame, stream *peer.Stream) error {
-		peers.CountReceived(frame)
-		var delta wire.Delta
-		if err := frame.Decode(&delta); err != nil {
-			return errors.Trace(err)
+func sameNeighbours(a, b *board.Neighbours) bool {
+	if a.Contact != b.Contact || a.LeftSent != b.LeftSent || len(a.Ring) != len(b.Ring) {
+		return false
+	}
+	for i := range a.Ring {
+		if a.Ring[i] != b.Ring[i] {
+			return false
 		}
-		b.Gossip.Post(delta.Members)
-		return peers.Answer(stream, wire.TypeDelta, wire.Delta{Members: recordsOf(b.Members.Load())})
 	}
+	return true
 }
--- /dev/null
+++ b/pkg/control/membership/respond.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/board"
+	decide "mangostand.example/mangostand/pkg/decide/membership"
+	"mangostand.example/mangostand/pkg/peer"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// Responder answers the messages of other nodes from the sections of the
+// board and posts what they bring to the Gossip inbox. Any goroutine may use
+// it.
+type Responder struct {
+	Board *board.Board
+	Peers Peers
+	// Load returns the load report of the local executor.
+	Load func() board.LoadReport
+}
+
+// Ping answers a ping.
+func (r *Responder) Ping(ping wire.Ping) wire.PingAnswer {
+	if len(ping.Claims) > 0 {
+		r.Board.Gossip.Post(board.Gossip{From: ping.From, Members: ping.Claims})
+	}
+	members, versions := r.Board.Members.Load(), r.Board.Versions.Load()
+	self := members.ByInstance[members.Self]
+	answer := wire.PingAnswer{Instance: self.Instance, Incarnation: self.Incarnation}
+	if ping.Target != self.Instance || ping.Incarnation != self.Incarnation || ping.Sequence != self.Sequence {
+		answer.Members = append(answer.Members, self)
+	}
+	if sender, found := members.ByInstance[ping.From]; found && olderThan(ping, sender) {
+		answer.Members = append(answer.Members, sender)
+	}
+	if ping.VersionsHash != versions.Hash {
+		answer.Versions = versions.Numbers
+	}
+	if r.Load != nil && self.State == board.MemberServing {
+		load := r.Load()
+		answer.Load = &load
+	}
+	return answer
+}
+
+// olderThan reports whether the sender of a ping has to learn of a record
+// about itself: a later one, or one that holds it for dead.
+func olderThan(ping wire.Ping, known board.Member) bool {
+	if ping.FromIncarnation != known.Incarnation {
+		return ping.FromIncarnation < known.Incarnation
+	}
+	return ping.FromSequence < known.Sequence || (ping.FromSequence == known.Sequence && !decide.Live(known))
+}
+
+// PingIndirect pings the target on behalf of another node.
+func (r *Responder) PingIndirect(ctx context.Context, message wire.PingIndirect) (wire.PingAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var answer wire.PingAnswer
+	err := r.Peers.Exchange(ctx, message.Addr, wire.TypePing, message.Ping, wire.TypePingAnswer, &answer)
+	return answer, errors.Trace(err)
+}
+
+// Digest answers a digest with the hashes that differ.
+func (r *Responder) Digest(theirs wire.Digest) wire.Digest {
+	r.Board.Gossip.Post(board.Gossip{From: theirs.Sender.Instance, Members: []board.Member{theirs.Sender}, Versions: theirs.Versions})
+	own := r.Board.Digest.Load()
+	answer := digestMessage(r.Board)
+	if theirs.Root != own.Root {
+		answer.Buckets = own.Buckets[:]
+	}
+	if theirs.Rumors != own.Rumors {
+		answer.RumorIDs = slices.Sorted(maps.Keys(own.Kept))
+	}
+	return answer
+}
+
+// Delta answers a delta with the wanted records and rumors.
+func (r *Responder) Delta(delta wire.Delta) wire.Delta {
+	r.Board.Gossip.Post(board.Gossip{From: delta.From, Members: delta.Members, Rumors: delta.Rumors})
+	members := r.Board.Members.Load()
+	answer := wire.Delta{From: members.Self}
+	if len(delta.WantBuckets) > 0 {
+		answer.Members = decide.Missing(members, delta.WantBuckets, delta.Members, maxRecords)
+	}
+	kept := r.Board.Digest.Load().Kept
+	for _, id := range delta.WantRumors {
+		if rumor, found := kept[id]; found && len(answer.Rumors) < maxRumors {
+			answer.Rumors = append(answer.Rumors, rumor)
+		}
+	}
+	return answer
+}
+
+// Rumors takes rumors.
+func (r *Responder) Rumors(message wire.Rumors) wire.Ack {
+	r.Board.Gossip.Post(board.Gossip{From: message.From, Rumors: message.Rumors})
+	return wire.Ack{}
+}
+
+// Handlers returns the handlers of the transport for the messages of this
+// package.
+func (r *Responder) Handlers(t *peer.Transport) map[wire.Type]peer.Handler {
+	return map[wire.Type]peer.Handler{
+		wire.TypePing: handle(t, wire.TypePingAnswer, func(_ context.Context, m wire.Ping) (wire.PingAnswer, error) {
+			return r.Ping(m), nil
+		}),
+		wire.TypePingIndirect: handle(t, wire.TypePingAnswer, r.PingIndirect),
+		wire.TypeDigest: handle(t, wire.TypeDigest, func(_ context.Context, m wire.Digest) (wire.Digest, error) {
+			return r.Digest(m), nil
+		}),
+		wire.TypeDelta: handle(t, wire.TypeDelta, func(_ context.Context, m wire.Delta) (wire.Delta, error) {
+			return r.Delta(m), nil
+		}),
+		wire.TypeRumor: handle(t, wire.TypeAck, func(_ context.Context, m wire.Rumors) (wire.Ack, error) {
+			return r.Rumors(m), nil
+		}),
+	}
+}
+
+// handle decodes a message, counts it and sends the answer.
+func handle[M, A any](t *peer.Transport, send wire.Type, answer func(context.Context, M) (A, error)) peer.Handler {
+	return func(ctx context.Context, frame wire.Frame, stream *peer.Stream) error {
+		t.CountReceived(frame)
+		var message M
+		if err := frame.Decode(&message); err != nil {
+			return errors.Trace(err)
+		}
+		reply, err := answer(ctx, message)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		return errors.Trace(t.Answer(stream, send, reply))
+	}
+}
--- /dev/null
+++ b/pkg/decide/membership/decide_test.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fleet returns n serving members; the first one is self.
+func fleet(n int) *board.Members {
+	records := map[board.InstanceID]board.Member{}
+	for i := range n {
+		id := board.InstanceID(fmt.Sprintf("instance-%03d", i))
+		records[id] = board.Member{
+			Instance: id, Incarnation: 1_700_000_000_000_000_000 + uint64(i), Sequence: 2, State: board.MemberServing,
+			Service: fmt.Sprintf("service-%d", i%16), Region: fmt.Sprintf("region-%d", i%2),
+			FailureDomain: fmt.Sprintf("domain-%d", i%5), PeerAddr: fmt.Sprintf("127.0.%d.%d:7000", i/250, i%250), Slots: 10,
+		}
+	}
+	return board.NewMembers("instance-000", records)
+}
+
+// Guards against instances that nobody watches and against changes that do
+// not reach every node in a few steps.
+func TestRingReachesEveryMember(t *testing.T) {
+	members := fleet(600)
+	ring := NewRing(members)
+	watchers := map[board.InstanceID]int{}
+	for id := range members.ByInstance {
+		for _, m := range ring.Pinged(id, func(board.InstanceID) bool { return false }) {
+			watchers[m.Instance]++
+		}
+	}
+	for id := range members.ByInstance {
+		require.Equal(t, pingedSuccessors, watchers[id], id)
+	}
+	reached := map[board.InstanceID]bool{members.Self: true}
+	steps := 0
+	for ; len(reached) < 600; steps++ {
+		for id := range maps.Clone(reached) {
+			for _, m := range ring.Neighbours(id) {
+				reached[m.Instance] = true
+			}
+		}
+	}
+	require.LessOrEqual(t, steps, 10)
+	require.Len(t, ring.Neighbours(members.Self), 10)
+}
+
+// Guards against the loss of several neighbours at once that is found one
+// suspicion time after the other.
+func TestPingedWalksPastSuspects(t *testing.T) {
+	members := fleet(20)
+	ring := NewRing(members)
+	none := func(board.InstanceID) bool { return false }
+	first := ring.Pinged(members.Self, none)
+	suspected := func(id board.InstanceID) bool { return id == first[0].Instance || id == first[1].Instance }
+	require.Len(t, ring.Pinged(members.Self, suspected), 4)
+	all := func(board.InstanceID) bool { return true }
+	require.Len(t, ring.Pinged(members.Self, all), maxPinged)
+}
+
+// Guards against a digest that hides a difference or reports one that only a
+// dropped tombstone makes.
+func TestDigestFindsExactlyTheDifferences(t *testing.T) {
+	ours, theirs := fleet(600), fleet(600)
+	changed := theirs.ByInstance["instance-042"]
+	changed.Sequence++
+	theirs.ByInstance[changed.Instance] = changed
+	own, root := Digest(ours)
+	other, otherRoot := Digest(theirs)
+	require.NotEqual(t, root, otherRoot)
+	different := Difference(own, other[:])
+	require.Equal(t, []uint8{uint8(BucketOf(changed.Instance))}, different)
+
+	missing := Missing(theirs, different, Records(ours, different, 600), 600)
+	require.Equal(t, []board.Member{changed}, missing)
+	require.Empty(t, Missing(ours, different, Records(theirs, different, 600), 600))
+
+	theirs.ByInstance[changed.Instance] = Dead(changed)
+	delete(ours.ByInstance, changed.Instance)
+	_, root = Digest(ours)
+	_, otherRoot = Digest(theirs)
+	require.Equal(t, root, otherRoot)
+}
+
+// Guards against a death that is declared too early, for a record that has
+// been renewed, or by a node that was itself paused.
+func TestSuspicion(t *testing.T) {
+	m := board.Member{Instance: "i", Incarnation: 1, Sequence: 1, State: board.MemberServing}
+	s := Suspect(Suspicion{}, m, epoch)
+	require.Equal(t, s, Suspect(s, m, epoch.Add(time.Second)))
+	require.Equal(t, VerdictWait, Judge(s, m, epoch.Add(SuspicionTime-1)))
+	require.Equal(t, VerdictDead, Judge(s, m, epoch.Add(SuspicionTime)))
+	renewed := m
+	renewed.Sequence++
+	require.Equal(t, VerdictClear, Judge(s, renewed, epoch.Add(SuspicionTime)))
+	require.Equal(t, VerdictClear, Judge(s, Dead(m), epoch.Add(SuspicionTime)))
+	require.True(t, Paused(epoch, epoch.Add(2*time.Second)))
+	require.False(t, Paused(epoch, epoch.Add(time.Second)))
+	require.False(t, Paused(time.Time{}, epoch))
+}
+
+// Guards against a replacement at the same address that is taken for the old
+// instance.
+func TestAnsweredTellsLivesApart(t *testing.T) {
+	m := board.Member{Instance: "i", Incarnation: 2}
+	require.True(t, Answered(m, "i", 2))
+	require.False(t, Answered(m, "i", 3))
+	require.False(t, Answered(m, "j", 2))
+}
+
+// Guards against dead members that nobody tries again and against a fleet
+// that floods one dead address.
+func TestChooseDeadIsSharedByTheFleet(t *testing.T) {
+	members := fleet(600)
+	dead := Dead(members.ByInstance["instance-007"])
+	members.ByInstance[dead.Instance] = dead
+	random := rand.New(rand.NewPCG(1, 2)).Float64
+	tries := 0
+	for range 599 * 100 {
+		if m, found := ChooseDead(members, random); found {
+			require.Equal(t, dead.Instance, m.Instance)
+			tries++
+		}
+	}
+	require.InDelta(t, retriesPerDead, float64(tries)/100, 0.5)
+
+	left := dead
+	left.State = board.MemberLeft
+	members.ByInstance[dead.Instance] = left
+	_, found := ChooseDead(members, func() float64 { return 0 })
+	require.False(t, found)
+}
+
+// Guards against versions that a peer has ahead and nobody pulls.
+func TestHigherVersions(t *testing.T) {
+	own := map[string]uint64{"config": 3, "epoch/a": 5}
+	peer := map[string]uint64{"config": 4, "epoch/a": 4, "epoch/b": 1}
+	require.Equal(t, []board.Version{{Name: "config", Number: 4}, {Name: "epoch/b", Number: 1}}, Higher(own, peer))
+	require.NotEqual(t, HashVersions(own), HashVersions(peer))
+	require.NotEqual(t, HashVersions(map[string]uint64{"a": 1, "b": 2}), HashVersions(map[string]uint64{"a": 2, "b": 1}))
+}
+
+func BenchmarkDigest600(b *testing.B) {
+	members := fleet(600)
+	for b.Loop() {
+		_, _ = Digest(members)
+	}
+}
+
+func BenchmarkRing600(b *testing.B) {
+	members := fleet(600)
+	for b.Loop() {
+		_ = NewRing(members).Neighbours(members.Self)
+	}
+}
+
+func BenchmarkMissing600(b *testing.B) {
+	ours, theirs := fleet(600), fleet(600)
+	buckets := []uint8{7}
+	records := Records(theirs, buckets, 600)
+	for b.Loop() {
+		_ = Missing(ours, buckets, records, 600)
+	}
+}
--- /dev/null
+++ b/pkg/decide/membership/ring.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+const (
+	// pingedSuccessors is the number of successors that a node watches.
+	pingedSuccessors = 2
+	// maxPinged bounds the pings of a round when successors are suspected.
+	maxPinged = 8
+)
+
+// Ring is the live members in the order of their hashes.
+type Ring struct {
+	members []board.Member
+	hashes  []uint64
+}
+
+// NewRing places the live members and self on a ring.
+func NewRing(members *board.Members) *Ring {
+	r := &Ring{}
+	for id, m := range members.ByInstance {
+		if Live(m) || id == members.Self {
+			r.members = append(r.members, m)
+		}
+	}
+	slices.SortFunc(r.members, func(a, b board.Member) int {
+		return cmp.Or(cmp.Compare(hashID(a.Instance), hashID(b.Instance)), cmp.Compare(a.Instance, b.Instance))
+	})
+	r.hashes = make([]uint64, len(r.members))
+	for i, m := range r.members {
+		r.hashes[i] = hashID(m.Instance)
+	}
+	return r
+}
+
+// Len returns the number of members on the ring.
+func (r *Ring) Len() int { return len(r.members) }
+
+func (r *Ring) indexOf(id board.InstanceID) int {
+	start, _ := slices.BinarySearch(r.hashes, hashID(id))
+	for i := start; i < len(r.members) && r.hashes[i] == hashID(id); i++ {
+		if r.members[i].Instance == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// Neighbours returns the successors of self at distances 1, 2, 4 and so on,
+// about log2 n of them.
+func (r *Ring) Neighbours(self board.InstanceID) []board.Member {
+	at := r.indexOf(self)
+	if at < 0 {
+		return nil
+	}
+	var neighbours []board.Member
+	for distance := 1; distance < len(r.members); distance *= 2 {
+		neighbours = append(neighbours, r.members[(at+distance)%len(r.members)])
+	}
+	return neighbours
+}
+
+// Pinged returns the members that self pings in one round: its successors up
+// to the second one that is not suspected. Walking past suspects finds the
+// loss of many neighbours at once without a suspicion time for each.
+func (r *Ring) Pinged(self board.InstanceID, suspected func(board.InstanceID) bool) []board.Member {
+	at := r.indexOf(self)
+	if at < 0 {
+		return nil
+	}
+	var pinged []board.Member
+	for distance, sound := 1, 0; distance < len(r.members) && sound < pingedSuccessors && len(pinged) < maxPinged; distance++ {
+		m := r.members[(at+distance)%len(r.members)]
+		pinged = append(pinged, m)
+		if !suspected(m.Instance) {
+			sound++
+		}
+	}
+	return pinged
+}
+
+// ContactRank returns the place of an instance among the live members of its
+// region. The first ones hold the contact keys, so that the number of nodes
+// that call the store does not grow with the fleet.
+func (r *Ring) ContactRank(self board.Member) int {
+	rank := 0
+	for _, m := range r.members {
+		if m.Instance == self.Instance {
+			return rank
+		}
+		if m.Region == self.Region && m.State < board.MemberDraining {
+			rank++
+		}
+	}
+	return rank
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,8 +38,6 @@
 	readTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
-	// drainTimeout bounds the wait for calls in flight on a graceful stop.
-	drainTimeout = 30 * time.Second
 	// backendConnections bounds the connections to the backend server.
 	backendConnections = 200
 )
@@ -106,23 +104,28 @@
 		Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
 		PeerAddr: n.settings.AdvertisePeers, State: board.MemberJoining,
 	}
+	options := membership.Options{Self: self, Seeds: n.settings.Seeds, Peers: n.peers, Log: n.log}
+	var store *platform.Client
+	if n.settings.Store != "" {
+		store = platform.NewClient(n.settings.Store)
+		options.Store = store
+	}
 	n.controllers = []control.Controller{
 		announce.New(n.board, n.log),
-		membership.New(n.board, self, n.peers, n.settings.Seeds, n.log),
+		membership.New(n.board, options),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
 	}
-	if n.settings.Store != "" {
-		store := platform.NewClient(n.settings.Store)
+	if store != nil {
 		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
 	}
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
-	return map[wire.Type]peer.Handler{
-		wire.TypeCall:  n.executor.HandleCall,
-		wire.TypeDelta: membership.HandleDelta(n.board, n.peers),
-	}
+	responder := &membership.Responder{Board: n.board, Peers: n.peers, Load: n.executor.Load}
+	handlers := responder.Handlers(n.peers)
+	handlers[wire.TypeCall] = n.executor.HandleCall
+	return handlers
 }
 
 func (n *Node) buildListeners() error {
@@ -193,7 +196,9 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		n.drain()
+		n.stop()
+	case <-n.board.StopOrders.Events():
+		n.stop()
 	case err = <-failed:
 	}
 	n.closeListeners()
@@ -212,25 +217,3 @@
 	}
 	return errors.Annotatef(l.server.Serve(l.socket), "%s listener", l.name)
 }
-
-// drain announces that the node leaves and waits for its calls to finish.
-func (n *Node) drain() {
-	n.log.Info().Msg("draining")
-	n.board.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain})
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	for _, l := range n.listeners {
-		if l.name == "callers" {
-			_ = l.server.Shutdown(ctx)
-		}
-	}
-	ticker := time.NewTicker(50 * time.Millisecond)
-	defer ticker.Stop()
-	for n.board.Requests.Len() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
