Drain by command and show its progress

Cause: a drain could be ordered but not watched, the health check stayed green while a node stopped, and nothing proved that a stop cuts no call.

Change: the operators' listener answers GET /v1/drain with the progress and takes POST /v1/drain, with exit=true for the whole node; /healthz answers 503 while the node stops.

A drain by the backend server or by command lasts until the backend server restarts; the node stays up as an entry. SIGTERM and exit=true end the node and cannot be undone.

--- /dev/null
+++ b/pkg/opsapi/drain.go
@@ -0,0 +1,70 @@
+package opsapi
+
+import (
+	"io"
+	"net/http"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// DrainStatus is the progress of a drain.
+type DrainStatus struct {
+	Instance board.InstanceID `json:"instance"`
+	// State is the state that the other nodes see.
+	State string `json:"state"`
+	// Announced says whether the backend server is up.
+	Announced bool `json:"announced"`
+	Draining  bool `json:"draining"`
+	// Stopping is set while the node drains to exit, Stopped when its calls
+	// have ended.
+	Stopping bool `json:"stopping"`
+	Stopped  bool `json:"stopped"`
+	// InFlight counts the calls of this node as entry and as executor.
+	InFlight int `json:"in_flight"`
+}
+
+// Drained reports whether the drain is complete.
+func (s DrainStatus) Drained() bool { return s.Draining && s.InFlight == 0 }
+
+// DrainStatusOf reads the board.
+func DrainStatusOf(b *board.Board) DrainStatus {
+	members, local := b.Members.Load(), b.Local.Load()
+	return DrainStatus{
+		Instance: members.Self, State: members.ByInstance[members.Self].State.String(),
+		Announced: local.Announced, Draining: local.Draining, Stopping: local.Stopping, Stopped: local.Stopped,
+		InFlight: b.Requests.Len(),
+	}
+}
+
+// drainRoutes adds GET /v1/drain and POST /v1/drain. With exit=true the node
+// drains and exits; else only its backend server drains, until it restarts.
+func drainRoutes(mux *http.ServeMux, b *board.Board) {
+	mux.HandleFunc("GET /v1/drain", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, DrainStatusOf(b)) })
+	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, r *http.Request) {
+		switch exit := r.URL.Query().Get("exit"); exit {
+		case "", "false":
+			if !b.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain}) {
+				http.Error(w, "too many announcements", http.StatusServiceUnavailable)
+				return
+			}
+		case "true":
+			// A full inbox holds an earlier order.
+			b.StopOrders.Post(struct{}{})
+		default:
+			http.Error(w, "exit: expected true or false", http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// health answers 503 while the node stops, so that callers choose another one.
+func health(b *board.Board) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if b.Local.Load().Stopping {
+			http.Error(w, "stopping", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	}
+}
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/logging"
@@ -21,6 +22,9 @@
 	Local         board.Local      `json:"local"`
 	Members       []board.Member   `json:"members"`
 	InFlight      int              `json:"in_flight"`
+	// Neighbours is the place of the node on the ring and its contact key.
+	Neighbours board.Neighbours        `json:"neighbours"`
+	Quarantine []board.QuarantineEntry `json:"quarantine"`
 	// Sections maps each section to its version and its writer.
 	Sections map[string]SectionStatus `json:"sections"`
 }
@@ -34,12 +38,10 @@
 // Handler returns the operators' handler.
 func Handler(b *board.Board, metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /healthz", health(b))
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, StatusOf(b)) })
-	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
-		b.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain})
-		w.WriteHeader(http.StatusNoContent)
-	})
+	drainRoutes(mux, b)
+	quarantineRoutes(mux, b)
 	mux.HandleFunc("PUT /v1/log-level", setLogLevel)
 	mux.Handle("GET /metrics", metrics)
 	return mux
@@ -50,13 +52,18 @@
 	members := b.Members.Load()
 	status := Status{
 		Instance: members.Self, ConfigVersion: b.Config.Load().Version, Local: *b.Local.Load(),
-		InFlight: b.Requests.Len(),
+		InFlight: b.Requests.Len(), Neighbours: *b.Neighbours.Load(), Quarantine: QuarantineOf(b, time.Now()),
 		Sections: map[string]SectionStatus{
 			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
 			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
 			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
 			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
 			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
+
+			b.Neighbours.Name(): {b.Neighbours.Snapshot().Version, b.Neighbours.Owner()},
+			b.Digest.Name():     {b.Digest.Snapshot().Version, b.Digest.Owner()},
+			b.Versions.Name():   {b.Versions.Snapshot().Version, b.Versions.Owner()},
+			b.Quarantine.Name(): {b.Quarantine.Snapshot().Version, b.Quarantine.Owner()},
 		},
 	}
 	for _, m := range members.ByInstance {
