Measure membership at 600 members and cut the cost of a change

Cause: placing members on the ring hashed each name several times, and each received message was published on its own.

Change: hashes are computed once; messages that wait already are published together. A test of the peer transport shows that the connection to a killed process does not reach its replacement until it is forgotten.

--- /dev/null
+++ b/pkg/control/membership/bench_test.go
@@ -0,0 +1,46 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	decide "mangostand.example/mangostand/pkg/decide/membership"
+)
+
+// BenchmarkMergeAndPublish600 is the whole work of one changed record in a
+// table of 600: merge, snapshot, indexes, digest and ring.
+func BenchmarkMergeAndPublish600(b *testing.B) {
+	now := time.Now()
+	t := newTable(board.Member{Instance: "self", Incarnation: 1, Sequence: 1, PeerAddr: "self"}, tombstoneTime)
+	record := func(i int, sequence uint64) board.Member {
+		return board.Member{
+			Instance: board.InstanceID(fmt.Sprintf("instance-%03d", i)), Incarnation: 1, Sequence: sequence,
+			State: board.MemberServing, Service: fmt.Sprintf("service-%d", i%16), PeerAddr: "a",
+		}
+	}
+	for i := range 599 {
+		t.receive(record(i, 1), now)
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		t.receive(record(n%599, uint64(n/599)+2), now)
+		members := t.snapshot()
+		_, _ = decide.Digest(members)
+		_ = decide.NewRing(members)
+	}
+}
+
+// BenchmarkStaleRecord600 is the work of a record that is known already, as
+// most copies of a flooded one are.
+func BenchmarkStaleRecord600(b *testing.B) {
+	now := time.Now()
+	t := newTable(board.Member{Instance: "self", Incarnation: 1, Sequence: 1, PeerAddr: "self"}, tombstoneTime)
+	stale := board.Member{Instance: "i", Incarnation: 1, Sequence: 1, PeerAddr: "a"}
+	t.receive(stale, now)
+	for b.Loop() {
+		t.receive(stale, now)
+	}
+}
--- a/pkg/control/membership/membership.go
+++ b/pkg/control/membership/membership.go
@@ -28,6 +28,8 @@
 	floodDelay = 20 * time.Millisecond
 	// retryInterval spaces the tries of dead members.
 	retryInterval = 2 * time.Second
+	// maxBurst bounds the messages that are handled before a publication.
+	maxBurst = 64
 	// maxChallenges bounds the instances asked on the word of others per second.
 	maxChallenges = 4
 	// seedRounds is the number of exchanges after which one goes to a seed or
@@ -142,6 +144,7 @@
 			return
 		case message := <-c.board.Gossip.Events():
 			c.receive(ctx, message, time.Now())
+			c.receiveWaiting(ctx)
 		case rumor := <-c.board.RumorsOut.Events():
 			c.sendRumor(rumor, time.Now())
 		case version := <-c.board.VersionsOut.Events():
@@ -191,6 +194,19 @@
 	}
 }
 
+// receiveWaiting handles messages that wait already, so that a burst is
+// published once. A publication costs some hundred microseconds at 600 members.
+func (c *Controller) receiveWaiting(ctx context.Context) {
+	for range maxBurst {
+		select {
+		case message := <-c.board.Gossip.Events():
+			c.receive(ctx, message, time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // receive handles one message of another node.
 func (c *Controller) receive(ctx context.Context, message board.Gossip, now time.Time) {
 	for _, record := range message.Members {
--- a/pkg/decide/membership/ring.go
+++ b/pkg/decide/membership/ring.go
@@ -20,20 +20,29 @@
 	hashes  []uint64
 }
 
+// place is a member with its position on the ring.
+type place struct {
+	hash   uint64
+	member board.Member
+}
+
 // NewRing places the live members and self on a ring.
 func NewRing(members *board.Members) *Ring {
-	r := &Ring{}
+	places := make([]place, 0, len(members.ByInstance))
 	for id, m := range members.ByInstance {
 		if Live(m) || id == members.Self {
-			r.members = append(r.members, m)
+			places = append(places, place{hash: hashID(id), member: m})
 		}
 	}
-	slices.SortFunc(r.members, func(a, b board.Member) int {
-		return cmp.Or(cmp.Compare(hashID(a.Instance), hashID(b.Instance)), cmp.Compare(a.Instance, b.Instance))
+	slices.SortFunc(places, func(a, b place) int {
+		if a.hash != b.hash {
+			return cmp.Compare(a.hash, b.hash)
+		}
+		return cmp.Compare(a.member.Instance, b.member.Instance)
 	})
-	r.hashes = make([]uint64, len(r.members))
-	for i, m := range r.members {
-		r.hashes[i] = hashID(m.Instance)
+	r := &Ring{members: make([]board.Member, len(places)), hashes: make([]uint64, len(places))}
+	for i, p := range places {
+		r.members[i], r.hashes[i] = p.member, p.hash
 	}
 	return r
 }
--- /dev/null
+++ b/pkg/peer/forget_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/security"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// listen starts a transport that answers pings with its name.
+func listen(t *testing.T, addr, name string, server, client *tls.Config) *Transport {
+	transport, err := Listen(addr, server, client, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		_ = transport.Close()
+	})
+	answer := func(_ context.Context, _ wire.Frame, stream *Stream) error {
+		return transport.Answer(stream, wire.TypeAck, []string{name})
+	}
+	go func() { _ = transport.Serve(ctx, map[wire.Type]Handler{wire.TypePing: answer}) }()
+	return transport
+}
+
+func ask(from *Transport, addr string, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var answer []string
+	err := from.Exchange(ctx, addr, wire.TypePing, struct{}{}, wire.TypeAck, &answer)
+	if err != nil {
+		return "", err
+	}
+	return answer[0], nil
+}
+
+// Guards against a process that was killed and replaced at its address and is
+// not reached until the old connection times out after 30 s.
+func TestForgetReachesReplacementAtTheSameAddress(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, security.WriteCA(dir, time.Hour))
+	require.NoError(t, security.WriteCertificate(dir, "n", true, nil, time.Hour))
+	server, client, err := security.LoadPeer(security.Files{
+		Cert: filepath.Join(dir, "n.pem"), Key: filepath.Join(dir, "n-key.pem"), CA: filepath.Join(dir, security.CACertFile),
+	})
+	require.NoError(t, err)
+	caller := listen(t, "127.0.0.1:0", "caller", server, client)
+	old := listen(t, "127.0.0.1:0", "old", server, client)
+	addr := old.Addr().String()
+	name, err := ask(caller, addr, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "old", name)
+
+	// Closing the socket alone tells the caller nothing, like a kill.
+	require.NoError(t, old.quic.Conn.Close())
+	listen(t, addr, "new", server, client)
+	_, err = ask(caller, addr, 300*time.Millisecond)
+	require.Error(t, err, "the old connection reached the replacement, the guard is not needed")
+	caller.Forget(addr)
+	name, err = ask(caller, addr, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "new", name)
+	caller.Forget("127.0.0.1:1")
+}
