--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -35,7 +35,7 @@
 }
 
 // listen starts a transport that answers membership exchanges and counts them.
-func listen(t *testing.T, server, client *tls.Config) (*Transport, *atomic.Int64) {
+func listenTLS(t *testing.T, server, client *tls.Config) (*Transport, *atomic.Int64) {
 	t.Helper()
 	transport, err := Listen("127.0.0.1:0", server, client, zerolog.Nop())
 	require.NoError(t, err)
@@ -62,7 +62,7 @@
 func TestOnlyNodesOfTheFleetAreServed(t *testing.T) {
 	fleet, stranger := newCA(t), newCA(t)
 	server, client := peerTLS(t, fleet, "atelier-1", true)
-	node, served := listen(t, server, client)
+	node, served := listenTLS(t, server, client)
 
 	good, goodClient := peerTLS(t, fleet, "atelier-2", true)
 	_, callerClient := peerTLS(t, fleet, "foreman", false)
@@ -74,16 +74,16 @@
 	for name, config := range map[string]*tls.Config{
 		"certificate of another CA": strangerClient, "certificate of a caller": callerClient, "no certificate": bare,
 	} {
-		from, _ := listen(t, good, config)
+		from, _ := listenTLS(t, good, config)
 		require.Error(t, exchange(t, from, node.Addr().String()), name)
 		require.Zero(t, served.Load(), name)
 	}
-	from, _ := listen(t, good, goodClient)
+	from, _ := listenTLS(t, good, goodClient)
 	require.NoError(t, exchange(t, from, node.Addr().String()))
 	require.Equal(t, int64(1), served.Load())
 
 	callerServer, _ := peerTLS(t, fleet, "impostor", false)
-	impostor, _ := listen(t, callerServer, goodClient)
+	impostor, _ := listenTLS(t, callerServer, goodClient)
 	require.Error(t, exchange(t, from, impostor.Addr().String()), "a server without a node's certificate")
 }
 
@@ -91,8 +91,8 @@
 func TestMalformedFramesAreRefused(t *testing.T) {
 	ca := newCA(t)
 	server, client := peerTLS(t, ca, "atelier-1", true)
-	node, served := listen(t, server, client)
-	from, _ := listen(t, server, client)
+	node, served := listenTLS(t, server, client)
+	from, _ := listenTLS(t, server, client)
 	for _, data := range [][]byte{
 		{}, {1}, {9, 1, 0, 0, 0, 0}, {1, 255, 0, 0, 0, 0}, {1, byte(wire.TypeDelta), 255, 255, 255, 255}, {1, byte(wire.TypeCall), 0, 0, 0, 1, 0},
 	} {
