Claim keys of non-idempotent calls at a home chosen by epoch

Cause: a non-idempotent call had no record outside of its entry, so that a repeated or lost call could run twice. Change: key records and the Epochs section on the board, the pure rules in decide/keyhome, the protocol of entry, home and executor in atmostonce, the controller of epochs with transfers, the outcome lookup for operators.

--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -20,7 +20,10 @@
 	Local    *Section[*Local]
 	Load     *Section[*LoadTable]
 	Pickers  *Section[*Pickers]
+	Epochs   *Section[*Epochs]
 	Requests Requests
+	// Keys holds the key records of non-idempotent calls.
+	Keys *Keys
 
 	// Gossip carries member records received from other nodes to the
 	// membership controller.
@@ -45,6 +48,8 @@
 		Local:         NewSection("local", &Local{}),
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
 		Pickers:       NewSection("pickers", &Pickers{ByService: map[string]Picker{}}),
+		Epochs:        NewSection("epochs", &Epochs{ByService: map[string]*EpochView{}}),
+		Keys:          NewKeys(),
 		Gossip:        NewInbox[[]Member](gossipInboxSize),
 		Announcements: NewInbox[Announcement](announcementInboxSize),
 
--- a/pkg/board/reason.go
+++ b/pkg/board/reason.go
@@ -29,8 +29,14 @@
 	ReasonStopping         Reason = "node-stopping"
 )
 
+// ReasonResponseNotKept: the call has run and its outcome is recorded, but the
+// response was too large to be kept.
+const ReasonResponseNotKept Reason = "response-not-kept"
+
 // Reasons of calls whose outcome is unknown.
 const (
+	// ReasonKeyRecordLost: the key is older than the loss of its records.
+	ReasonKeyRecordLost    Reason = "key-record-lost"
 	ReasonKeyExpired       Reason = "key-expired"
 	ReasonDeadlineExceeded Reason = "deadline-exceeded"
 	ReasonConnectionLost   Reason = "connection-lost"
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -60,6 +60,8 @@
 	AttemptsUsed  int
 	ConfigVersion uint64
 	Load          board.LoadReport
+	// Epoch is the executor's epoch of the service, 0 when it told none.
+	Epoch uint64
 }
 
 // NotRun returns the result of a call that did not run.
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/peer"
@@ -18,7 +19,9 @@
 	Peers *peer.Transport
 	// Local is the executor of this node; calls to it skip the network.
 	Local *Executor
-	Log   zerolog.Logger
+	// Once is the key protocol of this node.
+	Once *atmostonce.Keeper
+	Log  zerolog.Logger
 }
 
 // Serve carries one call and returns its result. The result's body, when there
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/backend"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/peer"
@@ -21,7 +22,9 @@
 	Incarnation uint64
 	Board       *board.Board
 	Backend     *backend.Client
-	Log         zerolog.Logger
+	// Once is the key protocol of this node.
+	Once *atmostonce.Keeper
+	Log  zerolog.Logger
 
 	inFlight atomic.Int64
 }
@@ -75,6 +78,7 @@
 		ContentLength: result.ContentLength, Load: x.Load(),
 		AttemptsUsed:  clampByte(result.AttemptsUsed),
 		ConfigVersion: x.Board.Config.Load().Version,
+		Epoch:         x.Once.EpochNumber(message.Service),
 	}
 }
 
@@ -85,6 +89,7 @@
 	}
 	x.Board.Requests.Add(record)
 	result := x.serve(ctx, message, record)
+	x.rejectOnce(message, result)
 	record.Finish(result.Outcome)
 	result.Body = onClose(result.Body, func() { x.Board.Requests.Remove(record) })
 	result.Load = x.Load()
@@ -101,9 +106,14 @@
 		cancel()
 		return NotRun(board.ReasonDeadlineNotRun)
 	}
+	ctx, cancel, once, refused := x.beginOnce(ctx, cancel, message)
+	if refused != nil {
+		cancel()
+		return refused
+	}
 	record.Advance(board.RequestRunning)
 	x.inFlight.Add(1)
-	result := x.run(ctx, local, message)
+	result := finishOnce(once, x.run(ctx, local, message))
 	result.Body = onClose(result.Body, func() {
 		x.inFlight.Add(-1)
 		cancel()
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -1,29 +1,143 @@
 package call
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
 
+	"github.com/google/uuid"
+
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// Headers of a recorded response whose body was too large to be kept.
+const (
+	HeaderRecorded       = "Mangostand-Recorded"
+	HeaderResponseDigest = "Mangostand-Response-Digest"
 )
 
-// serveOnce carries a call that must run at most once: it tries another
-// instance only after proof that the last attempt did not run.
+// onceCall is the state of a non-idempotent call at its entry.
+type onceCall struct {
+	entry  *Entry
+	req    *Request
+	route  *dynconf.Route
+	record *board.RequestRecord
+	digest string
+	cell   *board.Cell
+	result *Result
+}
+
+// serveOnce carries a call that must run at most once.
 func (e *Entry) serveOnce(ctx context.Context, req *Request, route *dynconf.Route, record *board.RequestRecord) *Result {
-	var tried []board.InstanceID
-	result := NotRun(board.ReasonNoServer)
-	for number := 1; number <= maxAttempts && ctx.Err() == nil; number++ {
-		cell := e.pick(req.Service, tried)
-		if cell == nil {
-			break
+	fresh := req.Key == ""
+	if fresh {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return NotRun(board.ReasonNoServer)
 		}
-		record.Advance(board.RequestRouted)
-		attempt := &Attempt{Request: req, Route: route, Number: number, Executor: cell.Member}
-		result = e.send(ctx, attempt, cell, record)
-		if result.Outcome != board.OutcomeNotRun {
-			break
+		req.Key = id.String()
+	}
+	o := &onceCall{entry: e, req: req, route: route, record: record, digest: digestOf(req)}
+	record.Advance(board.RequestRouted)
+	verdict := e.Once.Carry(ctx, &atmostonce.Call{
+		ID:     board.KeyID{Service: req.Service, Caller: req.Caller, Key: req.Key},
+		Digest: o.digest, RequestID: req.ID, Fresh: fresh,
+		MaxAttempts: maxAttempts, Pick: o.pick, Send: o.send,
+	})
+	return o.resultOf(verdict)
+}
+
+// digestOf binds a key to the content of its request: method, path, query and
+// body.
+func digestOf(req *Request) string {
+	h := sha256.New()
+	for _, part := range []string{req.Method, req.Path, req.Query} {
+		sum := sha256.Sum256([]byte(part))
+		h.Write(sum[:])
+	}
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (o *onceCall) pick(exclude []board.InstanceID) (board.InstanceID, uint64, bool) {
+	o.cell = o.entry.pick(o.req.Service, exclude)
+	if o.cell == nil {
+		return "", 0, false
+	}
+	return o.cell.Member.Instance, o.cell.Member.Incarnation, true
+}
+
+// send runs one attempt under a grant at the executor that was picked last.
+func (o *onceCall) send(ctx context.Context, epoch, grant uint64, number int) (board.Outcome, board.Reason) {
+	if o.result != nil {
+		closeBody(o.result.Body)
+		o.record.Advance(board.RequestRouted)
+	}
+	o.record.Advance(board.RequestClaimed)
+	attempt := &Attempt{
+		Request: o.req, Route: o.route, Number: number, Executor: o.cell.Member,
+		Grant: Grant{Key: o.req.Key, Digest: o.digest, Epoch: epoch, Number: grant},
+	}
+	o.result = o.entry.send(ctx, attempt, o.cell, o.record)
+	o.entry.Once.Learn(wire.EpochNotice{
+		Service: o.req.Service, Number: o.result.Epoch, Source: o.cell.Member.PeerAddr,
+	})
+	return o.result.Outcome, o.result.Reason
+}
+
+// resultOf turns a verdict into the result for the caller.
+func (o *onceCall) resultOf(v atmostonce.Verdict) *Result {
+	if v.Answered {
+		return o.result
+	}
+	var result *Result
+	switch {
+	case v.Record != nil:
+		result = recordedResult(v.Record)
+	case v.Outcome == board.OutcomeNotRun:
+		result = NotRun(v.Reason)
+	default:
+		result = Unknown(v.Reason)
+		if v.Reason == board.ReasonHomeUnavailable {
+			// A repetition with the same key is safe and will be answered.
+			result.Status = http.StatusServiceUnavailable
 		}
-		tried = append(tried, cell.Member.Instance)
 	}
+	if o.result != nil {
+		result.Attempts, result.Load = o.result.Attempts, o.result.Load
+	}
+	return result
+}
+
+// recordedResult returns the recorded answer of an earlier run of a key.
+func recordedResult(record *board.KeyRecord) *Result {
+	response := record.Response
+	if response == nil || record.Outcome == board.OutcomeUnknown {
+		result := Unknown(record.Reason)
+		result.Instance = record.Executor
+		return result
+	}
+	result := &Result{
+		Outcome: record.Outcome, Reason: record.Reason, Status: int(response.Status), Header: http.Header{},
+		Instance: record.Executor, ContentLength: int64(len(response.Body)),
+	}
+	for name, values := range response.Header {
+		result.Header[name] = values
+	}
+	result.Header.Set(HeaderRecorded, "response")
+	if !response.Stored {
+		result.Header = http.Header{}
+		result.Header.Set(HeaderRecorded, "status")
+		result.Header.Set(HeaderResponseDigest, response.Digest)
+		result.Reason = board.ReasonResponseNotKept
+		return result
+	}
+	result.Body = io.NopCloser(bytes.NewReader(response.Body))
 	return result
 }
--- a/pkg/call/send.go
+++ b/pkg/call/send.go
@@ -72,7 +72,7 @@
 	result := &Result{
 		Outcome: head.Outcome, Reason: board.Reason(head.Reason), Status: int(head.Status),
 		Header: decodeHeader(head.Header), ContentLength: head.ContentLength,
-		AttemptsUsed: int(head.AttemptsUsed), Load: head.Load,
+		AttemptsUsed: int(head.AttemptsUsed), Load: head.Load, Epoch: head.Epoch,
 	}
 	switch head.Outcome {
 	case board.OutcomeSucceeded, board.OutcomeFailed:
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -42,6 +42,7 @@
 	var commands []*command
 	commands = append(commands, configCommands(parser, stdout, stderr)...)
 	commands = append(commands, keysCommands(parser, stdout, stderr)...)
+	commands = append(commands, outcomeCommand(parser, stdout, stderr))
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitBadInput
--- /dev/null
+++ b/pkg/control/epoch/learn.go
@@ -0,0 +1,213 @@
+package epoch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/keyhome"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// hear handles a rumor or a notice of this node's own call path.
+func (c *Controller) hear(ctx context.Context, rumor board.Rumor) {
+	notice, err := wire.DecodeEpochRumor(rumor)
+	if err != nil {
+		c.log.Warn().Err(err).Msg("refused an epoch rumor")
+		return
+	}
+	if notice.Number <= numberOf(c.current(notice.Service)) {
+		return
+	}
+	if valid(notice) {
+		c.adopt(ctx, notice.Epoch, time.Now())
+		return
+	}
+	if c.board.Config.Load().Services[notice.Service] == nil {
+		return
+	}
+	var from []board.EpochMember
+	if notice.Source != "" {
+		from = append(from, board.EpochMember{PeerAddr: notice.Source})
+	}
+	c.pull(ctx, notice.Service, append(from, c.nodesToAsk(notice.Service)...))
+}
+
+func valid(notice wire.EpochNotice) bool {
+	e := notice.Epoch
+	return e != nil && e.Service == notice.Service && e.Number == notice.Number && len(e.Members) > 0
+}
+
+// pullTargets is how many nodes are asked for an epoch at once.
+const pullTargets = 2
+
+// nodesToAsk returns random members of a service other than this node.
+func (c *Controller) nodesToAsk(name string) []board.EpochMember {
+	var nodes []board.EpochMember
+	for _, m := range c.board.Members.Load().ByService[name] {
+		if m.Instance != c.self {
+			nodes = append(nodes, board.EpochMember{Instance: m.Instance, Incarnation: m.Incarnation, PeerAddr: m.PeerAddr})
+		}
+	}
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes[:min(len(nodes), pullTargets)]
+}
+
+// pull asks nodes for the epoch of a service, one after the other, until one
+// has a higher one.
+func (c *Controller) pull(ctx context.Context, name string, nodes []board.EpochMember) {
+	s := c.state(name)
+	if s.pulling || len(nodes) == 0 {
+		return
+	}
+	s.pulling = true
+	known := numberOf(c.current(name))
+	c.spawn(ctx, func() func() {
+		epoch := c.firstNewer(ctx, name, known, nodes)
+		return func() {
+			s.pulling = false
+			if epoch != nil {
+				c.adopt(ctx, epoch, time.Now())
+			}
+		}
+	})
+}
+
+func (c *Controller) firstNewer(ctx context.Context, name string, known uint64, nodes []board.EpochMember) *board.Epoch {
+	for _, node := range nodes {
+		page, err := c.keys.Pull(ctx, name, known, node)
+		if err == nil && page.Newer != nil && page.Newer.Service == name {
+			return page.Newer
+		}
+	}
+	return nil
+}
+
+// compare asks a random node for the epoch of a service: at once for a service
+// whose epoch is not known, else of a random service from time to time.
+func (c *Controller) compare(ctx context.Context, now time.Time) {
+	for name := range c.board.Config.Load().Services {
+		if c.current(name) == nil {
+			c.pull(ctx, name, c.nodesToAsk(name))
+		}
+	}
+	if now.Before(c.nextPull) {
+		return
+	}
+	c.nextPull = now.Add(pullInterval)
+	for name := range c.writer.Load().ByService {
+		// The order of a map is random enough to reach each service in time.
+		c.pull(ctx, name, c.nodesToAsk(name))
+		return
+	}
+}
+
+// confirm asks a majority of the members, or else the store, whether there is
+// a higher epoch. Only members need it, see keyhome.ConfirmValid.
+func (c *Controller) confirm(ctx context.Context, s *service, now time.Time) {
+	view := c.writer.Load().Get(s.name)
+	if view == nil || s.confirming || now.Before(s.nextConfirm) || !view.Epoch.Has(c.self, c.incarnation) {
+		return
+	}
+	s.confirming = true
+	s.nextConfirm = now.Add(confirmInterval)
+	epoch := view.Epoch
+	c.spawn(ctx, func() func() {
+		higher, ok := c.askForHigher(ctx, epoch)
+		return func() {
+			s.confirming = false
+			if higher != nil {
+				c.adopt(ctx, higher, time.Now())
+			}
+			c.confirmed(s, epoch, ok, now)
+		}
+	})
+}
+
+// confirmed publishes a confirmation. It counts from the time at which the
+// questions were sent.
+func (c *Controller) confirmed(s *service, epoch *board.Epoch, ok bool, asked time.Time) {
+	view := c.writer.Load().Get(s.name)
+	if view.Epoch.Number != epoch.Number {
+		s.nextConfirm = time.Time{}
+		return
+	}
+	if !ok {
+		c.log.Warn().Str("service", s.name).Uint64("epoch", epoch.Number).Msg("epoch not confirmed")
+		return
+	}
+	update := *view
+	update.ConfirmedAt = asked
+	c.publish(s.name, &update)
+}
+
+// askForHigher returns a higher epoch when a member or the store has one, and
+// whether the epoch is confirmed.
+func (c *Controller) askForHigher(ctx context.Context, epoch *board.Epoch) (*board.Epoch, bool) {
+	count, higher := c.askMembers(ctx, epoch)
+	if higher != nil {
+		return higher, false
+	}
+	if keyhome.Majority(count, len(epoch.Members)) {
+		return nil, true
+	}
+	if c.store == nil {
+		return nil, false
+	}
+	stored, _, err := c.read(ctx, epoch.Service)
+	if err != nil {
+		return nil, false
+	}
+	if numberOf(stored) > epoch.Number {
+		return stored, false
+	}
+	// A store that came back with an older epoch proves nothing.
+	return nil, numberOf(stored) == epoch.Number
+}
+
+// askMembers counts this node and the lives of members that answer without a
+// higher epoch. A restarted member has forgotten what it adopted and does not
+// count. It asks a random majority first and the others only when needed.
+func (c *Controller) askMembers(ctx context.Context, epoch *board.Epoch) (int, *board.Epoch) {
+	var others []board.EpochMember
+	for _, m := range epoch.Members {
+		if m.Instance != c.self {
+			others = append(others, m)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	first := min(len(epoch.Members)/2, len(others))
+	count, higher := c.askAll(ctx, epoch, others[:first])
+	if higher == nil && !keyhome.Majority(count+1, len(epoch.Members)) {
+		var more int
+		more, higher = c.askAll(ctx, epoch, others[first:])
+		count += more
+	}
+	return count + 1, higher
+}
+
+func (c *Controller) askAll(ctx context.Context, epoch *board.Epoch, members []board.EpochMember) (int, *board.Epoch) {
+	pages := make([]*wire.TransferPage, len(members))
+	var asked sync.WaitGroup
+	for i, m := range members {
+		asked.Go(func() {
+			if page, err := c.keys.Pull(ctx, epoch.Service, epoch.Number, m); err == nil {
+				pages[i] = page
+			}
+		})
+	}
+	asked.Wait()
+	count := 0
+	for i, page := range pages {
+		switch {
+		case page == nil:
+		case page.Newer != nil:
+			return count, page.Newer
+		case page.Incarnation == members[i].Incarnation && page.Epoch <= epoch.Number:
+			count++
+		}
+	}
+	return count, nil
+}
--- /dev/null
+++ b/pkg/decide/keyhome/keyhome.go
@@ -0,0 +1,135 @@
+// Package keyhome decides which member of an epoch keeps the record of a key,
+// whether a key may still run, and what an epoch transfer has proven. Its
+// functions are pure.
+package keyhome
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// Home returns the member that keeps the record of a key: the one with the
+// highest rendezvous hash, so that a change of members moves only the keys of
+// the members that changed. The second result is false without members.
+func Home(members []board.EpochMember, id board.KeyID) (board.EpochMember, bool) {
+	if len(members) == 0 {
+		return board.EpochMember{}, false
+	}
+	key := hash(id.Service, id.Caller, id.Key)
+	best, bestScore := members[0], uint64(0)
+	for i, m := range members {
+		score := mix(key ^ hash(string(m.Instance)))
+		if i == 0 || score > bestScore || (score == bestScore && m.Instance < best.Instance) {
+			best, bestScore = m, score
+		}
+	}
+	return best, true
+}
+
+// Moved reports whether a key has another home, or another life of its home,
+// in next than in former.
+func Moved(former, next []board.EpochMember, id board.KeyID) bool {
+	a, okA := Home(former, id)
+	b, okB := Home(next, id)
+	return okA != okB || a.Instance != b.Instance || a.Incarnation != b.Incarnation
+}
+
+// Rank returns the position of an instance in the order in which members
+// propose an epoch, 0 for the first. The order differs between epochs.
+func Rank(members []board.EpochMember, self board.InstanceID, service string, number uint64) int {
+	var seed [8]byte
+	binary.BigEndian.PutUint64(seed[:], number)
+	key := hash(service, string(seed[:]))
+	own := mix(key ^ hash(string(self)))
+	rank := 0
+	for _, m := range members {
+		if m.Instance != self && mix(key^hash(string(m.Instance))) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(p)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(p))
+	}
+	return h.Sum64()
+}
+
+// mix is the finalizer of SplitMix64: FNV alone spreads the high bits badly.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Time returns the time in a UUID version 7, false for any other text.
+func Time(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	var ms [8]byte
+	copy(ms[2:], id[:6])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(ms[:]))), true
+}
+
+// Age is the judgement of the age of a key.
+type Age uint8
+
+// Ages of a key.
+const (
+	// AgeValid: the key may run.
+	AgeValid Age = iota
+	// AgeMalformed: the key is not a UUID version 7.
+	AgeMalformed
+	// AgeExpired: records of the key may have been dropped, so it never runs.
+	AgeExpired
+	// AgeFuture: the key's time is too far ahead.
+	AgeFuture
+)
+
+// Judge returns the age of a key at a time.
+func Judge(key string, now time.Time, limits dynconf.AtMostOnce) Age {
+	t, ok := Time(key)
+	switch {
+	case !ok:
+		return AgeMalformed
+	case now.Sub(t) > limits.Retention:
+		return AgeExpired
+	case t.Sub(now) > limits.FutureSkew:
+		return AgeFuture
+	}
+	return AgeValid
+}
+
+// Expires returns when the records of a key may be dropped. It lies one clock
+// skew behind the time at which any node refuses the key as expired.
+func Expires(key string, limits dynconf.AtMostOnce) time.Time {
+	t, _ := Time(key)
+	return t.Add(limits.Retention + limits.ClockSkew)
+}
+
+// HorizonAt returns the highest time that a key claimed until now may have.
+func HorizonAt(now time.Time, limits dynconf.AtMostOnce) time.Time {
+	return now.Add(limits.FutureSkew + limits.ClockSkew)
+}
+
+// ProvablyNew reports whether a key without a record lies after the horizon.
+func ProvablyNew(key string, horizon time.Time) bool {
+	t, ok := Time(key)
+	return ok && t.After(horizon)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -12,12 +12,14 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/backend"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/call"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/control/announce"
 	"mangostand.example/mangostand/pkg/control/configsync"
+	"mangostand.example/mangostand/pkg/control/epoch"
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
 	"mangostand.example/mangostand/pkg/control/routing"
@@ -51,6 +53,7 @@
 	board    *board.Board
 	peers    *peer.Transport
 	executor *call.Executor
+	keeper   *atmostonce.Keeper
 	entry    *call.Entry
 
 	controllers []control.Controller
@@ -97,7 +100,9 @@
 		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
 		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
 	}
-	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Log: n.log}
+	n.keeper = atmostonce.New(n.executor.Instance, n.executor.Incarnation, n.board, atmostonce.Network{Transport: n.peers}, n.log)
+	n.executor.Once = n.keeper
+	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Once: n.keeper, Log: n.log}
 }
 
 func (n *Node) buildControllers() {
@@ -111,18 +116,23 @@
 		membership.New(n.board, self, n.peers, n.settings.Seeds, n.log),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
+		n.keeper,
 	}
+	var epochStore epoch.Store
 	if n.settings.Store != "" {
 		store := platform.NewClient(n.settings.Store)
+		epochStore = store
 		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
 	}
+	n.controllers = append(n.controllers,
+		epoch.New(n.board, n.keeper, epochStore, n.executor.Instance, n.executor.Incarnation, n.log))
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
-	return map[wire.Type]peer.Handler{
-		wire.TypeCall:  n.executor.HandleCall,
-		wire.TypeDelta: membership.HandleDelta(n.board, n.peers),
-	}
+	handlers := n.keeper.Handlers(n.peers)
+	handlers[wire.TypeCall] = n.executor.HandleCall
+	handlers[wire.TypeDelta] = membership.HandleDelta(n.board, n.peers)
+	return handlers
 }
 
 func (n *Node) buildListeners() error {
@@ -133,7 +143,7 @@
 	}{
 		{"callers", n.settings.Callers, httpfront.Handler(n.entry), n.settings.CallerTLS},
 		{"local", n.settings.Local, localapi.Handler(n.board), security.Files{}},
-		{"operators", n.settings.Operators, opsapi.Handler(n.board, n.metricsHTTP), n.settings.OperatorTLS},
+		{"operators", n.settings.Operators, opsapi.Handler(n.board, n.metricsHTTP, n.keeper), n.settings.OperatorTLS},
 	}
 	for _, l := range listeners {
 		if err := n.listen(l.name, l.addr, l.handler, l.tls); err != nil {
@@ -194,6 +204,7 @@
 	select {
 	case <-ctx.Done():
 		n.drain()
+		n.executor.HandOver(work)
 	case err = <-failed:
 	}
 	n.closeListeners()
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -32,7 +32,7 @@
 }
 
 // Handler returns the operators' handler.
-func Handler(b *board.Board, metrics http.Handler) http.Handler {
+func Handler(b *board.Board, metrics http.Handler, keys KeyLookup) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, StatusOf(b)) })
@@ -40,6 +40,7 @@
 		b.Announcements.Post(board.Announcement{Kind: board.AnnounceDrain})
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("GET /v1/outcome/{key}", outcomeHandler(keys))
 	mux.HandleFunc("PUT /v1/log-level", setLogLevel)
 	mux.Handle("GET /metrics", metrics)
 	return mux
@@ -56,6 +57,7 @@
 			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
 			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
 			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
+			b.Epochs.Name():  {b.Epochs.Snapshot().Version, b.Epochs.Owner()},
 			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
 		},
 	}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -99,9 +99,21 @@
 	return mode
 }
 
+// encMode keeps times exact to the nanosecond: the default encoding cuts them
+// to seconds, which would shorten the life of key records.
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // WriteMessage encodes a message and writes it as one frame.
 func WriteMessage(w io.Writer, t Type, message any) error {
-	payload, err := cbor.Marshal(message)
+	payload, err := encMode.Marshal(message)
 	if err != nil {
 		return errors.Annotatef(err, "encoding message type %d", t)
 	}
