Test the key protocol under provoked faults

Cause: the protocol had no tests, and not-run was told on the word of a home whose epoch may have ended. A key that the caller brought is told not-run only after a majority confirmed the epoch of the answer during the call.

--- a/pkg/atmostonce/carry.go
+++ b/pkg/atmostonce/carry.go
@@ -70,12 +70,30 @@
 	}
 	c := &carrier{keeper: k, call: call, pause: firstPause, last: board.ReasonHomeUnavailable, proven: call.Fresh}
 	c.claim = wire.Claim{ID: call.ID, Digest: call.Digest, RequestID: call.RequestID, Fresh: call.Fresh}
+	started := time.Now()
 	for ctx.Err() == nil {
 		if verdict := c.step(ctx); verdict != nil {
-			return *verdict
+			return c.prove(ctx, *verdict, started)
 		}
 	}
-	return c.giveUp(ctx)
+	return c.prove(ctx, c.giveUp(ctx), started)
+}
+
+// prove turns not-run into unknown when an earlier call with the key of the
+// caller may have run it in a higher epoch than that of the home that answered.
+func (c *carrier) prove(ctx context.Context, v Verdict, started time.Time) Verdict {
+	if v.Outcome != board.OutcomeNotRun || c.call.Fresh {
+		return v
+	}
+	switch v.Reason {
+	case board.ReasonKeyInProgress, board.ReasonKeyConflict, board.ReasonMalformed, board.ReasonKeyInFuture:
+		// These tell of the key or of another request, not of a run.
+		return v
+	}
+	if c.keeper.confirmedSince(ctx, c.call.ID.Service, c.claim.Epoch, started) {
+		return v
+	}
+	return Verdict{Outcome: board.OutcomeUnknown, Reason: board.ReasonHomeUnavailable}
 }
 
 func (k *Keeper) judgeKey(call *Call) *Verdict {
--- /dev/null
+++ b/pkg/atmostonce/fabric_test.go
@@ -0,0 +1,437 @@
+package atmostonce_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/atmostonce"
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control/epoch"
+	"mangostand.example/mangostand/pkg/decide/keyhome"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+const (
+	service     = "bookings"
+	caller      = "atelier"
+	latency     = time.Millisecond
+	serviceTime = 20 * time.Millisecond
+)
+
+// errLost stands for every failure of an exchange.
+const errLost = errors.ConstError("message lost")
+
+// fabric connects nodes in one process and can lose their messages. It carries
+// the encoded messages, so that the codec is part of each test.
+type fabric struct {
+	mu    sync.Mutex
+	nodes map[board.InstanceID]*node
+	// side puts nodes into partitions; nodes of different sides hear nothing of
+	// each other.
+	side  map[board.InstanceID]int
+	store *memoryStore
+	// runs lists the request IDs that ran each key at a backend server.
+	runs   map[string][]string
+	life   uint64
+	limits dynconf.AtMostOnce
+}
+
+// node is one life of an instance.
+type node struct {
+	fabric  *fabric
+	self    board.Member
+	board   *board.Board
+	keeper  *atmostonce.Keeper
+	members *board.Writer[*board.Members]
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+	dead    bool
+}
+
+func newFabric(t *testing.T, names ...board.InstanceID) *fabric {
+	f := &fabric{
+		nodes: map[board.InstanceID]*node{}, side: map[board.InstanceID]int{}, runs: map[string][]string{},
+		store: &memoryStore{values: map[string]platform.Entry{}}, limits: dynconf.Default().AtMostOnce,
+	}
+	t.Cleanup(f.close)
+	for _, name := range names {
+		f.start(name)
+	}
+	f.settle()
+	return f
+}
+
+// close ends all nodes; their goroutines must not outlive the bubble.
+func (f *fabric) close() {
+	for _, n := range f.nodes {
+		n.stop()
+		n.stopped.Wait()
+	}
+}
+
+// settle waits until an epoch with the live nodes is adopted and transferred.
+func (f *fabric) settle() { time.Sleep(5 * time.Second) }
+
+// start begins a new life of an instance.
+func (f *fabric) start(name board.InstanceID) *node {
+	f.life++
+	n := &node{fabric: f, board: board.New(name), self: board.Member{
+		Instance: name, Incarnation: f.life, Service: service, PeerAddr: string(name), State: board.MemberServing,
+	}}
+	n.keeper = atmostonce.New(name, f.life, n.board, link{n}, zerolog.Nop())
+	config := dynconf.Default()
+	config.AtMostOnce = f.limits
+	config.Services[service] = &dynconf.Service{Name: service, Servers: []string{"*"}}
+	n.board.Config.Claim("test").Publish(config)
+	n.board.Local.Claim("test").Publish(&board.Local{Announced: true, Service: service})
+	n.members = n.board.Members.Claim("test")
+	f.mu.Lock()
+	f.nodes[name] = n
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	controller := epoch.New(n.board, n.keeper, sidedStore{f, name}, name, f.life, zerolog.Nop())
+	n.stopped.Go(func() { n.keeper.Run(ctx) })
+	n.stopped.Go(func() { controller.Run(ctx) })
+	f.detect()
+	return n
+}
+
+// crash ends a node without warning; detect tells the others.
+func (f *fabric) crash(name board.InstanceID) *node {
+	n := f.nodes[name]
+	f.mu.Lock()
+	n.dead = true
+	f.mu.Unlock()
+	n.stop()
+	return n
+}
+
+// detect stands in for the membership: each node learns the truth about its
+// side, and that nodes of the other side are dead.
+func (f *fabric) detect() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		records := map[board.InstanceID]board.Member{}
+		for name, other := range f.nodes {
+			m := other.self
+			if other.dead || f.side[name] != f.side[n.self.Instance] {
+				m.State = board.MemberDead
+			}
+			records[name] = m
+		}
+		n.members.Publish(board.NewMembers(n.self.Instance, records))
+	}
+}
+
+// drain makes a node leave gracefully.
+func (f *fabric) drain(name board.InstanceID) {
+	f.mu.Lock()
+	f.nodes[name].self.State = board.MemberDraining
+	f.mu.Unlock()
+	f.detect()
+}
+
+func (f *fabric) split(side int, names ...board.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.side[name] = side
+	}
+}
+
+// target returns the node that a message reaches, nil when it is lost.
+func (f *fabric) target(from *node, addr string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	to := f.nodes[board.InstanceID(addr)]
+	if to == nil || to.dead || from.dead || f.side[to.self.Instance] != f.side[from.self.Instance] {
+		return nil
+	}
+	return to
+}
+
+func (f *fabric) epochOf(name board.InstanceID) *board.EpochView {
+	return f.nodes[name].board.Epochs.Load().Get(service)
+}
+
+func (f *fabric) runsOf(key string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key]
+}
+
+// link is one node's end of the fabric.
+type link struct{ from *node }
+
+func exchange[Q, A any](ctx context.Context, l link, addr string, qt, at wire.Type, q *Q, handle func(*node, *Q) *A) (*A, error) {
+	question, answer := new(Q), new(A)
+	copyMessage(qt, q, question)
+	time.Sleep(latency)
+	to := l.from.fabric.target(l.from, addr)
+	if to == nil {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	result := handle(to, question)
+	time.Sleep(latency)
+	if l.from.fabric.target(l.from, addr) != to || ctx.Err() != nil {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	copyMessage(at, result, answer)
+	return answer, nil
+}
+
+func copyMessage(t wire.Type, from, to any) {
+	var buffer bytes.Buffer
+	if err := wire.WriteMessage(&buffer, t, from); err != nil {
+		panic(err)
+	}
+	if err := wire.ReadMessage(&buffer, t, to); err != nil {
+		panic(err)
+	}
+}
+
+func (l link) Claim(ctx context.Context, to board.EpochMember, m *wire.Claim) (*wire.ClaimAnswer, error) {
+	return exchange(ctx, l, to.PeerAddr, wire.TypeClaim, wire.TypeClaimAnswer, m,
+		func(n *node, q *wire.Claim) *wire.ClaimAnswer { return n.keeper.HandleClaim(ctx, q) })
+}
+
+func (l link) Seal(ctx context.Context, to board.EpochMember, m *wire.Seal) (*wire.SealAnswer, error) {
+	return exchange(ctx, l, to.PeerAddr, wire.TypeSeal, wire.TypeSealAnswer, m,
+		func(n *node, q *wire.Seal) *wire.SealAnswer { return n.keeper.HandleSeal(q) })
+}
+
+func (l link) Complete(ctx context.Context, to board.EpochMember, m *wire.Complete) (*wire.Ack, error) {
+	return exchange(ctx, l, to.PeerAddr, wire.TypeComplete, wire.TypeAck, m,
+		func(n *node, q *wire.Complete) *wire.Ack { return n.keeper.HandleComplete(q) })
+}
+
+func (l link) Transfer(ctx context.Context, to board.EpochMember, m *wire.Transfer) (*wire.TransferPage, error) {
+	return exchange(ctx, l, to.PeerAddr, wire.TypeTransfer, wire.TypeTransferPage, m,
+		func(n *node, q *wire.Transfer) *wire.TransferPage { return n.keeper.HandleTransfer(q) })
+}
+
+// memoryStore stands in for the platform's store. Side 0 reaches it.
+type memoryStore struct {
+	mu       sync.Mutex
+	values   map[string]platform.Entry
+	revision uint64
+	down     bool
+	// loseAnswers makes writes take effect without an answer.
+	loseAnswers bool
+	writes      int
+}
+
+// set changes the faults of the store.
+func (m *memoryStore) set(down, loseAnswers bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down, m.loseAnswers = down, loseAnswers
+}
+
+func (m *memoryStore) written() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+type sidedStore struct {
+	fabric *fabric
+	name   board.InstanceID
+}
+
+func (s sidedStore) reachable() bool {
+	s.fabric.mu.Lock()
+	defer s.fabric.mu.Unlock()
+	n := s.fabric.nodes[s.name]
+	return s.fabric.side[s.name] == 0 && !n.dead
+}
+
+func (s sidedStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	up := s.reachable()
+	m := s.fabric.store
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry, ok := m.values[key]
+	switch {
+	case m.down || !up:
+		return platform.Entry{}, platform.ErrUnavailable
+	case !ok:
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (s sidedStore) CompareAndSwap(_ context.Context, key string, expect uint64, value []byte, _ string) (uint64, error) {
+	up := s.reachable()
+	m := s.fabric.store
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down || !up:
+		return 0, platform.ErrUnavailable
+	case m.values[key].Revision != expect:
+		return 0, platform.ErrConflict
+	}
+	m.revision++
+	m.writes++
+	m.values[key] = platform.Entry{Key: key, Value: value, Revision: m.revision}
+	if m.loseAnswers {
+		return 0, platform.ErrIndeterminate
+	}
+	return m.revision, nil
+}
+
+func newKey() string {
+	var random [10]byte
+	binary.BigEndian.PutUint64(random[:], rand.Uint64())
+	return keyhome.New(time.Now(), random)
+}
+
+func idOf(key string) board.KeyID { return board.KeyID{Service: service, Caller: caller, Key: key} }
+
+// keyAt returns a new key whose home is the named node.
+func (f *fabric) keyAt(via, home board.InstanceID) string {
+	members := f.epochOf(via).Epoch.Members
+	for {
+		key := newKey()
+		if h, _ := keyhome.Home(members, idOf(key)); h.Instance == home {
+			return key
+		}
+	}
+}
+
+// attempt is a call of a test with its knobs.
+type attempt struct {
+	key, digest string
+	fresh       bool
+	// executor fixes the choice when it is set.
+	executor board.InstanceID
+	// beforeSend runs when a grant is obtained.
+	beforeSend func(call *wire.Call)
+	deadline   time.Duration
+}
+
+// carry runs a call with the node as its entry.
+func (n *node) carry(a attempt) (atmostonce.Verdict, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(a.deadline, 2*time.Second))
+	defer cancel()
+	if a.digest == "" {
+		a.digest = "digest"
+	}
+	request := uuid.NewString()
+	chosen := board.Member{}
+	verdict := n.keeper.Carry(ctx, &atmostonce.Call{
+		ID: idOf(a.key), Digest: a.digest, RequestID: request, Fresh: a.fresh, MaxAttempts: 3,
+		Pick: func(exclude []board.InstanceID) (board.InstanceID, uint64, bool) {
+			chosen = n.choose(a.executor, exclude)
+			return chosen.Instance, chosen.Incarnation, chosen.Instance != ""
+		},
+		Send: func(ctx context.Context, epoch, grant uint64, _ int) (board.Outcome, board.Reason) {
+			call := &wire.Call{
+				RequestID: request, Service: service, Caller: caller, Key: a.key, Digest: a.digest,
+				Epoch: epoch, Grant: grant, ExecutorIncarnation: chosen.Incarnation,
+			}
+			if a.beforeSend != nil {
+				a.beforeSend(call)
+			}
+			return n.send(ctx, chosen.Instance, call)
+		},
+	})
+	return verdict, request
+}
+
+func (n *node) choose(fixed board.InstanceID, exclude []board.InstanceID) board.Member {
+	var candidates []board.Member
+	for _, m := range n.board.Members.Load().ByService[service] {
+		excluded := false
+		for _, e := range exclude {
+			excluded = excluded || e == m.Instance
+		}
+		if m.State == board.MemberServing && !excluded && (fixed == "" || fixed == m.Instance) {
+			candidates = append(candidates, m)
+		}
+	}
+	if len(candidates) == 0 {
+		return board.Member{}
+	}
+	return candidates[rand.IntN(len(candidates))]
+}
+
+// send carries a call to its executor and runs it there.
+func (n *node) send(ctx context.Context, to board.InstanceID, call *wire.Call) (board.Outcome, board.Reason) {
+	time.Sleep(latency)
+	x := n.fabric.target(n, string(to))
+	if x == nil {
+		return board.OutcomeUnknown, board.ReasonConnectionLost
+	}
+	outcome, reason := x.execute(ctx, call)
+	time.Sleep(latency)
+	if n.fabric.target(n, string(to)) != x {
+		return board.OutcomeUnknown, board.ReasonConnectionLost
+	}
+	return outcome, reason
+}
+
+func (n *node) execute(ctx context.Context, call *wire.Call) (board.Outcome, board.Reason) {
+	run, refusal := n.keeper.Begin(ctx, call)
+	if refusal != nil {
+		return refusal.Outcome, refusal.Reason
+	}
+	if !n.touchBackend(call) {
+		return board.OutcomeUnknown, board.ReasonConnectionLost
+	}
+	time.Sleep(serviceTime)
+	n.fabric.mu.Lock()
+	dead := n.dead
+	n.fabric.mu.Unlock()
+	if !dead {
+		run.Done(board.OutcomeSucceeded, "", &board.KeyResponse{Status: 200, Body: []byte(call.RequestID), Stored: true})
+	}
+	return board.OutcomeSucceeded, ""
+}
+
+func (n *node) touchBackend(call *wire.Call) bool {
+	n.fabric.mu.Lock()
+	defer n.fabric.mu.Unlock()
+	if n.dead {
+		return false
+	}
+	n.fabric.runs[call.Key] = append(n.fabric.runs[call.Key], call.RequestID)
+	return true
+}
+
+func (f *fabric) requireMembers(t *testing.T, via board.InstanceID, names ...board.InstanceID) {
+	t.Helper()
+	var got []board.InstanceID
+	for _, m := range f.epochOf(via).Epoch.Members {
+		got = append(got, m.Instance)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	require.Equal(t, names, got)
+}
+
+func names(count int) []board.InstanceID {
+	var out []board.InstanceID
+	for i := range count {
+		out = append(out, board.InstanceID("n"+strconv.Itoa(i)))
+	}
+	return out
+}
--- a/pkg/atmostonce/keeper.go
+++ b/pkg/atmostonce/keeper.go
@@ -53,6 +53,7 @@
 	completions    chan board.KeyID
 	unacknowledged atomic.Int64
 	served         sync.Map // of servedTransfer to struct{}
+	rounds         sync.Map // of roundKey to *confirmRound
 }
 
 // New returns the keeper of a node.
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -3,15 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
 	"net/http"
-
-	"github.com/google/uuid"
+	"time"
 
 	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/keyhome"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/wire"
 )
@@ -37,11 +38,7 @@
 func (e *Entry) serveOnce(ctx context.Context, req *Request, route *dynconf.Route, record *board.RequestRecord) *Result {
 	fresh := req.Key == ""
 	if fresh {
-		id, err := uuid.NewV7()
-		if err != nil {
-			return NotRun(board.ReasonNoServer)
-		}
-		req.Key = id.String()
+		req.Key = newKey()
 	}
 	o := &onceCall{entry: e, req: req, route: route, record: record, digest: digestOf(req)}
 	record.Advance(board.RequestRouted)
@@ -53,6 +50,13 @@
 	return o.resultOf(verdict)
 }
 
+func newKey() string {
+	var random [10]byte
+	// Read of crypto/rand never fails.
+	_, _ = rand.Read(random[:])
+	return keyhome.New(time.Now(), random)
+}
+
 // digestOf binds a key to the content of its request: method, path, query and
 // body.
 func digestOf(req *Request) string {
--- a/pkg/control/epoch/epoch.go
+++ b/pkg/control/epoch/epoch.go
@@ -58,6 +58,7 @@
 	Fetch(ctx context.Context, epoch *board.Epoch, from board.EpochMember) (keyhome.Answer, error)
 	Pull(ctx context.Context, service string, known uint64, from board.EpochMember) (*wire.TransferPage, error)
 	Announce(ctx context.Context, epoch *board.Epoch, to board.EpochMember) error
+	AskMembers(ctx context.Context, epoch *board.Epoch) (*board.Epoch, bool)
 }
 
 // Controller writes the Epochs section.
--- a/pkg/control/epoch/learn.go
+++ b/pkg/control/epoch/learn.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/decide/keyhome"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
@@ -146,15 +144,9 @@
 // askForHigher returns a higher epoch when a member or the store has one, and
 // whether the epoch is confirmed.
 func (c *Controller) askForHigher(ctx context.Context, epoch *board.Epoch) (*board.Epoch, bool) {
-	count, higher := c.askMembers(ctx, epoch)
-	if higher != nil {
-		return higher, false
-	}
-	if keyhome.Majority(count, len(epoch.Members)) {
-		return nil, true
-	}
-	if c.store == nil {
-		return nil, false
+	higher, ok := c.keys.AskMembers(ctx, epoch)
+	if higher != nil || ok || c.store == nil {
+		return higher, ok
 	}
 	stored, _, err := c.read(ctx, epoch.Service)
 	if err != nil {
@@ -166,48 +158,3 @@
 	// A store that came back with an older epoch proves nothing.
 	return nil, numberOf(stored) == epoch.Number
 }
-
-// askMembers counts this node and the lives of members that answer without a
-// higher epoch. A restarted member has forgotten what it adopted and does not
-// count. It asks a random majority first and the others only when needed.
-func (c *Controller) askMembers(ctx context.Context, epoch *board.Epoch) (int, *board.Epoch) {
-	var others []board.EpochMember
-	for _, m := range epoch.Members {
-		if m.Instance != c.self {
-			others = append(others, m)
-		}
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	first := min(len(epoch.Members)/2, len(others))
-	count, higher := c.askAll(ctx, epoch, others[:first])
-	if higher == nil && !keyhome.Majority(count+1, len(epoch.Members)) {
-		var more int
-		more, higher = c.askAll(ctx, epoch, others[first:])
-		count += more
-	}
-	return count + 1, higher
-}
-
-func (c *Controller) askAll(ctx context.Context, epoch *board.Epoch, members []board.EpochMember) (int, *board.Epoch) {
-	pages := make([]*wire.TransferPage, len(members))
-	var asked sync.WaitGroup
-	for i, m := range members {
-		asked.Go(func() {
-			if page, err := c.keys.Pull(ctx, epoch.Service, epoch.Number, m); err == nil {
-				pages[i] = page
-			}
-		})
-	}
-	asked.Wait()
-	count := 0
-	for i, page := range pages {
-		switch {
-		case page == nil:
-		case page.Newer != nil:
-			return count, page.Newer
-		case page.Incarnation == members[i].Incarnation && page.Epoch <= epoch.Number:
-			count++
-		}
-	}
-	return count, nil
-}
--- a/pkg/decide/keyhome/keyhome.go
+++ b/pkg/decide/keyhome/keyhome.go
@@ -133,3 +133,17 @@
 	t, ok := Time(key)
 	return ok && t.After(horizon)
 }
+
+// New returns the key of a time with the given random part. The generator of
+// the uuid package is not used: it never goes back in time, so that its keys
+// lie in the future after the clock was set back.
+func New(now time.Time, random [10]byte) string {
+	var id uuid.UUID
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(now.UnixMilli()))
+	copy(id[:6], ms[2:])
+	copy(id[6:], random[:])
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id.String()
+}
