Carry unsettled epochs forward until their members are fenced

A majority of epoch 5 that was cut off from the store went on, while epoch 7 only asked the members of epoch 6 and served new keys after a fixed wait. Change: an epoch lists all former epochs whose members may still run calls. A new home serves keys of such an epoch once its members have answered or ended, or a majority has answered and the confirmations of the others have run out, or keys as old as the epoch have expired.

--- a/pkg/atmostonce/handover.go
+++ b/pkg/atmostonce/handover.go
@@ -36,7 +36,7 @@
 			}
 			continue
 		}
-		if wasMember(view.Epoch, k.Self, k.Incarnation) && !k.servedAll(service, view.Epoch) {
+		if view.Epoch.WasMember(k.Self, k.Incarnation) && !k.servedAll(service, view.Epoch) {
 			return false
 		}
 	}
@@ -63,15 +63,6 @@
 	return true
 }
 
-func wasMember(epoch *board.Epoch, id board.InstanceID, incarnation uint64) bool {
-	for _, m := range epoch.FormerMembers {
-		if m.Instance == id && m.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
 func (k *Keeper) servedAll(service string, epoch *board.Epoch) bool {
 	for _, m := range epoch.Members {
 		if _, ok := k.served.Load(servedTransfer{service, epoch.Number, m.Instance}); !ok {
--- a/pkg/atmostonce/home.go
+++ b/pkg/atmostonce/home.go
@@ -103,13 +103,15 @@
 	return answer
 }
 
-// source returns the state of the transfer that covers a key.
+// source returns the state of the transfers that cover a key.
 func source(view *board.EpochView, id board.KeyID) board.EpochSource {
-	former, ok := keyhome.Home(view.Epoch.FormerMembers, id)
-	if !ok {
-		return board.EpochSource{}
+	var all board.EpochSource
+	for i, sources := range view.Sources {
+		if former, ok := keyhome.Home(view.Epoch.Former[i].Members, id); ok {
+			all = all.With(sources[former.Instance])
+		}
 	}
-	return view.Sources[former.Instance]
+	return all
 }
 
 // pending reports whether records of the key may still arrive. A key that the
--- a/pkg/board/epoch.go
+++ b/pkg/board/epoch.go
@@ -20,13 +20,36 @@
 	// Loss is the start of the latest epoch that removed a member, zero when
 	// none has. Executor records of older keys may have gone with the member.
 	Loss time.Time `cbor:"5,keyasint" json:"loss"`
-	// FormerNumber, FormerMembers and FormerLoss describe the epoch before, so
-	// that a node that joins knows whom to ask for records.
-	FormerNumber  uint64        `cbor:"6,keyasint" json:"former_number"`
-	FormerMembers []EpochMember `cbor:"7,keyasint" json:"former_members"`
-	FormerLoss    time.Time     `cbor:"8,keyasint" json:"former_loss"`
+	// FormerNumber is the number of the epoch before, 0 for the first one.
+	FormerNumber uint64 `cbor:"6,keyasint" json:"former_number"`
+	// Former lists the epoch before, and after it the earlier epochs whose
+	// members may still run calls, so that a node that joins knows whom to ask.
+	Former []FormerEpoch `cbor:"7,keyasint" json:"former"`
 	// Proposal identifies the write, so that a lost answer can be settled.
-	Proposal string `cbor:"9,keyasint" json:"proposal"`
+	Proposal string `cbor:"8,keyasint" json:"proposal"`
+}
+
+// FormerEpoch is what later epochs need of an epoch.
+type FormerEpoch struct {
+	Members []EpochMember `cbor:"1,keyasint" json:"members"`
+	Loss    time.Time     `cbor:"2,keyasint" json:"loss"`
+	// End is the start of the epoch that followed.
+	End time.Time `cbor:"3,keyasint" json:"end"`
+}
+
+// Has reports whether this life of the instance was a member.
+func (f *FormerEpoch) Has(id InstanceID, incarnation uint64) bool {
+	for _, m := range f.Members {
+		if m.Instance == id && m.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// WasMember reports whether this life was a member of the epoch before.
+func (e *Epoch) WasMember(id InstanceID, incarnation uint64) bool {
+	return len(e.Former) > 0 && e.Former[0].Has(id, incarnation)
 }
 
 // Member returns the member with the instance ID.
@@ -57,8 +80,10 @@
 // immutable.
 type EpochView struct {
 	Epoch *Epoch
-	// Sources maps former homes to the state of their transfer to this node.
-	Sources map[InstanceID]EpochSource
+	// Sources has, for each of Epoch.Former, a map of its members as former
+	// homes to the state of their transfer to this node. It is empty when this
+	// node is no member.
+	Sources []map[InstanceID]EpochSource
 	// FormerHorizon is the horizon of the keys that had their home at this node
 	// in the former epoch.
 	FormerHorizon time.Time
@@ -72,14 +97,36 @@
 // Horizon returns the highest horizon of this node as a home, and whether a
 // transfer to it is still pending.
 func (v *EpochView) Horizon() (time.Time, bool) {
-	horizon, pending := time.Time{}, false
-	for _, s := range v.Sources {
-		if s.Horizon.After(horizon) {
-			horizon = s.Horizon
+	var all EpochSource
+	for _, sources := range v.Sources {
+		for _, s := range sources {
+			all = all.With(s)
+		}
+	}
+	return all.Horizon, all.Pending
+}
+
+// With returns the state that covers both s and other.
+func (s EpochSource) With(other EpochSource) EpochSource {
+	if other.Horizon.After(s.Horizon) {
+		s.Horizon = other.Horizon
+	}
+	s.Pending = s.Pending || other.Pending
+	return s
+}
+
+// Settled reports whether no transfer from members of Epoch.Former[i] is
+// pending. A node that is no member cannot tell and returns false.
+func (v *EpochView) Settled(i int) bool {
+	if i >= len(v.Sources) {
+		return false
+	}
+	for _, s := range v.Sources[i] {
+		if s.Pending {
+			return false
 		}
-		pending = pending || s.Pending
 	}
-	return horizon, pending
+	return true
 }
 
 // Epochs holds the view of each service.
--- a/pkg/control/epoch/epoch.go
+++ b/pkg/control/epoch/epoch.go
@@ -197,7 +197,7 @@
 		s.transfer = nil
 	}
 	view := &board.EpochView{Epoch: epoch, FormerHorizon: c.formerHorizon(old, epoch, now)}
-	if epoch.Has(c.self, c.incarnation) && len(epoch.FormerMembers) > 0 {
+	if epoch.Has(c.self, c.incarnation) && len(epoch.Former) > 0 {
 		view.Sources = pendingSources(epoch)
 	}
 	c.publish(epoch.Service, view)
@@ -213,7 +213,7 @@
 // formerHorizon returns the horizon of the keys that had their home here in
 // the former epoch. What this node never received counts as lost.
 func (c *Controller) formerHorizon(old *board.EpochView, epoch *board.Epoch, now time.Time) time.Time {
-	if !isFormer(epoch, c.self, c.incarnation) {
+	if !epoch.WasMember(c.self, c.incarnation) {
 		return time.Time{}
 	}
 	limits := c.board.Config.Load().AtMostOnce
@@ -227,19 +227,13 @@
 	return horizon
 }
 
-func isFormer(epoch *board.Epoch, id board.InstanceID, incarnation uint64) bool {
-	for _, m := range epoch.FormerMembers {
-		if m.Instance == id && m.Incarnation == incarnation {
-			return true
+func pendingSources(epoch *board.Epoch) []map[board.InstanceID]board.EpochSource {
+	all := make([]map[board.InstanceID]board.EpochSource, len(epoch.Former))
+	for i, former := range epoch.Former {
+		all[i] = make(map[board.InstanceID]board.EpochSource, len(former.Members))
+		for _, m := range former.Members {
+			all[i][m.Instance] = board.EpochSource{Pending: true}
 		}
 	}
-	return false
-}
-
-func pendingSources(epoch *board.Epoch) map[board.InstanceID]board.EpochSource {
-	sources := make(map[board.InstanceID]board.EpochSource, len(epoch.FormerMembers))
-	for _, m := range epoch.FormerMembers {
-		sources[m.Instance] = board.EpochSource{Pending: true}
-	}
-	return sources
+	return all
 }
--- a/pkg/control/epoch/propose.go
+++ b/pkg/control/epoch/propose.go
@@ -33,7 +33,7 @@
 		if !keyhome.SameMembers(wanted, s.wanted) {
 			s.wanted, s.wantedSince = wanted, now
 		}
-		rank := keyhome.Rank(wanted, c.self, name, numberOf(epoch)+1)
+		rank := keyhome.Rank(wanted, epoch, c.self, name)
 		due := s.wantedSince.Add(debounce + time.Duration(rank)*proposerDelay)
 		if s.proposing || now.Before(due) {
 			continue
@@ -41,10 +41,19 @@
 		s.proposing = true
 		// The next attempt of this node waits for a full turn again.
 		s.wantedSince = now
-		c.spawn(ctx, func() func() { return c.writeNext(ctx, s, epoch, wanted) })
+		proposal := &keyhome.Proposal{
+			Service: name, Current: epoch, Members: wanted, ID: uuid.NewString(), Settled: c.settled(name),
+		}
+		c.spawn(ctx, func() func() { return c.writeNext(ctx, s, proposal) })
 	}
 }
 
+// settled tells which former epochs of a service have ended for good.
+func (c *Controller) settled(name string) func(int) bool {
+	view := c.writer.Load().Get(name)
+	return func(i int) bool { return view != nil && view.Settled(i) }
+}
+
 // ownServices lists the services that this node may propose for: the one of
 // its backend server and those whose epoch it belongs to.
 func (c *Controller) ownServices() []string {
@@ -87,8 +96,8 @@
 
 // writeNext writes the epoch after the highest one known and returns the
 // function that adopts what the store has then.
-func (c *Controller) writeNext(ctx context.Context, s *service, known *board.Epoch, wanted []board.EpochMember) func() {
-	stored, err := c.compareAndSwapNext(ctx, s.name, known, wanted)
+func (c *Controller) writeNext(ctx context.Context, s *service, proposal *keyhome.Proposal) func() {
+	stored, err := c.compareAndSwapNext(ctx, proposal)
 	return func() {
 		s.proposing = false
 		if err != nil {
@@ -102,16 +111,17 @@
 	}
 }
 
-func (c *Controller) compareAndSwapNext(ctx context.Context, name string, known *board.Epoch, wanted []board.EpochMember) (*board.Epoch, error) {
+func (c *Controller) compareAndSwapNext(ctx context.Context, proposal *keyhome.Proposal) (*board.Epoch, error) {
+	name := proposal.Service
 	stored, revision, err := c.read(ctx, name)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if numberOf(stored) > numberOf(known) {
+	if numberOf(stored) > numberOf(proposal.Current) {
 		return stored, nil
 	}
 	// The store may have come back with an older epoch; the number still rises.
-	next := keyhome.Next(known, name, wanted, time.Now(), uuid.NewString())
+	next := proposal.Next(time.Now(), c.board.Config.Load().AtMostOnce)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -162,7 +172,7 @@
 	}
 	c.board.RumorsOut.Post(rumor)
 	told := map[board.InstanceID]bool{c.self: true}
-	for _, m := range slices.Concat(epoch.Members, epoch.FormerMembers) {
+	for _, m := range slices.Concat(epoch.Members, formerMembers(epoch)) {
 		if told[m.Instance] {
 			continue
 		}
@@ -175,6 +185,14 @@
 	}
 }
 
+func formerMembers(epoch *board.Epoch) []board.EpochMember {
+	var members []board.EpochMember
+	for _, former := range epoch.Former {
+		members = append(members, former.Members...)
+	}
+	return members
+}
+
 func rumorID(epoch *board.Epoch) string {
 	return "epoch/" + epoch.Service + "/" + epoch.Proposal
 }
--- a/pkg/control/epoch/transfer.go
+++ b/pkg/control/epoch/transfer.go
@@ -11,18 +11,26 @@
 
 // transfer fetches the records of keys that moved to this node in one epoch.
 type transfer struct {
-	keyhome.Collection
-	cancel context.CancelFunc
+	epoch       *board.Epoch
+	answers     map[board.EpochMember]keyhome.Answer
+	collections []*keyhome.Collection
+	cancel      context.CancelFunc
 }
 
 func (c *Controller) startTransfer(ctx context.Context, s *service, epoch *board.Epoch, now time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
-	t := &transfer{cancel: cancel, Collection: keyhome.Collection{
-		Epoch: epoch, Answers: map[board.InstanceID]keyhome.Answer{}, Started: now,
-	}}
+	t := &transfer{cancel: cancel, epoch: epoch, answers: map[board.EpochMember]keyhome.Answer{}}
 	s.transfer = t
-	for _, m := range epoch.FormerMembers {
-		c.workers.Go(func() { c.fetch(ctx, s, t, m) })
+	asked := map[board.EpochMember]bool{}
+	for i := range epoch.Former {
+		former := &epoch.Former[i]
+		t.collections = append(t.collections, &keyhome.Collection{Former: former, Answers: t.answers, Started: now})
+		for _, m := range former.Members {
+			if !asked[m] {
+				asked[m] = true
+				c.workers.Go(func() { c.fetch(ctx, s, t, m) })
+			}
+		}
 	}
 }
 
@@ -31,12 +39,12 @@
 func (c *Controller) fetch(ctx context.Context, s *service, t *transfer, from board.EpochMember) {
 	pause := firstFetchPause
 	for ctx.Err() == nil {
-		answer, err := c.keys.Fetch(ctx, t.Epoch, from)
+		answer, err := c.keys.Fetch(ctx, t.epoch, from)
 		if err == nil {
-			c.deliver(ctx, func() { c.collect(s, t, from.Instance, answer) })
+			c.deliver(ctx, func() { c.collect(s, t, from, answer) })
 			return
 		}
-		c.log.Debug().Err(err).Str("peer", from.PeerAddr).Uint64("epoch", t.Epoch.Number).Msg("transfer is not complete")
+		c.log.Debug().Err(err).Str("peer", from.PeerAddr).Uint64("epoch", t.epoch.Number).Msg("transfer is not complete")
 		sleep(ctx, pause)
 		pause = min(2*pause, lastFetchPause)
 	}
@@ -58,16 +66,12 @@
 	}
 }
 
-func (c *Controller) collect(s *service, t *transfer, from board.InstanceID, answer keyhome.Answer) {
+func (c *Controller) collect(s *service, t *transfer, from board.EpochMember, answer keyhome.Answer) {
 	if s.transfer != t {
 		return
 	}
-	now := time.Now()
-	t.Answers[from] = answer
-	if t.MajorityAt.IsZero() && t.HasMajority() {
-		t.MajorityAt = now
-	}
-	c.updateTransfer(s, now)
+	t.answers[from] = answer
+	c.updateTransfer(s, time.Now())
 }
 
 // updateTransfer publishes the sources of a service when one has changed.
@@ -78,16 +82,13 @@
 	}
 	c.markEnded(t)
 	view := c.writer.Load().Get(s.name)
-	next := maps.Clone(view.Sources)
+	next := make([]map[board.InstanceID]board.EpochSource, len(view.Sources))
 	changed := false
-	limits := c.board.Config.Load().AtMostOnce
-	for home, old := range view.Sources {
-		source := t.Source(home, now, limits)
-		if source == old || !improves(old, source) {
-			continue
-		}
-		next[home] = source
-		changed = true
+	for i, collection := range t.collections {
+		collection.Note(now)
+		var updated bool
+		next[i], updated = c.updateSources(collection, view.Sources[i], now)
+		changed = changed || updated
 	}
 	if !changed {
 		return
@@ -98,6 +99,24 @@
 	c.logTransfer(&update)
 }
 
+// updateSources returns the sources of one former epoch and whether one has
+// changed.
+func (c *Controller) updateSources(
+	collection *keyhome.Collection, sources map[board.InstanceID]board.EpochSource, now time.Time,
+) (map[board.InstanceID]board.EpochSource, bool) {
+	limits := c.board.Config.Load().AtMostOnce
+	next := maps.Clone(sources)
+	changed := false
+	for _, home := range collection.Former.Members {
+		source := collection.Source(home, now, limits)
+		if improves(sources[home.Instance], source) {
+			next[home.Instance] = source
+			changed = true
+		}
+	}
+	return next, changed
+}
+
 // improves keeps a horizon that was set when the transfer was given up: it
 // only falls when the records arrive after all.
 func improves(old, next board.EpochSource) bool {
@@ -123,15 +142,20 @@
 // they left, or the instance runs with a higher incarnation.
 func (c *Controller) markEnded(t *transfer) {
 	members := c.board.Members.Load()
-	for _, m := range t.Epoch.FormerMembers {
-		answer := t.Answers[m.Instance]
-		record, known := members.Get(m.Instance)
-		if answer.Answered || answer.Ended || !known {
-			continue
-		}
-		left := record.Incarnation == m.Incarnation && record.State == board.MemberLeft
-		if left || record.Incarnation > m.Incarnation {
-			t.Answers[m.Instance] = keyhome.Answer{Ended: true}
+	for _, former := range t.epoch.Former {
+		for _, m := range former.Members {
+			if answer := t.answers[m]; !answer.Answered && !answer.Ended && ended(members, m) {
+				t.answers[m] = keyhome.Answer{Ended: true}
+			}
 		}
 	}
 }
+
+func ended(members *board.Members, m board.EpochMember) bool {
+	record, known := members.Get(m.Instance)
+	if !known {
+		return false
+	}
+	left := record.Incarnation == m.Incarnation && record.State == board.MemberLeft
+	return left || record.Incarnation > m.Incarnation
+}
--- a/pkg/decide/keyhome/keyhome.go
+++ b/pkg/decide/keyhome/keyhome.go
@@ -40,16 +40,36 @@
 	return okA != okB || a.Instance != b.Instance || a.Incarnation != b.Incarnation
 }
 
-// Rank returns the position of an instance in the order in which members
-// propose an epoch, 0 for the first. The order differs between epochs.
-func Rank(members []board.EpochMember, self board.InstanceID, service string, number uint64) int {
+// Rank returns the position of an instance in the order in which the members
+// of the next epoch propose it, 0 for the first. Members of the current epoch
+// come before those that join, because they know which transfers have ended.
+// The order differs between epochs.
+func Rank(wanted []board.EpochMember, current *board.Epoch, self board.InstanceID, service string) int {
 	var seed [8]byte
-	binary.BigEndian.PutUint64(seed[:], number)
+	if current != nil {
+		binary.BigEndian.PutUint64(seed[:], current.Number)
+	}
 	key := hash(service, string(seed[:]))
-	own := mix(key ^ hash(string(self)))
+	score := func(id board.InstanceID) uint64 { return mix(key ^ hash(string(id))) }
+	joins := func(id board.InstanceID) bool {
+		if current == nil {
+			return false
+		}
+		_, member := current.Member(id)
+		return !member
+	}
 	rank := 0
-	for _, m := range members {
-		if m.Instance != self && mix(key^hash(string(m.Instance))) > own {
+	for _, m := range wanted {
+		if m.Instance == self {
+			continue
+		}
+		if joins(m.Instance) != joins(self) {
+			if joins(self) {
+				rank++
+			}
+			continue
+		}
+		if score(m.Instance) > score(self) {
 			rank++
 		}
 	}
--- a/pkg/decide/keyhome/transfer.go
+++ b/pkg/decide/keyhome/transfer.go
@@ -12,12 +12,12 @@
 	// last confirmed its epoch. Members that a partition cuts off from a
 	// majority and from the store stop after this time.
 	ConfirmValid = 6 * time.Second
-	// LostMajorityWait is how long a new home waits for a majority of the former
-	// members before it serves new keys without their word.
-	LostMajorityWait = 3 * ConfirmValid
+	// lossMargin covers the horizon that a lost home may have had itself after
+	// the loss before its own.
+	lossMargin = 4 * ConfirmValid
 )
 
-// Answer is what one member of the former epoch has told.
+// Answer is what one life of an instance has told about an epoch.
 type Answer struct {
 	// Answered: the member sent all records and has adopted the epoch.
 	Answered bool
@@ -27,12 +27,14 @@
 	Horizon time.Time
 }
 
-// Collection is the state of an epoch transfer to one new home.
+// Collection is the state of the transfer from the members of one former epoch
+// to one new home.
 type Collection struct {
-	Epoch   *board.Epoch
-	Answers map[board.InstanceID]Answer
+	Former *board.FormerEpoch
+	// Answers is shared by the collections of an epoch.
+	Answers map[board.EpochMember]Answer
 	// Started is when the transfer began; MajorityAt is when a majority of the
-	// former members had answered, zero before.
+	// members had answered, zero before.
 	Started    time.Time
 	MajorityAt time.Time
 }
@@ -40,82 +42,96 @@
 // Majority reports whether count of total members is a majority.
 func Majority(count, total int) bool { return 2*count > total }
 
-// HasMajority reports whether a majority of the former members has answered.
-func (c *Collection) HasMajority() bool {
-	count := 0
-	for _, m := range c.Epoch.FormerMembers {
-		if c.Answers[m.Instance].Answered {
-			count++
+// Note keeps the time at which a majority has answered.
+func (c *Collection) Note(now time.Time) {
+	answered, _ := c.count()
+	if c.MajorityAt.IsZero() && Majority(answered, len(c.Former.Members)) {
+		c.MajorityAt = now
+	}
+}
+
+// count returns how many members have answered, and how many have not and may
+// still run calls.
+func (c *Collection) count() (answered, missing int) {
+	for _, m := range c.Former.Members {
+		switch a := c.Answers[m]; {
+		case a.Answered:
+			answered++
+		case !a.Ended:
+			missing++
 		}
 	}
-	return Majority(count, len(c.Epoch.FormerMembers))
+	return answered, missing
 }
 
 // Source returns the state of the transfer from one former home.
-func (c *Collection) Source(home board.InstanceID, now time.Time, limits dynconf.AtMostOnce) board.EpochSource {
+func (c *Collection) Source(home board.EpochMember, now time.Time, limits dynconf.AtMostOnce) board.EpochSource {
 	answer := c.Answers[home]
-	if answer.Answered {
+	answered, missing := c.count()
+	total := len(c.Former.Members)
+	switch {
+	case answer.Answered:
 		return board.EpochSource{Horizon: answer.Horizon}
-	}
-	if c.othersAnswered(home) {
-		return board.EpochSource{Horizon: lossHorizon(c.Epoch.FormerLoss, limits)}
-	}
-	if c.givenUp(now) {
+	case total > 1 && answered == total-1:
+		// Each run of the epoch has a record at its executor, which is not the
+		// home. It proves nothing for a single member, which was both.
+		return board.EpochSource{Horizon: lossHorizon(c.Former.Loss, limits)}
+	case c.fenced(missing, now, limits):
 		return board.EpochSource{Horizon: HorizonAt(now, limits)}
 	}
 	return board.EpochSource{Pending: true}
 }
 
-// othersAnswered reports whether all former members but home have answered. It
-// proves nothing for a single member, which was executor and home at once.
-func (c *Collection) othersAnswered(home board.InstanceID) bool {
-	if len(c.Epoch.FormerMembers) < 2 {
-		return false
-	}
-	for _, m := range c.Epoch.FormerMembers {
-		if m.Instance != home && !c.Answers[m.Instance].Answered {
-			return false
-		}
+// fenced reports whether the missing members can run no more calls of their
+// epoch, so that keys after the horizon may be served. One member alone is
+// never home and executor of a key, and a minority fails to confirm its epoch.
+// A majority that is cut off from the store goes on; it is waited for as long
+// as keys live, after which its callers repeat none of today's keys.
+func (c *Collection) fenced(missing int, now time.Time, limits dynconf.AtMostOnce) bool {
+	switch {
+	case missing == 0, missing == 1 && len(c.Former.Members) > 1:
+		return true
+	case !c.MajorityAt.IsZero():
+		return now.Sub(c.MajorityAt) > ConfirmValid
 	}
-	return true
+	return now.Sub(c.Started) > limits.Retention
 }
 
 // lossHorizon is the horizon of keys whose executor may have been lost in an
-// earlier epoch change: only their home had a record. The margin covers the
-// horizon that the home itself may have had after that change.
+// earlier epoch change: only their home had a record.
 func lossHorizon(loss time.Time, limits dynconf.AtMostOnce) time.Time {
 	if loss.IsZero() {
 		return time.Time{}
 	}
-	return HorizonAt(loss.Add(LostMajorityWait+ConfirmValid), limits)
+	return HorizonAt(loss.Add(lossMargin), limits)
 }
 
-// givenUp reports whether the missing members can no longer run calls of the
-// former epoch, so that keys after the horizon may be served.
-func (c *Collection) givenUp(now time.Time) bool {
-	ended := true
-	for _, m := range c.Epoch.FormerMembers {
-		a := c.Answers[m.Instance]
-		ended = ended && (a.Answered || a.Ended)
-	}
-	if ended {
-		return true
-	}
-	if !c.MajorityAt.IsZero() {
-		return now.Sub(c.MajorityAt) > ConfirmValid
-	}
-	return now.Sub(c.Started) > LostMajorityWait
+// Proposal holds what the next epoch of a service is made of.
+type Proposal struct {
+	Service string
+	// Current is the epoch in force, nil for the first one.
+	Current *board.Epoch
+	// Settled reports for each of Current.Former whether its members can run no
+	// more calls of that epoch.
+	Settled func(i int) bool
+	Members []board.EpochMember
+	ID      string
 }
 
-// Next returns the epoch after current with the given members. Current may be
-// nil.
-func Next(current *board.Epoch, service string, members []board.EpochMember, now time.Time, proposal string) *board.Epoch {
-	next := &board.Epoch{Service: service, Number: 1, Members: members, Start: now, Proposal: proposal}
+// Next returns the epoch that a proposal leads to.
+func (p *Proposal) Next(now time.Time, limits dynconf.AtMostOnce) *board.Epoch {
+	next := &board.Epoch{Service: p.Service, Number: 1, Members: p.Members, Start: now, Proposal: p.ID}
+	current := p.Current
 	if current == nil {
 		return next
 	}
-	next.Number = current.Number + 1
-	next.FormerNumber, next.FormerMembers, next.FormerLoss = current.Number, current.Members, current.Loss
+	next.Number, next.FormerNumber = current.Number+1, current.Number
+	next.Former = []board.FormerEpoch{{Members: current.Members, Loss: current.Loss, End: now}}
+	for i, former := range current.Former {
+		if !p.Settled(i) && now.Sub(former.End) <= limits.Retention {
+			next.Former = append(next.Former, former)
+		}
+	}
 	next.Loss = current.Loss
 	if len(current.Members) == 1 {
 		// The single member was home and executor, so its keys have one record.
