--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -17,7 +19,10 @@
 // New returns the root scope of a node, the handler that exposes it and a
 // closer that flushes the last figures.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets a process hold several nodes.
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "mangostand", Tags: tags, CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -21,6 +21,10 @@
 	Local         board.Local      `json:"local"`
 	Members       []board.Member   `json:"members"`
 	InFlight      int              `json:"in_flight"`
+	// Epochs maps each service to its epoch as this node knows it.
+	Epochs map[string]EpochStatus `json:"epochs"`
+	// Keys describes the key records of this node.
+	Keys KeysStatus `json:"keys"`
 	// Sections maps each section to its version and its writer.
 	Sections map[string]SectionStatus `json:"sections"`
 }
@@ -51,7 +55,7 @@
 	members := b.Members.Load()
 	status := Status{
 		Instance: members.Self, ConfigVersion: b.Config.Load().Version, Local: *b.Local.Load(),
-		InFlight: b.Requests.Len(),
+		InFlight: b.Requests.Len(), Epochs: epochsOf(b), Keys: keysOf(b),
 		Sections: map[string]SectionStatus{
 			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
 			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
--- a/pkg/opsapi/outcome.go
+++ b/pkg/opsapi/outcome.go
@@ -85,3 +85,41 @@
 		out.Status, out.ResponseDigest, out.ResponseKept = response.Status, response.Digest, response.Stored
 	}
 }
+
+// EpochStatus describes the epoch of a service.
+type EpochStatus struct {
+	Number  uint64             `json:"number"`
+	Members []board.InstanceID `json:"members"`
+	// Pending is true while records of moved keys have not arrived here.
+	Pending bool `json:"pending"`
+	// Horizon is the key time up to which records may be lost, when set.
+	Horizon *time.Time `json:"horizon,omitempty"`
+}
+
+// KeysStatus counts the key records of a node.
+type KeysStatus struct {
+	Homes int   `json:"homes"`
+	Runs  int   `json:"runs"`
+	Bytes int64 `json:"bytes"`
+}
+
+func keysOf(b *board.Board) KeysStatus {
+	return KeysStatus{Homes: b.Keys.Homes.Len(), Runs: b.Keys.Runs.Len(), Bytes: b.Keys.Used()}
+}
+
+func epochsOf(b *board.Board) map[string]EpochStatus {
+	all := map[string]EpochStatus{}
+	for name, view := range b.Epochs.Load().ByService {
+		status := EpochStatus{Number: view.Epoch.Number}
+		for _, m := range view.Epoch.Members {
+			status.Members = append(status.Members, m.Instance)
+		}
+		horizon, pending := view.Horizon()
+		status.Pending = pending
+		if !horizon.IsZero() {
+			status.Horizon = &horizon
+		}
+		all[name] = status
+	}
+	return all
+}
