Show each guard of the key protocol by a test

Cause: some guards had no test that fails without them. Change: tests at single keepers, of the pure rules and of the key table.

--- a/pkg/atmostonce/epoch_test.go
+++ b/pkg/atmostonce/epoch_test.go
@@ -206,3 +206,26 @@
 		f.requireMembers(t, "n0", "n0", "n1", "n2", "n3")
 	})
 }
+
+// Guards against a key that runs on both sides of a partition that leaves the
+// majority without the store, also after the minority's next epoch change.
+func TestCutOffMajorityIsWaitedFor(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFabric(t, names(5)...)
+		f.split(1, "n1", "n2", "n3")
+		f.detect()
+		time.Sleep(30 * time.Second)
+		f.crash("n4")
+		f.start("n4")
+		time.Sleep(30 * time.Second)
+		f.requireMembers(t, "n0", "n0", "n4")
+		key := f.keyAt("n1", "n1")
+		v, _ := f.nodes["n2"].carry(attempt{key: key, executor: "n3"})
+		require.Equal(t, board.OutcomeSucceeded, v.Outcome, "the majority goes on without the store")
+		v, _ = f.nodes["n0"].carry(attempt{key: key})
+		requireVerdict(t, v, board.OutcomeUnknown, board.ReasonHomeUnavailable)
+		require.Len(t, f.runsOf(key), 1)
+		v, _ = f.nodes["n0"].carry(attempt{key: newKey(), fresh: true})
+		require.Equal(t, board.OutcomeSucceeded, v.Outcome, "keys of an entry are served")
+	})
+}
--- a/pkg/atmostonce/fabric_test.go
+++ b/pkg/atmostonce/fabric_test.go
@@ -312,7 +312,11 @@
 
 // keyAt returns a new key whose home is the named node.
 func (f *fabric) keyAt(via, home board.InstanceID) string {
-	members := f.epochOf(via).Epoch.Members
+	return keyHomedAt(f.epochOf(via).Epoch.Members, home)
+}
+
+// keyHomedAt returns a new key whose home is the named one of the members.
+func keyHomedAt(members []board.EpochMember, home board.InstanceID) string {
 	for {
 		key := newKey()
 		if h, _ := keyhome.Home(members, idOf(key)); h.Instance == home {
--- a/pkg/atmostonce/once_test.go
+++ b/pkg/atmostonce/once_test.go
@@ -55,10 +55,11 @@
 	bubble(t, func(t *testing.T) {
 		f := newFabric(t, names(4)...)
 		for range 20 {
-			key := newKey()
-			var verdicts [4]atmostonce.Verdict
+			// The home is none of the entries, so that claims and calls travel alike.
+			key := f.keyAt("n0", "n3")
+			var verdicts [3]atmostonce.Verdict
 			var calls sync.WaitGroup
-			for i, n := range names(4) {
+			for i, n := range names(3) {
 				calls.Go(func() { verdicts[i], _ = f.nodes[n].carry(attempt{key: key}) })
 			}
 			calls.Wait()
@@ -67,6 +68,11 @@
 			}
 			require.Len(t, f.runsOf(key), 1)
 		}
+		records := 0
+		for _, n := range f.nodes {
+			records += n.board.Keys.Runs.Len()
+		}
+		require.Equal(t, 20, records, "no call is sealed while it is on its way")
 	})
 }
 
@@ -96,8 +102,7 @@
 		requireVerdict(t, v, board.OutcomeUnknown, board.ReasonKeyExpired)
 		for _, n := range f.nodes {
 			late.ExecutorIncarnation = n.self.Incarnation
-			_, refusal := n.keeper.Begin(context.Background(), late)
-			require.Equal(t, board.ReasonKeyExpired, refusal.Reason)
+			requireRefused(t, n.keeper, late, board.OutcomeNotRun, board.ReasonKeyExpired)
 		}
 		require.Len(t, f.runsOf(key), 1)
 
@@ -158,8 +163,7 @@
 		v, _ := f.nodes["n2"].carry(attempt{key: key, executor: "n2"})
 		require.Equal(t, board.OutcomeSucceeded, v.Outcome, v.Reason)
 		calls.Wait()
-		_, refusal := f.nodes["n1"].keeper.Begin(context.Background(), late)
-		require.Equal(t, board.ReasonSealed, refusal.Reason)
+		requireRefused(t, f.nodes["n1"].keeper, late, board.OutcomeNotRun, board.ReasonSealed)
 		require.Len(t, f.runsOf(key), 1)
 	})
 }
@@ -253,8 +257,7 @@
 		f.nodes["n0"].carry(attempt{key: key, executor: "n1", beforeSend: func(c *wire.Call) { call = c }})
 		f.crash("n1")
 		n1 := f.start("n1")
-		_, refusal := n1.keeper.Begin(context.Background(), call)
-		require.Equal(t, board.ReasonWrongIncarnation, refusal.Reason)
+		requireRefused(t, n1.keeper, call, board.OutcomeNotRun, board.ReasonWrongIncarnation)
 
 		f.store.set(true, false)
 		f.crash("n3")
@@ -287,11 +290,9 @@
 			Executor: "n1", ExecutorIncarnation: n1.self.Incarnation, DeadlineMicros: 1e6,
 		})
 		require.Equal(t, wire.ClaimGranted, answer.Status, "the cut-off home still grants")
-		_, refusal := n1.keeper.Begin(context.Background(), &wire.Call{
-			Service: service, Caller: caller, Key: key, Digest: "d", Epoch: old, Grant: answer.Grant,
-			ExecutorIncarnation: n1.self.Incarnation,
-		})
-		require.Equal(t, board.ReasonStaleEpoch, refusal.Reason)
+		call := callOf(key, old, answer.Grant)
+		call.ExecutorIncarnation = n1.self.Incarnation
+		requireRefused(t, n1.keeper, call, board.OutcomeNotRun, board.ReasonStaleEpoch)
 	})
 }
 
--- a/pkg/atmostonce/random_test.go
+++ b/pkg/atmostonce/random_test.go
@@ -27,13 +27,10 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": scheduleSeed, "rapid.checks": scheduleChecks} {
-		set := false
-		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
-		if set {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := f.Value.Set(value); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
--- /dev/null
+++ b/pkg/decide/keyhome/keyhome_test.go
@@ -0,0 +1,126 @@
+package keyhome
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// TestMain fixes the seed, so that each run draws the same values.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func drawMembers(t *rapid.T) []board.EpochMember {
+	count := rapid.IntRange(1, 40).Draw(t, "count")
+	members := make([]board.EpochMember, count)
+	for i := range members {
+		members[i] = board.EpochMember{Instance: board.InstanceID(rune('A' + i)), Incarnation: 1}
+	}
+	return members
+}
+
+// Guards against a change of members that moves keys of members that stay.
+func TestOnlyKeysOfTheLostMemberMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		lost := rapid.IntRange(0, len(members)-1).Draw(t, "lost")
+		rest := append(append([]board.EpochMember{}, members[:lost]...), members[lost+1:]...)
+		id := board.KeyID{Service: "s", Caller: "c", Key: rapid.String().Draw(t, "key")}
+		home, _ := Home(members, id)
+		if got := Moved(members, rest, id); got != (home == members[lost]) {
+			t.Fatalf("home %s, lost %s, moved %v", home.Instance, members[lost].Instance, got)
+		}
+	})
+}
+
+// Guards against homes that hold many more keys than others.
+func TestHomesAreSpreadEvenly(t *testing.T) {
+	members := []board.EpochMember{{Instance: "n1"}, {Instance: "n2"}, {Instance: "n3"}, {Instance: "n4"}}
+	counts := map[board.InstanceID]int{}
+	for i := range 4000 {
+		home, _ := Home(members, board.KeyID{Service: "s", Caller: "c", Key: New(time.Unix(int64(i), 0), [10]byte{byte(i)})})
+		counts[home.Instance]++
+	}
+	for _, m := range members {
+		require.InDelta(t, 1000, counts[m.Instance], 150)
+	}
+}
+
+// Guards against two proposers at the same position, and against one that joins
+// before those that know the transfers.
+func TestRankOrdersTheProposers(t *testing.T) {
+	wanted := []board.EpochMember{{Instance: "n1"}, {Instance: "n2"}, {Instance: "n3"}, {Instance: "n4"}}
+	current := &board.Epoch{Number: 7, Members: wanted[:2]}
+	seen := map[int]bool{}
+	for _, m := range wanted {
+		rank := Rank(wanted, current, m.Instance, "s")
+		require.False(t, seen[rank])
+		seen[rank] = true
+		_, member := current.Member(m.Instance)
+		require.Equal(t, member, rank < 2)
+	}
+}
+
+// Guards the ages at which a key starts and stops to be valid.
+func TestJudge(t *testing.T) {
+	limits := dynconf.Default().AtMostOnce
+	now := time.UnixMilli(1_800_000_000_000)
+	key := func(offset time.Duration) string { return New(now.Add(offset), [10]byte{1}) }
+	require.Equal(t, AgeValid, Judge(key(-limits.Retention), now, limits))
+	require.Equal(t, AgeExpired, Judge(key(-limits.Retention-time.Millisecond), now, limits))
+	require.Equal(t, AgeValid, Judge(key(limits.FutureSkew), now, limits))
+	require.Equal(t, AgeFuture, Judge(key(limits.FutureSkew+time.Millisecond), now, limits))
+	require.Equal(t, AgeMalformed, Judge("4e6b3c5e-3f5a-4d0e-9b1a-0123456789ab", now, limits))
+	require.Equal(t, limits.Retention+limits.ClockSkew, Expires(key(0), limits).Sub(now))
+}
+
+// Guards the rules that end the wait for a former home.
+func TestSource(t *testing.T) {
+	limits := dynconf.Default().AtMostOnce
+	now := time.Unix(1_800_000_000, 0)
+	members := []board.EpochMember{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}, {Instance: "d"}, {Instance: "e"}}
+	yes, ended := Answer{Answered: true}, Answer{Ended: true}
+	cases := map[string]struct {
+		total    int
+		answers  []Answer
+		elapsed  time.Duration
+		pending  bool
+		complete bool
+	}{
+		"home answered":               {5, []Answer{yes}, 0, false, true},
+		"all others answered":         {5, []Answer{{}, yes, yes, yes, yes}, 0, false, true},
+		"single member missing":       {1, []Answer{{}}, time.Minute, true, false},
+		"single member ended":         {1, []Answer{ended}, 0, false, false},
+		"two missing, majority":       {5, []Answer{{}, {}, yes, yes, yes}, 0, true, false},
+		"two missing, majority, late": {5, []Answer{{}, {}, yes, yes, yes}, ConfirmValid + 1, false, false},
+		"majority missing":            {5, []Answer{{}, {}, {}, yes, yes}, time.Minute, true, false},
+		"majority missing, expired":   {5, []Answer{{}, {}, {}, yes, yes}, limits.Retention + 1, false, false},
+		"majority ended, one missing": {5, []Answer{{}, ended, ended, yes, yes}, 0, false, false},
+	}
+	for name, c := range cases {
+		collection := &Collection{
+			Former: &board.FormerEpoch{Members: members[:c.total]}, Answers: map[board.EpochMember]Answer{}, Started: now,
+		}
+		for i, a := range c.answers {
+			collection.Answers[members[i]] = a
+		}
+		collection.Note(now)
+		source := collection.Source(members[0], now.Add(c.elapsed), limits)
+		require.Equal(t, c.pending, source.Pending, name)
+		require.Equal(t, c.complete, !source.Pending && source.Horizon.IsZero(), name)
+	}
+}
