Draw delays and losses of messages in the random test

Cause: the random test had constant delays, and a stop that meets a second epoch change did not wait for its transfers. Change: seeded delays, reordering and losses; HandOver waits for all epochs that ask this node; a hook for the retry budget; the attempts of the call tree bound the grants of a call.

--- a/pkg/atmostonce/carry.go
+++ b/pkg/atmostonce/carry.go
@@ -27,6 +27,9 @@
 	Fresh bool
 	// MaxAttempts bounds the grants that are used.
 	MaxAttempts int
+	// Retry is asked before a grant after the first one is used; nil allows all.
+	// The retry budget belongs here.
+	Retry func() bool
 	// Pick chooses an executor that is none of the excluded instances, false
 	// when there is none.
 	Pick func(exclude []board.InstanceID) (board.InstanceID, uint64, bool)
@@ -240,6 +243,9 @@
 		// The grant is not used, so it is proof by itself.
 		return &Verdict{Outcome: board.OutcomeNotRun, Reason: c.last}
 	}
+	if c.attempts > 0 && c.call.Retry != nil && !c.call.Retry() {
+		return &Verdict{Outcome: board.OutcomeNotRun, Reason: board.ReasonBudget}
+	}
 	c.attempts++
 	outcome, reason := c.call.Send(ctx, answer.Epoch, answer.Grant, c.attempts)
 	switch outcome {
--- a/pkg/atmostonce/fabric_test.go
+++ b/pkg/atmostonce/fabric_test.go
@@ -50,6 +50,8 @@
 	// places tells for failed tests where and when each run was.
 	places map[string][]string
 	life   uint64
+	// rough draws delays and losses of single messages; nil for none.
+	rough  *rand.Rand
 	limits dynconf.AtMostOnce
 }
 
@@ -179,21 +181,49 @@
 	return f.runs[key]
 }
 
+// roughen makes the fabric delay, reorder and lose messages.
+func (f *fabric) roughen(seed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rough = rand.New(rand.NewPCG(seed, seed))
+}
+
+// delay is the way of one message; a rough fabric reorders some.
+func (f *fabric) delay() {
+	f.mu.Lock()
+	d := latency
+	if f.rough != nil {
+		d = time.Duration(f.rough.IntN(10)) * time.Millisecond
+		if f.rough.IntN(20) == 0 {
+			d = time.Duration(f.rough.IntN(700)) * time.Millisecond
+		}
+	}
+	f.mu.Unlock()
+	time.Sleep(d)
+}
+
+// loses reports whether a rough fabric loses a message.
+func (f *fabric) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rough != nil && f.rough.IntN(50) == 0
+}
+
 // link is one node's end of the fabric.
 type link struct{ from *node }
 
 func exchange[Q, A any](ctx context.Context, l link, addr string, qt, at wire.Type, q *Q, handle func(*node, *Q) *A) (*A, error) {
 	question, answer := new(Q), new(A)
 	copyMessage(qt, q, question)
-	time.Sleep(latency)
+	l.from.fabric.delay()
 	to := l.from.fabric.target(l.from, addr)
-	if to == nil {
+	if to == nil || l.from.fabric.loses() {
 		<-ctx.Done()
 		return nil, errLost
 	}
 	result := handle(to, question)
-	time.Sleep(latency)
-	if l.from.fabric.target(l.from, addr) != to || ctx.Err() != nil {
+	l.from.fabric.delay()
+	if l.from.fabric.target(l.from, addr) != to || ctx.Err() != nil || l.from.fabric.loses() {
 		<-ctx.Done()
 		return nil, errLost
 	}
@@ -392,13 +422,13 @@
 
 // send carries a call to its executor and runs it there.
 func (n *node) send(ctx context.Context, to board.InstanceID, call *wire.Call) (board.Outcome, board.Reason) {
-	time.Sleep(latency)
+	n.fabric.delay()
 	x := n.fabric.target(n, string(to))
 	if x == nil {
 		return board.OutcomeUnknown, board.ReasonConnectionLost
 	}
 	outcome, reason := x.execute(ctx, call)
-	time.Sleep(latency)
+	n.fabric.delay()
 	if n.fabric.target(n, string(to)) != x {
 		return board.OutcomeUnknown, board.ReasonConnectionLost
 	}
--- a/pkg/atmostonce/handover.go
+++ b/pkg/atmostonce/handover.go
@@ -31,12 +31,12 @@
 func (k *Keeper) handedOver() bool {
 	for service, view := range k.Board.Epochs.Load().ByService {
 		if view.Epoch.Has(k.Self, k.Incarnation) {
-			if k.others(service, view) {
+			if k.others(service) {
 				return false
 			}
 			continue
 		}
-		if view.Epoch.WasMember(k.Self, k.Incarnation) && !k.servedAll(service, view.Epoch) {
+		if view.Epoch.Asks(k.Self, k.Incarnation) && !k.servedAll(service, view.Epoch) {
 			return false
 		}
 	}
@@ -44,7 +44,7 @@
 }
 
 // others reports whether another instance could take over the records.
-func (k *Keeper) others(service string, _ *board.EpochView) bool {
+func (k *Keeper) others(service string) bool {
 	for _, m := range k.Board.Members.Load().ByService[service] {
 		if m.Instance != k.Self && m.State == board.MemberServing {
 			return true
--- a/pkg/atmostonce/random_test.go
+++ b/pkg/atmostonce/random_test.go
@@ -173,9 +173,11 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		schedule := drawSchedule(rt)
+		seed := rapid.Uint64().Draw(rt, "messages")
 		var problem string
 		synctest.Test(t, func(t *testing.T) {
 			w := &world{fabric: newFabric(t, names(5)...)}
+			w.roughen(seed)
 			w.run(schedule)
 			problem = w.check()
 		})
--- a/pkg/board/epoch.go
+++ b/pkg/board/epoch.go
@@ -47,6 +47,16 @@
 	return false
 }
 
+// Asks reports whether homes of this epoch ask this life for records.
+func (e *Epoch) Asks(id InstanceID, incarnation uint64) bool {
+	for i := range e.Former {
+		if e.Former[i].Has(id, incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // WasMember reports whether this life was a member of the epoch before.
 func (e *Epoch) WasMember(id InstanceID, incarnation uint64) bool {
 	return len(e.Former) > 0 && e.Former[0].Has(id, incarnation)
--- a/pkg/call/executeonce.go
+++ b/pkg/call/executeonce.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// epochOf returns the epoch to tell with the response of a call.
+func (x *Executor) epochOf(message *wire.Call) uint64 {
+	if message.Idempotent {
+		return 0
+	}
+	return x.Once.EpochNumber(message.Service)
+}
+
 // finishOnce records the outcome of a run before the response leaves.
 func finishOnce(run *atmostonce.Run, result *Result) *Result {
 	switch {
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -78,7 +78,7 @@
 		ContentLength: result.ContentLength, Load: x.Load(),
 		AttemptsUsed:  clampByte(result.AttemptsUsed),
 		ConfigVersion: x.Board.Config.Load().Version,
-		Epoch:         x.Once.EpochNumber(message.Service),
+		Epoch:         x.epochOf(message),
 	}
 }
 
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -45,11 +45,19 @@
 	verdict := e.Once.Carry(ctx, &atmostonce.Call{
 		ID:     board.KeyID{Service: req.Service, Caller: req.Caller, Key: req.Key},
 		Digest: o.digest, RequestID: req.ID, Fresh: fresh,
-		MaxAttempts: maxAttempts, Pick: o.pick, Send: o.send,
+		MaxAttempts: attemptsOf(req), Pick: o.pick, Send: o.send,
 	})
 	return o.resultOf(verdict)
 }
 
+// attemptsOf bounds the attempts of a call by what its call tree has left.
+func attemptsOf(req *Request) int {
+	if req.AttemptsLeft < 0 {
+		return maxAttempts
+	}
+	return min(maxAttempts, 1+req.AttemptsLeft)
+}
+
 func newKey() string {
 	var random [10]byte
 	// Read of crypto/rand never fails.
