--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -21,7 +21,10 @@
 	Local    *Section[*Local]
 	Load     *Section[*LoadTable]
 	Pickers  *Section[*Pickers]
+	Epochs   *Section[*Epochs]
 	Requests Requests
+	// Keys holds the key records of non-idempotent calls.
+	Keys *Keys
 
 	Neighbours *Section[*Neighbours]
 	Digest     *Section[*MemberDigest]
@@ -63,6 +66,8 @@
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
 		Pickers:       NewSection("pickers", &Pickers{ByService: map[string]Picker{}}),
 		Gossip:        NewInbox[Gossip](gossipInboxSize),
+		Epochs:        NewSection("epochs", &Epochs{ByService: map[string]*EpochView{}}),
+		Keys:          NewKeys(),
 		Announcements: NewInbox[Announcement](announcementInboxSize),
 
 		Neighbours: NewSection("neighbours", &Neighbours{}),
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/peer"
@@ -21,6 +22,8 @@
 	Log   zerolog.Logger
 	// Observer may be nil.
 	Observer Observer
+	// Once is the key protocol of this node.
+	Once *atmostonce.Keeper
 }
 
 // Serve carries one call and returns its result. The result's body, when there
--- a/pkg/call/quarantine_test.go
+++ b/pkg/call/quarantine_test.go
@@ -13,21 +13,23 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/backend"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
-// newExecutor returns an executor beside a backend server with a handler.
-func newExecutor(t *testing.T, handler http.HandlerFunc) (*Executor, *board.Writer[*board.Local], *board.Local) {
+// newTestExecutor returns an executor beside a backend server with a handler.
+func newTestExecutor(t *testing.T, handler http.HandlerFunc) (*Executor, *board.Writer[*board.Local], *board.Local) {
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	b := board.New("self")
 	local := &board.Local{Announced: true, Service: "s", Addr: server.Listener.Addr().String(), Slots: 1, Incarnation: 3}
 	writer := b.Local.Claim("test")
 	writer.Publish(local)
-	return &Executor{Instance: "self", Board: b, Backend: backend.NewClient(4), Log: zerolog.Nop()}, writer, local
+	keeper := atmostonce.New("self", 1, b, nil, zerolog.Nop())
+	return &Executor{Instance: "self", Incarnation: 1, Board: b, Backend: backend.NewClient(4), Once: keeper, Log: zerolog.Nop()}, writer, local
 }
 
 func callTo(path string) *wire.Call {
@@ -38,7 +40,7 @@
 // nodes know of the drain.
 func TestExecutorRefusesWhileDraining(t *testing.T) {
 	var executions atomic.Int64
-	x, writer, local := newExecutor(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) })
+	x, writer, local := newTestExecutor(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) })
 	draining := *local
 	draining.Draining = true
 	writer.Publish(&draining)
@@ -54,7 +56,7 @@
 // against others that are refused with it.
 func TestQuarantinedRequestIsRefused(t *testing.T) {
 	var executions atomic.Int64
-	x, _, _ := newExecutor(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) })
+	x, _, _ := newTestExecutor(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) })
 	e := &Entry{Board: x.Board, Local: x, Log: zerolog.Nop()}
 	config := dynconf.Default()
 	config.Services["s"] = &dynconf.Service{Name: "s", Routes: []*dynconf.Route{{Name: "s/r", Path: "/", Deadline: time.Minute}}}
@@ -117,7 +119,7 @@
 // Guards against a death that leaves no suspect: the connection breaks before
 // or within the answer, and against a caller's cancellation that makes one.
 func TestLostConnectionIsReported(t *testing.T) {
-	x, _, _ := newExecutor(t, func(w http.ResponseWriter, r *http.Request) {
+	x, _, _ := newTestExecutor(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/within" {
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "half")
@@ -151,7 +153,7 @@
 // Guards against a suspect that completes and is not cleared, and against a
 // report for each ordinary call.
 func TestCompletionOfSuspectIsReported(t *testing.T) {
-	x, _, _ := newExecutor(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	x, _, _ := newTestExecutor(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
 	serve := func() {
 		result := x.Serve(context.Background(), callTo("/a"))
 		_, err := io.ReadAll(result.Body)
@@ -171,7 +173,7 @@
 // second death is known.
 func TestCallStopsAfterTwoLostConnections(t *testing.T) {
 	var executions atomic.Int64
-	x, _, _ := newExecutor(t, func(http.ResponseWriter, *http.Request) {
+	x, _, _ := newTestExecutor(t, func(http.ResponseWriter, *http.Request) {
 		executions.Add(1)
 		panic(http.ErrAbortHandler)
 	})
@@ -193,7 +195,7 @@
 // Guards against a refused connection that is not told to the announce
 // controller.
 func TestRefusedConnectionIsAnnounced(t *testing.T) {
-	x, writer, local := newExecutor(t, func(http.ResponseWriter, *http.Request) {})
+	x, writer, local := newTestExecutor(t, func(http.ResponseWriter, *http.Request) {})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	gone := *local
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -46,6 +46,7 @@
 	commands = append(commands, keysCommands(parser, stdout, stderr)...)
 	commands = append(commands, statusCommands(parser, stdout, stderr)...)
 	commands = append(commands, newKeyCommand(parser, stdout, stderr)...)
+	commands = append(commands, outcomeCommand(parser, stdout, stderr))
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitBadInput
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -13,12 +14,14 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/backend"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/call"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/control/announce"
 	"mangostand.example/mangostand/pkg/control/configsync"
+	"mangostand.example/mangostand/pkg/control/epoch"
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
 	"mangostand.example/mangostand/pkg/control/quarantine"
@@ -53,6 +56,7 @@
 	board    *board.Board
 	peers    *peer.Transport
 	executor *call.Executor
+	keeper   *atmostonce.Keeper
 	entry    *call.Entry
 
 	controllers []control.Controller
@@ -99,8 +103,11 @@
 		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
 		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
 	}
+	n.keeper = atmostonce.New(n.executor.Instance, n.executor.Incarnation, n.board, atmostonce.Network{Transport: n.peers}, n.log)
+	n.executor.Once = n.keeper
 	n.entry = &call.Entry{
-		Board: n.board, Peers: n.peers, Local: n.executor, Log: logging.Sampled(n.log), Observer: metrics.NewCalls(n.scope),
+		Board: n.board, Peers: n.peers, Local: n.executor, Once: n.keeper,
+		Log: logging.Sampled(n.log), Observer: metrics.NewCalls(n.scope),
 	}
 }
 
@@ -123,15 +130,21 @@
 		routing.New(n.board, n.settings.FailureDomain),
 		telemetry.New(n.board, &n.peers.Traffic, n.scope),
 		quarantine.New(n.board, n.log),
+		n.keeper,
 	}
+	var epochStore epoch.Store
 	if store != nil {
+		epochStore = store
 		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
 	}
+	n.controllers = append(n.controllers,
+		epoch.New(n.board, n.keeper, epochStore, n.executor.Instance, n.executor.Incarnation, n.log))
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
 	responder := &membership.Responder{Board: n.board, Peers: n.peers, Load: n.executor.Load}
 	handlers := responder.Handlers(n.peers)
+	maps.Copy(handlers, n.keeper.Handlers(n.peers))
 	handlers[wire.TypeCall] = n.executor.HandleCall
 	return handlers
 }
@@ -144,7 +157,7 @@
 	}{
 		{"callers", n.settings.Callers, httpfront.Handler(n.entry), n.settings.CallerTLS},
 		{"local", n.settings.Local, localapi.Handler(n.board), security.Files{}},
-		{"operators", n.settings.Operators, opsapi.Handler(n.board, n.metricsHTTP), n.settings.OperatorTLS},
+		{"operators", n.settings.Operators, opsapi.Handler(n.board, n.metricsHTTP, n.keeper), n.settings.OperatorTLS},
 	}
 	for _, l := range listeners {
 		if err := n.listen(l.name, l.addr, l.handler, l.tls); err != nil {
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -29,6 +29,10 @@
 	// Neighbours is the place of the node on the ring and its contact key.
 	Neighbours board.Neighbours        `json:"neighbours"`
 	Quarantine []board.QuarantineEntry `json:"quarantine"`
+	// Epochs maps each service to its epoch as this node knows it.
+	Epochs map[string]EpochStatus `json:"epochs"`
+	// Keys describes the key records of this node.
+	Keys KeysStatus `json:"keys"`
 	// Sections maps each section to its version and its writer.
 	Sections map[string]SectionStatus `json:"sections"`
 }
@@ -40,13 +44,14 @@
 }
 
 // Handler returns the operators' handler.
-func Handler(b *board.Board, metrics http.Handler) http.Handler {
+func Handler(b *board.Board, metrics http.Handler, keys KeyLookup) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { ready(b, w) })
 	mux.HandleFunc("GET /healthz", health(b))
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, StatusOf(b)) })
 	drainRoutes(mux, b)
 	quarantineRoutes(mux, b)
+	mux.HandleFunc("GET /v1/outcome/{key}", outcomeHandler(keys))
 	mux.HandleFunc("PUT /v1/log-level", setLogLevel)
 	mux.Handle("GET /metrics", metrics)
 	return mux
@@ -58,11 +63,13 @@
 	status := Status{
 		Instance: members.Self, ConfigVersion: b.Config.Load().Version, Local: *b.Local.Load(),
 		InFlight: b.Requests.Len(), Instances: instancesOf(b), Neighbours: *b.Neighbours.Load(), Quarantine: QuarantineOf(b, time.Now()),
+		Epochs: epochsOf(b), Keys: keysOf(b),
 		Sections: map[string]SectionStatus{
 			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
 			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
 			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
 			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
+			b.Epochs.Name():  {b.Epochs.Snapshot().Version, b.Epochs.Owner()},
 			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
 
 			b.Neighbours.Name(): {b.Neighbours.Snapshot().Version, b.Neighbours.Owner()},
