Keep a withdrawn backend server withdrawn

Cause: a heartbeat sent before the withdrawal and delivered after it announced the backend server again, for up to 3 s.

Change: heartbeats of the incarnation that has left are ignored.

--- a/pkg/control/announce/announce.go
+++ b/pkg/control/announce/announce.go
@@ -27,6 +27,9 @@
 	// drainOrdered keeps a drain in force over later announcements of the same
 	// incarnation. A restarted backend server has another one and serves again.
 	drainOrdered bool
+	// withdrawn is the incarnation that has left, 0 when none has. A heartbeat
+	// that was sent before and arrives late does not bring it back.
+	withdrawn uint64
 }
 
 // New claims the Local section.
@@ -66,6 +69,7 @@
 	case board.AnnounceStopped:
 		c.publish(current, func(l *board.Local) { l.Draining, l.Stopping, l.Stopped = true, true, true })
 	case board.AnnounceLeave:
+		c.withdrawn = current.Incarnation
 		c.publish(current, func(l *board.Local) { l.Announced = false })
 	case board.AnnounceDown:
 		// The failure belongs to the incarnation that the executor had seen.
@@ -77,6 +81,9 @@
 }
 
 func (c *Controller) heartbeat(current *board.Local, next board.Local, now time.Time) {
+	if next.Incarnation == c.withdrawn && c.withdrawn != 0 {
+		return
+	}
 	c.lastHeard = now
 	if next.Incarnation != current.Incarnation {
 		c.drainOrdered = false
--- /dev/null
+++ b/pkg/control/announce/announce_test.go
@@ -0,0 +1,73 @@
+package announce
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// run calls test with a function that posts an announcement and returns the
+// Local section after it.
+func run(t *testing.T, test func(t *testing.T, post func(board.AnnouncementKind, uint64) *board.Local)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := board.New("self")
+		ctx, cancel := context.WithCancel(context.Background())
+		go New(b, zerolog.Nop()).Run(ctx)
+		test(t, func(kind board.AnnouncementKind, incarnation uint64) *board.Local {
+			b.Announcements.Post(board.Announcement{Kind: kind, Server: board.Local{
+				Announced: true, Service: "s", Addr: "a", Slots: 1, Incarnation: incarnation,
+			}})
+			synctest.Wait()
+			return b.Local.Load()
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a heartbeat that undoes a drain, a second drain that fails,
+// and a restarted backend server that stays drained.
+func TestDrainLastsUntilTheRestart(t *testing.T) {
+	run(t, func(t *testing.T, post func(board.AnnouncementKind, uint64) *board.Local) {
+		require.True(t, post(board.AnnounceHeartbeat, 1).Ready())
+		require.False(t, post(board.AnnounceDrain, 0).Ready())
+		require.False(t, post(board.AnnounceHeartbeat, 1).Ready())
+		require.False(t, post(board.AnnounceDrain, 0).Ready())
+		require.True(t, post(board.AnnounceHeartbeat, 2).Ready())
+		require.False(t, post(board.AnnounceDrain, 0).Ready())
+	})
+}
+
+// Guards against a restarted backend server that gets work from a node that
+// stops.
+func TestStopIsNotUndone(t *testing.T) {
+	run(t, func(t *testing.T, post func(board.AnnouncementKind, uint64) *board.Local) {
+		post(board.AnnounceHeartbeat, 1)
+		require.False(t, post(board.AnnounceStop, 0).Ready())
+		require.False(t, post(board.AnnounceHeartbeat, 2).Ready())
+		require.True(t, post(board.AnnounceStopped, 0).Stopped)
+		require.True(t, post(board.AnnounceHeartbeat, 3).Stopped)
+	})
+}
+
+// Guards against a late heartbeat that brings a withdrawn backend server back,
+// and against a failure that is charged to the next life.
+func TestEndsOfALife(t *testing.T) {
+	run(t, func(t *testing.T, post func(board.AnnouncementKind, uint64) *board.Local) {
+		post(board.AnnounceHeartbeat, 1)
+		require.False(t, post(board.AnnounceLeave, 0).Announced)
+		require.False(t, post(board.AnnounceHeartbeat, 1).Announced)
+		require.True(t, post(board.AnnounceHeartbeat, 2).Announced)
+		require.True(t, post(board.AnnounceDown, 1).Announced)
+		require.False(t, post(board.AnnounceDown, 2).Announced)
+		require.True(t, post(board.AnnounceHeartbeat, 2).Announced)
+		time.Sleep(silenceLimit + time.Second)
+		require.False(t, post(board.AnnounceDown, 1).Announced, "a silent backend server is kept")
+	})
+}
