Read configuration files strictly and check the merged result of each site

Cause: the INI library accepts several dialects. Interpolation, values over several lines, quotes and inline comments changed values in silence, a line above 64 KiB ended the line index, "5" was caught but "0" passed as a time, and sizes could wrap around. A base had to name servers (servers = none) only to pass the check.

Change: inifile scans a strict subset itself and compares each value with what the library reads. dynconf checks only the merged result of each site, refuses routes that match the same calls, renders the origin of each value and states the difference between documents. Fields carry unit, range and effect; docs/settings.md is compared with them by a test. Fuzz targets with seed corpora for inifile, dynconf, settings and DecodeDocument.

Two texts of TestMergeReportsFileAndLine changed: the message about servers names the site, and a route may now stand above its service, so "not declared above" became "not declared". The test also asks for exactly one problem now.

--- a/pkg/dynconf/parse.go
+++ b/pkg/dynconf/parse.go
@@ -1,12 +1,9 @@
 package dynconf
 
 import (
-	"path"
+	"cmp"
 	"slices"
 	"strings"
-	"time"
-
-	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/inifile"
 )
@@ -17,27 +14,51 @@
 	Data []byte
 }
 
-// Merge reads a base file and the overlay of a site, which may be nil, checks
-// both and returns the merged configuration. All problems are returned, each
-// with file and line; the configuration is nil when there is any.
+// Merge reads a base file and the overlay of a site, which may be nil, and
+// returns the merged configuration. Only the merged result is checked, so that
+// a base may leave open what each overlay fills in. All problems are returned,
+// each with file and line; the configuration is nil when there is any.
 func Merge(site string, base Source, overlay *Source) (*Config, []*inifile.Error) {
+	config, _, problems := merge(site, base, overlay)
+	return config, problems
+}
+
+// merge also returns the merged sections, which know where each value stands.
+func merge(site string, base Source, overlay *Source) (*Config, []*inifile.Section, []*inifile.Error) {
 	sections, problems := mergedSections(base, overlay)
 	if len(problems) > 0 {
-		return nil, problems
+		return nil, nil, problems
 	}
 	config := Default()
 	config.Site = site
+	// Services come first, so that a route may stand above its service and an
+	// overlay may add the service of a route of the base.
 	for _, s := range sections {
-		problems = append(problems, config.apply(s)...)
+		if s.Kind == "service" {
+			problems = append(problems, config.applyService(s)...)
+		}
+	}
+	for _, s := range sections {
+		if s.Kind != "service" {
+			problems = append(problems, config.apply(s)...)
+		}
 	}
 	problems = append(problems, config.check(sections)...)
 	if len(problems) > 0 {
-		return nil, problems
+		return nil, nil, problems
 	}
-	for _, s := range config.Services {
-		slices.SortStableFunc(s.Routes, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
+	config.sortRoutes()
+	return config, sections, nil
+}
+
+// sortRoutes puts longer paths first. Of two routes with the same path, the
+// one that names its methods comes first.
+func (c *Config) sortRoutes() {
+	for _, s := range c.Services {
+		slices.SortStableFunc(s.Routes, func(a, b *Route) int {
+			return cmp.Or(len(b.canonicalPath())-len(a.canonicalPath()), cmp.Compare(len(b.Methods), len(a.Methods)))
+		})
 	}
-	return config, nil
 }
 
 // mergedSections returns the sections of the base with the keys of the overlay
@@ -72,20 +93,15 @@
 }
 
 func overlayKey(s *inifile.Section, key inifile.Key) {
-	for i := range s.Keys {
-		if s.Keys[i].Name == key.Name {
-			s.Keys[i] = key
-			return
-		}
+	if old := s.Find(key.Name); old != nil {
+		*old = key
+		return
 	}
 	s.Keys = append(s.Keys, key)
 }
 
-// apply sets the values of one section.
+// apply sets the values of one section other than a service.
 func (c *Config) apply(s *inifile.Section) []*inifile.Error {
-	if s.Kind == "service" {
-		return c.applyService(s)
-	}
 	if s.Kind == "route" {
 		return c.applyRoute(s)
 	}
@@ -96,89 +112,16 @@
 	return inifile.Apply(s, fields)
 }
 
-func (c *Config) parameterFields(kind string) []inifile.Field {
-	switch kind {
-	case "balancing":
-		return []inifile.Field{
-			inifile.Float("hot_quantile", &c.Balancing.HotQuantile, 0.1, 1),
-			inifile.Int("subset", &c.Balancing.Subset, 2, 600),
-			inifile.Duration("cold_start", &c.Balancing.ColdStart, 0, 10*time.Minute),
-			inifile.Duration("domain_penalty", &c.Balancing.DomainPenalty, 0, time.Second),
-		}
-	case "probes":
-		return []inifile.Field{
-			inifile.Int("rate", &c.Probes.Rate, 0, 10000),
-			inifile.Bytes("bytes", &c.Probes.Bytes, 0, 1000*1000),
-		}
-	case "admission":
-		return []inifile.Field{
-			inifile.Duration("queue_wait", &c.Admission.QueueWait, 0, 10*time.Second),
-			inifile.Int("queue_length", &c.Admission.QueueLength, 0, 1000),
-		}
-	case "retries":
-		return []inifile.Field{
-			inifile.Float("share", &c.Retries.Share, 0, 1),
-			inifile.Int("per_tree", &c.Retries.PerTree, 0, 100),
-			inifile.Bool("hedge", &c.Retries.Hedge),
-		}
-	case "breaker":
-		return []inifile.Field{
-			inifile.Float("failure_ratio", &c.Breaker.FailureRatio, 0.01, 1),
-			inifile.Int("min_calls", &c.Breaker.MinCalls, 1, 10000),
-			inifile.Duration("open_for", &c.Breaker.OpenFor, 10*time.Millisecond, 10*time.Minute),
-		}
-	case "at_most_once":
-		return []inifile.Field{
-			inifile.Duration("key_retention", &c.AtMostOnce.Retention, time.Second, 24*time.Hour),
-			inifile.Duration("key_future_skew", &c.AtMostOnce.FutureSkew, 0, time.Minute),
-			inifile.Duration("node_clock_skew", &c.AtMostOnce.ClockSkew, 0, time.Minute),
-			inifile.Bytes("key_memory", &c.AtMostOnce.Memory, 1000, 200*1000*1000),
-		}
-	case "quarantine":
-		return []inifile.Field{
-			inifile.Duration("quarantine_ttl", &c.Quarantine.TTL, time.Second, 24*time.Hour),
-			inifile.Int("deaths", &c.Quarantine.Deaths, 2, 100),
-		}
-	}
-	return nil
-}
-
 func (c *Config) applyService(s *inifile.Section) []*inifile.Error {
 	if !validName(s.Name) {
 		return []*inifile.Error{s.Errorf("service name %q: expected lower-case letters, digits and -", s.Name)}
 	}
-	service := c.service(s.Name)
-	return inifile.Apply(s, []inifile.Field{
-		serversField(&service.Servers),
-		inifile.Choice("policy", &service.Policy, "hotcold", "twochoices", "roundrobin", "random"),
-		inifile.Bool("retired", &service.Retired),
-	})
+	service := newService(s.Name)
+	c.Services[s.Name] = service
+	return inifile.Apply(s, service.fields())
 }
 
-// service returns the service of a name and adds it when it is new.
-func (c *Config) service(name string) *Service {
-	service := c.Services[name]
-	if service == nil {
-		service = &Service{Name: name, Policy: "hotcold"}
-		c.Services[name] = service
-	}
-	return service
-}
-
-func serversField(target *[]string) inifile.Field {
-	list := inifile.List("servers", target)
-	return inifile.Field{Name: "servers", Set: func(value string) error {
-		if err := list.Set(value); err != nil {
-			return err
-		}
-		for _, pattern := range *target {
-			if _, err := path.Match(pattern, ""); err != nil {
-				return errors.Errorf("bad pattern %q", pattern)
-			}
-		}
-		return nil
-	}}
-}
+func newService(name string) *Service { return &Service{Name: name, Policy: "hotcold"} }
 
 func (c *Config) applyRoute(s *inifile.Section) []*inifile.Error {
 	serviceName, routeName, ok := strings.Cut(s.Name, "/")
@@ -187,69 +130,54 @@
 	}
 	service := c.Services[serviceName]
 	if service == nil {
-		return []*inifile.Error{s.Errorf("route %s: service %s is not declared above", s.Name, serviceName)}
+		return []*inifile.Error{s.Errorf("route %s: service %s is not declared", s.Name, serviceName)}
+	}
+	route := newRoute(s.Name)
+	problems := inifile.Apply(s, route.fields())
+	if other := service.clash(route); other != nil && len(problems) == 0 {
+		problems = append(problems, s.Errorf("route %s has the path and a method of route %s", s.Name, other.Name))
 	}
-	route := &Route{Name: s.Name, Path: "/", Priority: PriorityNormal, Deadline: defaultDeadline}
 	service.Routes = append(service.Routes, route)
-	return inifile.Apply(s, []inifile.Field{
-		pathField(&route.Path),
-		methodsField(&route.Methods),
-		{Name: "idempotent", Set: func(value string) error {
-			route.IdempotentSet = true
-			return inifile.Bool("", &route.Idempotent).Set(value)
-		}},
-		priorityField(&route.Priority),
-		inifile.Duration("deadline", &route.Deadline, time.Millisecond, 10*time.Minute),
-		inifile.Bool("retired", &route.Retired),
-	})
+	return problems
 }
 
-func pathField(target *string) inifile.Field {
-	return inifile.Field{Name: "path", Set: func(value string) error {
-		if !strings.HasPrefix(value, "/") {
-			return errors.New("expected a path that starts with /")
-		}
-		*target = value
-		return nil
-	}}
+func newRoute(name string) *Route {
+	return &Route{Name: name, Path: "/", Priority: PriorityNormal, Deadline: defaultDeadline}
 }
 
-func methodsField(target *[]string) inifile.Field {
-	list := inifile.List("methods", target)
-	return inifile.Field{Name: "methods", Set: func(value string) error {
-		if err := list.Set(value); err != nil {
-			return err
-		}
-		for _, m := range *target {
-			if m != strings.ToUpper(m) {
-				return errors.Errorf("method %s: expected upper-case letters", m)
-			}
+// canonicalPath returns the path without a closing slash.
+func (r *Route) canonicalPath() string { return strings.TrimSuffix(r.Path, "/") }
+
+// clash returns a route that matches the same calls, so that the order of the
+// file would decide between them. A route without methods leaves to another
+// route the methods that it names.
+func (s *Service) clash(route *Route) *Route {
+	for _, other := range s.Routes {
+		if other.canonicalPath() == route.canonicalPath() && shareMethod(other.Methods, route.Methods) {
+			return other
 		}
-		return nil
-	}}
+	}
+	return nil
 }
 
-func priorityField(target *Priority) inifile.Field {
-	return inifile.Field{Name: "priority", Set: func(value string) error {
-		p, ok := ParsePriority(value)
-		if !ok {
-			return errors.Errorf("expected one of %s", strings.Join(priorityNames[:], ", "))
-		}
-		*target = p
-		return nil
-	}}
+func shareMethod(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) == len(b)
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
 
 // check finds problems that no single value shows.
 func (c *Config) check(sections []*inifile.Section) []*inifile.Error {
 	var problems []*inifile.Error
 	for _, s := range sections {
-		if s.Kind != "service" {
+		service := c.Services[s.Name]
+		if s.Kind != "service" || service == nil || service.Retired {
 			continue
 		}
-		service := c.Services[s.Name]
-		if service != nil && !service.Retired && len(service.Servers) == 0 {
-			problems = append(problems, s.Errorf("service %s has no allowed backend server (key servers)", s.Name))
+		// A key servers with a bad value has its own error.
+		if s.Find("servers") == nil {
+			problems = append(problems, s.Errorf("service %s has no allowed backend server at site %s (key servers)", s.Name, c.Site))
 		}
 	}
 	return problems
--- a/pkg/inifile/inifile.go
+++ b/pkg/inifile/inifile.go
@@ -1,17 +1,26 @@
 // Package inifile reads INI files and keeps the line of each section and key,
 // so that every error about a value names its file and line.
+//
+// The format is a strict subset of INI, so that a file has one reading only. A
+// line is blank, a comment that starts with # or ;, a section [KIND] or
+// [KIND NAME], or KEY = VALUE. The value is the rest of the line without the
+// blanks around it, taken literally. What other INI dialects read in another
+// way is an error with its line: interpolation %(name)s, values over several
+// lines, comments behind a value, quotes around a value, and control
+// characters.
 package inifile
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
-	"strings"
 
 	"github.com/juju/errors"
 	"gopkg.in/ini.v1"
 )
 
+// MaxFileSize bounds a file in bytes. A value of the platform's store holds
+// 1 MB for a base file and all its overlays.
+const MaxFileSize = 512 * 1024
+
 // Error is a problem at one place of a file.
 type Error struct {
 	File string
@@ -37,7 +46,7 @@
 
 // Section is one section with its keys in the order of the file.
 type Section struct {
-	// Kind is the first word of the section name, Name the rest.
+	// Kind is the first word of the section name, Name the second.
 	Kind string
 	Name string
 	File string
@@ -58,86 +67,60 @@
 	return s.Kind + " " + s.Name
 }
 
+// Find returns the key of a name, or nil.
+func (s *Section) Find(name string) *Key {
+	for i := range s.Keys {
+		if s.Keys[i].Name == name {
+			return &s.Keys[i]
+		}
+	}
+	return nil
+}
+
 // Parse reads an INI file. Sections and keys that stand twice are errors,
-// since one of the two values would be lost.
+// since one of the two values would be lost. Sections are returned even when
+// there are problems; the caller must not use their values then.
 func Parse(file string, data []byte) ([]*Section, []*Error) {
-	options := ini.LoadOptions{
-		AllowDuplicateShadowValues: true,
-		IgnoreInlineComment:        false,
-		KeyValueDelimiters:         "=",
-		SkipUnrecognizableLines:    false,
+	if len(data) > MaxFileSize {
+		text := fmt.Sprintf("file has %d bytes, at most %d are allowed", len(data), MaxFileSize)
+		return nil, []*Error{{File: file, Line: 1, Text: text}}
+	}
+	sections, problems := scan(file, data)
+	if len(problems) > 0 {
+		return sections, problems
 	}
-	parsed, err := ini.LoadSources(options, data)
+	return sections, readValues(file, data, sections)
+}
+
+// strictOptions turns off what the library does beyond the strict subset.
+var strictOptions = ini.LoadOptions{
+	IgnoreContinuation:      true,
+	IgnoreInlineComment:     true,
+	KeyValueDelimiters:      "=",
+	PreserveSurroundedQuote: true,
+	SkipUnrecognizableLines: false,
+}
+
+// readValues reads the values with the INI library and compares them with the
+// text of their lines. A value that the library reads in another way is
+// refused, so that the two readings can never differ in silence.
+func readValues(file string, data []byte, sections []*Section) []*Error {
+	parsed, err := ini.LoadSources(strictOptions, data)
 	if err != nil {
-		return nil, []*Error{{File: file, Line: lineOf(data, err), Text: errors.Cause(err).Error()}}
+		return []*Error{{File: file, Line: 1, Text: errors.Cause(err).Error()}}
 	}
-	sections, problems := index(file, data)
+	var problems []*Error
 	for _, s := range sections {
 		values, err := parsed.GetSection(s.Title())
 		if err != nil {
 			problems = append(problems, s.Errorf("section [%s] cannot be read", s.Title()))
 			continue
 		}
-		for i := range s.Keys {
-			s.Keys[i].Value = values.Key(s.Keys[i].Name).String()
-		}
-	}
-	return sections, problems
-}
-
-// index finds the line of each section and key and reports duplicates.
-func index(file string, data []byte) ([]*Section, []*Error) {
-	var sections []*Section
-	var problems []*Error
-	seen := map[string]int{}
-	var current *Section
-	scanner := bufio.NewScanner(bytes.NewReader(data))
-	for line := 1; scanner.Scan(); line++ {
-		text := strings.TrimSpace(scanner.Text())
-		switch {
-		case text == "" || text[0] == '#' || text[0] == ';':
-		case text[0] == '[':
-			current = newSection(file, line, text)
-			sections = append(sections, current)
-			problems = appendDuplicate(problems, seen, file, line, "section ["+current.Title()+"]")
-		case strings.Contains(text, "="):
-			name := strings.TrimSpace(text[:strings.Index(text, "=")])
-			if current == nil {
-				problems = append(problems, &Error{File: file, Line: line, Text: "key " + name + " stands before the first section"})
-				continue
+		for _, key := range s.Keys {
+			if values.Key(key.Name).String() != key.Value {
+				problems = append(problems, key.Errorf("value of %s is ambiguous", key.Name))
 			}
-			current.Keys = append(current.Keys, Key{Name: name, File: file, Line: line})
-			problems = appendDuplicate(problems, seen, file, line, "key "+name+" in section ["+current.Title()+"]")
 		}
 	}
-	return sections, problems
-}
-
-func newSection(file string, line int, text string) *Section {
-	title := text[1:]
-	if end := strings.Index(title, "]"); end >= 0 {
-		title = title[:end]
-	}
-	kind, name, _ := strings.Cut(strings.TrimSpace(title), " ")
-	return &Section{Kind: kind, Name: strings.TrimSpace(name), File: file, Line: line}
-}
-
-func appendDuplicate(problems []*Error, seen map[string]int, file string, line int, what string) []*Error {
-	if first, ok := seen[what]; ok {
-		return append(problems, &Error{File: file, Line: line, Text: fmt.Sprintf("duplicate %s, first on line %d", what, first)})
-	}
-	seen[what] = line
 	return problems
 }
-
-// lineOf finds the line that a parser error quotes, 1 when there is none.
-func lineOf(data []byte, err error) int {
-	scanner := bufio.NewScanner(bytes.NewReader(data))
-	for line := 1; scanner.Scan(); line++ {
-		text := strings.TrimSpace(scanner.Text())
-		if text != "" && strings.Contains(err.Error(), text) {
-			return line
-		}
-	}
-	return 1
-}
--- /dev/null
+++ b/pkg/inifile/scan.go
@@ -0,0 +1,193 @@
+package inifile
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+)
+
+// maxLineLength bounds a line in bytes.
+const maxLineLength = 8 * 1024
+
+const byteOrderMark = "\ufeff"
+
+// scanner collects the sections of a file line by line.
+type scanner struct {
+	file     string
+	line     int
+	current  *Section
+	sections []*Section
+	problems []*Error
+	// seen maps each section and key to its first line.
+	seen map[string]int
+	// skipping is set below a malformed or repeated section, whose keys are not
+	// looked at.
+	skipping bool
+}
+
+// scan splits a file into sections and keys and checks each line.
+func scan(file string, data []byte) ([]*Section, []*Error) {
+	s := &scanner{file: file, seen: map[string]int{}}
+	for _, line := range bytes.Split(data, []byte("\n")) {
+		s.line++
+		text := strings.TrimSuffix(string(line), "\r")
+		if problem := badText(text); problem != "" {
+			s.fail("%s", problem)
+			continue
+		}
+		s.take(strings.Trim(text, " \t"))
+	}
+	return s.sections, s.problems
+}
+
+func (s *scanner) fail(format string, args ...any) {
+	s.problems = append(s.problems, &Error{File: s.file, Line: s.line, Text: fmt.Sprintf(format, args...)})
+}
+
+// badText returns what is wrong with the characters of a line, or "".
+func badText(text string) string {
+	if len(text) > maxLineLength {
+		return fmt.Sprintf("line has %d bytes, at most %d are allowed", len(text), maxLineLength)
+	}
+	if strings.HasPrefix(text, byteOrderMark) {
+		return "byte order mark, save the file as UTF-8 without it"
+	}
+	if !utf8.ValidString(text) {
+		return "not valid UTF-8"
+	}
+	for _, r := range text {
+		if r == 0 {
+			return "NUL byte"
+		}
+		if (r < ' ' && r != '\t') || r == 0x7f {
+			return fmt.Sprintf("control character %U", r)
+		}
+	}
+	return ""
+}
+
+// take handles one line without the blanks around it.
+func (s *scanner) take(text string) {
+	switch {
+	case text == "" || text[0] == '#' || text[0] == ';':
+	case text[0] == '[':
+		s.takeSection(text)
+	case strings.Contains(text, "="):
+		s.takeKey(text)
+	default:
+		s.fail("expected KEY = VALUE, [SECTION] or a comment; a value stands on one line")
+	}
+}
+
+func (s *scanner) takeSection(text string) {
+	title, closed := strings.CutSuffix(text[1:], "]")
+	words := strings.Split(title, " ")
+	s.skipping = !closed || len(words) > 2 || !validTitle(words)
+	if s.skipping {
+		s.fail("expected [KIND] or [KIND NAME] with one blank, of letters, digits, _ - and /")
+		return
+	}
+	s.current = &Section{Kind: words[0], File: s.file, Line: s.line}
+	if len(words) == 2 {
+		s.current.Name = words[1]
+	}
+	s.sections = append(s.sections, s.current)
+	// The keys of a repeated section would each be reported again.
+	s.skipping = s.isDuplicate("section [" + s.current.Title() + "]")
+}
+
+func (s *scanner) takeKey(text string) {
+	name, value, _ := strings.Cut(text, "=")
+	name, value = strings.TrimRight(name, " \t"), strings.TrimLeft(value, " \t")
+	if s.skipping {
+		return
+	}
+	if s.current == nil {
+		s.fail("key %s stands before the first section", name)
+		return
+	}
+	if !validKey(name) {
+		s.fail("key name %q: expected lower-case letters, digits and _", name)
+		return
+	}
+	if problem := ambiguous(value); problem != "" {
+		s.fail("%s: %s", name, problem)
+		return
+	}
+	s.current.Keys = append(s.current.Keys, Key{Name: name, Value: value, File: s.file, Line: s.line})
+	s.isDuplicate("key " + name + " in section [" + s.current.Title() + "]")
+}
+
+// ambiguous returns why a value could be read in more than one way, or "".
+func ambiguous(value string) string {
+	switch {
+	case value == "":
+		return "the value is empty; remove the key to get its default"
+	case strings.ContainsAny(value[:1], "\"'`"):
+		return "quotes are not supported, write the value without them"
+	case strings.HasSuffix(value, `\`):
+		return "values over several lines are not supported"
+	case strings.Contains(value, "%("):
+		return "interpolation %(name)s is not supported"
+	case startsComment(value):
+		return "comments behind a value are not supported, write them on a line of their own"
+	}
+	return ""
+}
+
+// startsComment reports whether a # or ; stands at the start of a value or
+// behind a blank.
+func startsComment(value string) bool {
+	for i, r := range value {
+		if r != '#' && r != ';' {
+			continue
+		}
+		if i == 0 || value[i-1] == ' ' || value[i-1] == '\t' {
+			return true
+		}
+	}
+	return false
+}
+
+// isDuplicate reports a section or key that stands twice.
+func (s *scanner) isDuplicate(what string) bool {
+	first, found := s.seen[what]
+	if found {
+		s.fail("duplicate %s, first on line %d", what, first)
+		return true
+	}
+	s.seen[what] = s.line
+	return false
+}
+
+func validTitle(words []string) bool {
+	for _, w := range words {
+		if w == "" || !onlyTitleRunes(w) {
+			return false
+		}
+	}
+	return true
+}
+
+func onlyTitleRunes(word string) bool {
+	for _, r := range word {
+		if !isLower(r) && !(r >= 'A' && r <= 'Z') && !isDigit(r) && r != '_' && r != '-' && r != '/' {
+			return false
+		}
+	}
+	return true
+}
+
+func validKey(name string) bool {
+	for _, r := range name {
+		if !isLower(r) && !isDigit(r) && r != '_' {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func isLower(r rune) bool { return r >= 'a' && r <= 'z' }
+
+func isDigit(r rune) bool { return r >= '0' && r <= '9' }
--- /dev/null
+++ b/pkg/settings/fields.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"net"
+	"net/url"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/inifile"
+	"mangostand.example/mangostand/pkg/security"
+)
+
+// sectionKinds lists the sections in the order of the reference page.
+var sectionKinds = []string{"node", "listen", "peer_tls", "caller_tls", "operator_tls", "platform"}
+
+// Reference returns the rows of the reference page for each section.
+func Reference() []inifile.SectionReference {
+	node := defaults()
+	var references []inifile.SectionReference
+	for _, kind := range sectionKinds {
+		references = append(references, inifile.Describe(kind, node.fields(kind)))
+	}
+	return references
+}
+
+// fields returns the keys of a section, nil when there is no such section.
+func (n *Node) fields(section string) []inifile.Field {
+	switch section {
+	case "node":
+		return n.nodeFields()
+	case "listen":
+		return n.listenFields()
+	case "peer_tls":
+		return tlsFields(&n.PeerTLS, "CA of the fleet, PEM. Required.")
+	case "caller_tls":
+		return tlsFields(&n.CallerTLS, "CA of the callers, PEM; with it callers must present a certificate.")
+	case "operator_tls":
+		return tlsFields(&n.OperatorTLS, "CA of the operators, PEM; with it operators must present a certificate.")
+	case "platform":
+		return n.platformFields()
+	}
+	return nil
+}
+
+func (n *Node) nodeFields() []inifile.Field {
+	return []inifile.Field{
+		inifile.String("instance", &n.Instance).
+			Because("Name of the instance, unique in the fleet and the same after a restart. Required."),
+		inifile.String("site", &n.Site).
+			Because("Selects the overlay of the dynamic configuration. Required."),
+		inifile.String("region", &n.Region).
+			Because("Region of the instance. Required."),
+		inifile.String("failure_domain", &n.FailureDomain).
+			Because("Failure domain of the instance. Required."),
+		inifile.Choice("log_level", &n.LogLevel, "debug", "info", "warn", "error").
+			Because("Least level of log lines; it can be changed while the node runs."),
+	}
+}
+
+func (n *Node) listenFields() []inifile.Field {
+	return []inifile.Field{
+		address("callers", &n.Callers).Because("TCP address of the listener for callers. Required."),
+		address("peers", &n.Peers).Because("UDP address of the listener for other nodes. Required."),
+		address("advertise_peers", &n.AdvertisePeers).
+			Because("Address that other nodes dial; without the key the value of peers."),
+		address("local", &n.Local).Because("TCP address of the listener for the backend server of the instance."),
+		address("operators", &n.Operators).Because("TCP address of the listener for operators."),
+	}
+}
+
+func tlsFields(files *security.Files, caEffect string) []inifile.Field {
+	return []inifile.Field{
+		fileField("cert", &files.Cert).Because("Certificate of the listener, PEM; it turns on TLS and needs key."),
+		fileField("key", &files.Key).Because("Private key of the certificate, PEM."),
+		fileField("ca", &files.CA).Because(caEffect),
+	}
+}
+
+func fileField(name string, target *string) inifile.Field {
+	field := inifile.String(name, target)
+	field.Unit = "file"
+	return field
+}
+
+func (n *Node) platformFields() []inifile.Field {
+	return []inifile.Field{
+		storeField(&n.Store).
+			Because("URL of the platform's store; without the key the node runs from its peers only."),
+		inifile.List("seeds", &n.Seeds).Check(n.checkSeeds).
+			Because("Addresses of other nodes that are tried first."),
+	}
+}
+
+func storeField(target *string) inifile.Field {
+	field := inifile.String("store", target)
+	field.Unit, field.Range = "URL", "http://HOST:PORT or https://HOST:PORT"
+	return field.Check(func() error {
+		u, err := url.Parse(*target)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" || u.Path != "" {
+			return errors.New("expected http://HOST:PORT or https://HOST:PORT")
+		}
+		return nil
+	})
+}
+
+func (n *Node) checkSeeds() error {
+	for _, seed := range n.Seeds {
+		if !isAddress(seed) {
+			return errors.Errorf("seed %s: expected IP:port", seed)
+		}
+	}
+	return nil
+}
+
+// address returns a field for IP:port, since instances talk by IP number.
+func address(name string, target *string) inifile.Field {
+	field := inifile.String(name, target)
+	field.Unit, field.Range = "IP:port", "an IP number and a port"
+	return field.Check(func() error {
+		if !isAddress(*target) {
+			return errors.New("expected IP:port")
+		}
+		return nil
+	})
+}
+
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	_, err = net.LookupPort("tcp", port)
+	return err == nil
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"net"
 	"os"
 
 	"github.com/juju/errors"
@@ -59,13 +58,18 @@
 	return Parse(file, data)
 }
 
+// defaults returns settings with the default of each key.
+func defaults() *Node {
+	return &Node{LogLevel: "info", Local: "127.0.0.1:7070", Operators: "127.0.0.1:7071"}
+}
+
 // Parse checks settings and returns them, or every problem with file and line.
 func Parse(file string, data []byte) (*Node, []*inifile.Error) {
 	sections, problems := inifile.Parse(file, data)
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	node := &Node{LogLevel: "info", Local: "127.0.0.1:7070", Operators: "127.0.0.1:7071"}
+	node := defaults()
 	for _, s := range sections {
 		fields := node.fields(s.Title())
 		if fields == nil {
@@ -77,83 +81,68 @@
 	if node.AdvertisePeers == "" {
 		node.AdvertisePeers = node.Peers
 	}
-	problems = append(problems, node.checkRequired(file)...)
+	problems = append(problems, checkRequired(file, sections)...)
+	problems = append(problems, checkTLS(sections)...)
 	if len(problems) > 0 {
 		return nil, problems
 	}
 	return node, nil
 }
 
-func (n *Node) fields(section string) []inifile.Field {
-	switch section {
-	case "node":
-		return []inifile.Field{
-			inifile.String("instance", &n.Instance),
-			inifile.String("site", &n.Site),
-			inifile.String("region", &n.Region),
-			inifile.String("failure_domain", &n.FailureDomain),
-			inifile.Choice("log_level", &n.LogLevel, "debug", "info", "warn", "error"),
-		}
-	case "listen":
-		return []inifile.Field{
-			address("callers", &n.Callers),
-			address("peers", &n.Peers),
-			address("advertise_peers", &n.AdvertisePeers),
-			address("local", &n.Local),
-			address("operators", &n.Operators),
-		}
-	case "peer_tls":
-		return tlsFields(&n.PeerTLS)
-	case "caller_tls":
-		return tlsFields(&n.CallerTLS)
-	case "operator_tls":
-		return tlsFields(&n.OperatorTLS)
-	case "platform":
-		return []inifile.Field{
-			inifile.String("store", &n.Store),
-			inifile.List("seeds", &n.Seeds),
-		}
-	}
-	return nil
+// requiredKeys lists the keys without which a node cannot start.
+var requiredKeys = []struct{ section, key string }{
+	{"node", "instance"},
+	{"node", "site"},
+	{"node", "region"},
+	{"node", "failure_domain"},
+	{"listen", "callers"},
+	{"listen", "peers"},
+	{"peer_tls", "cert"},
+	{"peer_tls", "key"},
+	{"peer_tls", "ca"},
 }
 
-func tlsFields(files *security.Files) []inifile.Field {
-	return []inifile.Field{
-		inifile.String("cert", &files.Cert),
-		inifile.String("key", &files.Key),
-		inifile.String("ca", &files.CA),
+// checkRequired reports keys that are missing, at the line of their section. A
+// key with a bad value has its own error.
+func checkRequired(file string, sections []*inifile.Section) []*inifile.Error {
+	var problems []*inifile.Error
+	for _, r := range requiredKeys {
+		section := findSection(sections, r.section)
+		if section != nil && section.Find(r.key) != nil {
+			continue
+		}
+		place := &inifile.Section{File: file, Line: 1}
+		if section != nil {
+			place = section
+		}
+		problems = append(problems, place.Errorf("[%s] %s is missing", r.section, r.key))
 	}
+	return problems
 }
 
-// address returns a field for IP:port, since instances talk by IP number.
-func address(name string, target *string) inifile.Field {
-	return inifile.Field{Name: name, Set: func(value string) error {
-		host, _, err := net.SplitHostPort(value)
-		if err != nil || net.ParseIP(host) == nil {
-			return errors.New("expected IP:port")
+// checkTLS reports listeners that name a CA, certificate or key but not both
+// certificate and key, which would run without TLS or fail at the start.
+func checkTLS(sections []*inifile.Section) []*inifile.Error {
+	var problems []*inifile.Error
+	for _, title := range []string{"caller_tls", "operator_tls"} {
+		s := findSection(sections, title)
+		if s == nil {
+			continue
 		}
-		*target = value
-		return nil
-	}}
+		for _, name := range []string{"cert", "key"} {
+			if s.Find(name) == nil {
+				problems = append(problems, s.Errorf("[%s] %s is missing", title, name))
+			}
+		}
+	}
+	return problems
 }
 
-func (n *Node) checkRequired(file string) []*inifile.Error {
-	required := []struct{ name, value string }{
-		{"[node] instance", n.Instance},
-		{"[node] site", n.Site},
-		{"[node] region", n.Region},
-		{"[node] failure_domain", n.FailureDomain},
-		{"[listen] callers", n.Callers},
-		{"[listen] peers", n.Peers},
-		{"[peer_tls] cert", n.PeerTLS.Cert},
-		{"[peer_tls] key", n.PeerTLS.Key},
-		{"[peer_tls] ca", n.PeerTLS.CA},
-	}
-	var problems []*inifile.Error
-	for _, r := range required {
-		if r.value == "" {
-			problems = append(problems, &inifile.Error{File: file, Line: 1, Text: r.name + " is missing"})
+func findSection(sections []*inifile.Section, title string) *inifile.Section {
+	for _, s := range sections {
+		if s.Title() == title {
+			return s
 		}
 	}
-	return problems
+	return nil
 }
