Complete the store client and its stand-in

Cause: the client had no timeout of its own, took a refused connection for a lost answer, could not be counted and kept no lease. The stand-in had no faults, so no test could lose an answer, roll the store back or limit its rate.

Change: each call ends with its timeout; a failed dial is "unavailable" since nothing was sent; an observer counts calls by kind and result; Keeper holds a lease and stops trusting it from local monotonic time; pkg/decide/fencing refuses tokens below the highest seen.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -3,13 +3,11 @@
 package platform
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,43 +48,78 @@
 	Token uint64 `json:"token"`
 }
 
+// defaultTimeout bounds a call. The store answers in milliseconds; a call that
+// takes seconds is better repeated after the store has recovered.
+const defaultTimeout = 2 * time.Second
+
 // Client talks to the store. Any goroutine may use it.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	observe func(Kind, Result)
+}
+
+// Option changes a client at its creation.
+type Option func(*Client)
+
+// WithObserver passes the kind and the result of each call to a counter, which
+// any goroutine may call.
+func WithObserver(observe func(Kind, Result)) Option {
+	return func(c *Client) { c.observe = observe }
+}
+
+// WithTimeout bounds each call, default 2s. A watch may take its wait longer.
+func WithTimeout(timeout time.Duration) Option {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// WithTransport replaces the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = transport }
 }
 
 // NewClient returns a client of the store at a URL such as
-// http://127.0.0.1:7000. Each call takes at most the deadline of its context.
-func NewClient(base string) *Client {
+// http://127.0.0.1:7000. A call ends with its context or after the timeout,
+// whichever comes first.
+func NewClient(base string, options ...Option) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second}
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	c := &Client{
+		base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport},
+		timeout: defaultTimeout, observe: func(Kind, Result) {},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Get reads a key. It returns ErrNotFound when the key does not exist.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var entry Entry
-	err := c.call(ctx, http.MethodGet, "/v1/kv/"+key, nil, nil, &entry)
+	err := c.call(ctx, request{kind: KindGet, method: http.MethodGet, path: "/v1/kv/" + key}, &entry)
 	return entry, errors.Trace(err)
 }
 
 // List reads all keys that start with prefix, in the order of the keys.
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
 	var entries []Entry
-	err := c.call(ctx, http.MethodGet, "/v1/list", url.Values{"prefix": {prefix}}, nil, &entries)
+	query := url.Values{"prefix": {prefix}}
+	err := c.call(ctx, request{kind: KindList, method: http.MethodGet, path: "/v1/list", query: query}, &entries)
 	return entries, errors.Trace(err)
 }
 
 // Watch waits until the key has a higher revision than after, or until wait
-// has passed, and returns the current entry. Each waiting watch counts as one
-// call of the store.
+// has passed, and returns the current entry or ErrNotFound. Each waiting watch
+// counts towards the load of the store. After an outage the store may hold
+// older data, so callers compare the entry and not only its revision.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
 	query := url.Values{
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var entry Entry
-	err := c.call(ctx, http.MethodGet, "/v1/watch/"+key, query, nil, &entry)
+	err := c.call(ctx, request{kind: KindWatch, method: http.MethodGet, path: "/v1/watch/" + key, query: query, wait: wait}, &entry)
 	return entry, errors.Trace(err)
 }
 
@@ -104,86 +137,32 @@
 	var answer struct {
 		Revision uint64 `json:"revision"`
 	}
-	err := c.call(ctx, http.MethodPut, "/v1/kv/"+key, query, value, &answer)
+	err := c.call(ctx, request{kind: KindSwap, method: http.MethodPut, path: "/v1/kv/" + key, query: query, body: value}, &answer)
 	return answer.Revision, errors.Trace(err)
 }
 
-// Delete removes a key whose revision is expect.
+// Delete removes a key whose revision is expect. It returns ErrNotFound,
+// ErrConflict, ErrUnavailable or ErrIndeterminate.
 func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
 	query := url.Values{"expect": {strconv.FormatUint(expect, 10)}}
-	return errors.Trace(c.call(ctx, http.MethodDelete, "/v1/kv/"+key, query, nil, nil))
+	return errors.Trace(c.call(ctx, request{kind: KindDelete, method: http.MethodDelete, path: "/v1/kv/" + key, query: query}, nil))
 }
 
 // GrantLease asks for a lease that ends after ttl unless it is renewed.
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (Lease, error) {
 	query := url.Values{"ttl_ms": {strconv.FormatInt(ttl.Milliseconds(), 10)}}
 	var lease Lease
-	err := c.call(ctx, http.MethodPost, "/v1/leases", query, nil, &lease)
+	err := c.call(ctx, request{kind: KindGrant, method: http.MethodPost, path: "/v1/leases", query: query}, &lease)
 	return lease, errors.Trace(err)
 }
 
 // RenewLease extends a lease by its ttl. It returns ErrNotFound when the lease
 // has ended.
 func (c *Client) RenewLease(ctx context.Context, id string) error {
-	return errors.Trace(c.call(ctx, http.MethodPost, "/v1/leases/"+id, nil, nil, nil))
+	return errors.Trace(c.call(ctx, request{kind: KindRenew, method: http.MethodPost, path: "/v1/leases/" + id}, nil))
 }
 
 // RevokeLease ends a lease and deletes its keys.
 func (c *Client) RevokeLease(ctx context.Context, id string) error {
-	return errors.Trace(c.call(ctx, http.MethodDelete, "/v1/leases/"+id, nil, nil, nil))
-}
-
-func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, answer any) error {
-	target := c.base + path
-	if len(query) > 0 {
-		target += "?" + query.Encode()
-	}
-	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return lostAnswer(method, err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
-	if err != nil {
-		return lostAnswer(method, err)
-	}
-	if err := statusError(method, path, resp.StatusCode); err != nil {
-		return err
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(data, answer); err != nil {
-		return lostAnswer(method, err)
-	}
-	return nil
-}
-
-// lostAnswer classifies a transport error: a read has no effect, a write may
-// have taken effect.
-func lostAnswer(method string, err error) error {
-	if method == http.MethodGet {
-		return errors.Annotatef(ErrUnavailable, "%v", err)
-	}
-	return errors.Annotatef(ErrIndeterminate, "%v", err)
-}
-
-func statusError(method, path string, status int) error {
-	switch {
-	case status < 300:
-		return nil
-	case status == http.StatusNotFound:
-		return errors.Annotate(ErrNotFound, path)
-	case status == http.StatusConflict:
-		return errors.Annotate(ErrConflict, path)
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return errors.Annotatef(ErrUnavailable, "status %d", status)
-	case method != http.MethodGet && status >= 500:
-		return errors.Annotatef(ErrIndeterminate, "status %d", status)
-	}
-	return errors.Annotatef(ErrUnavailable, "status %d", status)
+	return errors.Trace(c.call(ctx, request{kind: KindRevoke, method: http.MethodDelete, path: "/v1/leases/" + id}, nil))
 }
--- /dev/null
+++ b/pkg/platform/client_test.go
@@ -0,0 +1,151 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/decide/fencing"
+	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/pkg/standin/store"
+)
+
+// Guards against an answer that is lost after the write took effect, or a
+// request that is lost before it, and that the client takes for the other.
+func TestLostAnswerIsIndeterminate(t *testing.T) {
+	s := store.New(time.Now)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	var results []platform.Result
+	client := platform.NewClient(server.URL, platform.WithObserver(func(_ platform.Kind, r platform.Result) { results = append(results, r) }))
+	ctx := t.Context()
+
+	s.SetFaults(store.Faults{LoseRequests: 1, LoseAnswers: 1})
+	_, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"), "")
+	require.ErrorIs(t, err, platform.ErrIndeterminate)
+	_, err = client.Get(ctx, "k")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = client.CompareAndSwap(ctx, "k", 0, []byte("2"), "")
+	require.ErrorIs(t, err, platform.ErrIndeterminate)
+	entry, err := client.Get(ctx, "k")
+	require.NoError(t, err)
+	require.Equal(t, "2", string(entry.Value))
+	_, err = client.CompareAndSwap(ctx, "k", 0, []byte("3"), "")
+	require.ErrorIs(t, err, platform.ErrConflict)
+	require.Equal(t, []platform.Result{"indeterminate", "not_found", "indeterminate", "ok", "conflict"}, results)
+}
+
+// Guards against a write that is reported as lost although nothing was sent,
+// and against calls that an outage or a rate limit leaves without a verdict.
+func TestRefusedCallsAreUnavailable(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, socket.Close())
+	_, err = platform.NewClient("http://"+socket.Addr().String()).CompareAndSwap(t.Context(), "k", 0, nil, "")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+
+	now := time.Now()
+	s := store.New(func() time.Time { return now })
+	client := platform.NewClient("http://store", platform.WithTransport(s.Transport()))
+	s.SetFaults(store.Faults{Outage: true})
+	_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, "")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	s.SetFaults(store.Faults{WriteRate: 1})
+	_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, "")
+	require.NoError(t, err)
+	_, err = client.CompareAndSwap(t.Context(), "l", 0, nil, "")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.EqualValues(t, 1, s.Calls().Rejected)
+}
+
+// Guards against a call that hangs while the store takes calls and answers
+// none.
+func TestSilentStoreEndsWithTheTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(time.Now)
+		s.SetFaults(store.Faults{Silent: true})
+		client := platform.NewClient("http://store", platform.WithTransport(s.Transport()), platform.WithTimeout(time.Second))
+		started := time.Now()
+		_, err := client.Get(context.Background(), "k")
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.Equal(t, time.Second, time.Since(started))
+		_, err = client.GrantLease(context.Background(), time.Second)
+		require.ErrorIs(t, err, platform.ErrIndeterminate)
+	})
+}
+
+// Guards against a watch that misses a change, a deletion or the end of its
+// wait, and that costs the store nothing.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(time.Now)
+		client := platform.NewClient("http://store", platform.WithTransport(s.Transport()))
+		ctx := t.Context()
+		revision, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"), "")
+		require.NoError(t, err)
+		time.AfterFunc(3*time.Second, func() { _, _ = s.CompareAndSwap("k", revision, []byte("2"), "") })
+		entry, err := client.Watch(ctx, "k", revision, 10*time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "2", string(entry.Value))
+		started := time.Now()
+		again, err := client.Watch(ctx, "k", entry.Revision, 10*time.Second)
+		require.NoError(t, err)
+		require.Equal(t, entry, again)
+		require.Equal(t, 10*time.Second, time.Since(started))
+		time.AfterFunc(time.Second, func() { _ = s.Delete("k", entry.Revision) })
+		_, err = client.Watch(ctx, "k", entry.Revision, 10*time.Second)
+		require.ErrorIs(t, err, platform.ErrNotFound)
+	})
+}
+
+// Guards against a holder that acts on a lease that lapsed while the holder
+// was paused, and against a receiver that lets it.
+func TestPausedHolderIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(time.Now)
+		client := platform.NewClient("http://store", platform.WithTransport(s.Transport()))
+		ctx, cancel := context.WithCancel(t.Context())
+		const ttl = 3 * time.Second
+		keeper := platform.NewKeeper(client, ttl, zerolog.Nop())
+		go keeper.Run(ctx)
+		synctest.Wait()
+		first, trusted := keeper.Held()
+		require.True(t, trusted)
+		time.Sleep(10 * ttl)
+		renewed, trusted := keeper.Held()
+		require.True(t, trusted)
+		require.Equal(t, first, renewed)
+
+		// The store does not answer: the holder stops trusting its lease
+		// before the store ends it.
+		s.SetFaults(store.Faults{Silent: true})
+		time.Sleep(ttl - ttl/10)
+		_, trusted = keeper.Held()
+		require.False(t, trusted)
+
+		// Another holder gets a lease with a higher token; a receiver that has
+		// seen it refuses the late message of the first.
+		time.Sleep(ttl)
+		s.SetFaults(store.Faults{})
+		second, err := client.GrantLease(ctx, ttl)
+		require.NoError(t, err)
+		highest, ok := fencing.Check(first.Token, second.Token)
+		require.True(t, ok)
+		_, ok = fencing.Check(highest, first.Token)
+		require.False(t, ok)
+
+		// The first holder notices that its lease is gone and gets a new token.
+		time.Sleep(ttl)
+		third, trusted := keeper.Held()
+		require.True(t, trusted)
+		require.Greater(t, third.Token, second.Token)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/standin/store/http.go
+++ b/pkg/standin/store/http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/platform"
 )
 
 const (
@@ -15,31 +17,41 @@
 	maxWait      = time.Minute
 )
 
-// Handler returns the HTTP interface of the store.
+// Handler returns the HTTP interface of the store, and under /standin/ the
+// faults, snapshots and counters for tests.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv/{key...}", func(w http.ResponseWriter, r *http.Request) {
+	s.addKeys(mux)
+	s.addLeases(mux)
+	s.addControls(mux)
+	return mux
+}
+
+func (s *Store) addKeys(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/kv/{key...}", s.faulty(platform.KindGet, false, func(w http.ResponseWriter, r *http.Request) {
 		entry, err := s.Get(r.PathValue("key"))
 		reply(w, entry, err)
-	})
-	mux.HandleFunc("GET /v1/list", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("GET /v1/list", s.faulty(platform.KindList, false, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, s.List(r.URL.Query().Get("prefix")), nil)
-	})
-	mux.HandleFunc("GET /v1/watch/{key...}", s.handleWatch)
-	mux.HandleFunc("PUT /v1/kv/{key...}", s.handlePut)
-	mux.HandleFunc("DELETE /v1/kv/{key...}", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("GET /v1/watch/{key...}", s.faulty(platform.KindWatch, false, s.handleWatch))
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.faulty(platform.KindSwap, true, s.handlePut))
+	mux.HandleFunc("DELETE /v1/kv/{key...}", s.faulty(platform.KindDelete, true, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, struct{}{}, s.Delete(r.PathValue("key"), number(r, "expect")))
-	})
-	mux.HandleFunc("POST /v1/leases", func(w http.ResponseWriter, r *http.Request) {
+	}))
+}
+
+func (s *Store) addLeases(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/leases", s.faulty(platform.KindGrant, true, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, s.Grant(time.Duration(number(r, "ttl_ms"))*time.Millisecond), nil)
-	})
-	mux.HandleFunc("POST /v1/leases/{id}", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("POST /v1/leases/{id}", s.faulty(platform.KindRenew, true, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, struct{}{}, s.Renew(r.PathValue("id")))
-	})
-	mux.HandleFunc("DELETE /v1/leases/{id}", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("DELETE /v1/leases/{id}", s.faulty(platform.KindRevoke, true, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, struct{}{}, s.Revoke(r.PathValue("id")))
-	})
-	return mux
+	}))
 }
 
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -71,6 +83,8 @@
 	switch {
 	case errors.Is(err, errNotFound):
 		http.Error(w, "not found", http.StatusNotFound)
+	case errors.Is(err, errUnavailable):
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 	case errors.Is(err, errConflict):
 		http.Error(w, "conflict", http.StatusConflict)
 	case err != nil:
--- a/pkg/standin/store/store.go
+++ b/pkg/standin/store/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"mangostand.example/mangostand/pkg/platform"
 )
@@ -18,6 +19,8 @@
 const (
 	errNotFound = errors.ConstError("not found")
 	errConflict = errors.ConstError("conflict")
+	// errUnavailable ends the watches that wait when an outage starts.
+	errUnavailable = errors.ConstError("unavailable")
 )
 
 // Store holds the keys and leases. Any goroutine may use it.
@@ -30,6 +33,13 @@
 	leases   map[string]*lease
 	tokens   uint64
 	changed  chan struct{}
+
+	faults        Faults
+	writes, reads *rate.Limiter
+	calls         map[platform.Kind]uint64
+	rejected      uint64
+	waiting       int
+	snapshots     map[string]snapshot
 }
 
 type lease struct {
@@ -37,9 +47,15 @@
 	expires time.Time
 }
 
-// New returns an empty store with the given clock.
+// New returns an empty store with the given clock and the rates of the
+// platform's store.
 func New(now func() time.Time) *Store {
-	return &Store{now: now, entries: map[string]platform.Entry{}, leases: map[string]*lease{}, changed: make(chan struct{})}
+	s := &Store{
+		now: now, entries: map[string]platform.Entry{}, leases: map[string]*lease{}, changed: make(chan struct{}),
+		calls: map[platform.Kind]uint64{}, snapshots: map[string]snapshot{},
+	}
+	s.SetFaults(Faults{WriteRate: defaultWriteRate, ReadRate: defaultReadRate})
+	return s
 }
 
 // Get reads a key.
@@ -104,22 +120,32 @@
 	return nil
 }
 
+// watchTick is how often a waiting watch counts as a read and leases are
+// checked.
+const watchTick = time.Second
+
 // Wait returns the entry of a key as soon as its revision is above after, or
-// the current one when the time is up.
+// the current one when the time is up. A key that existed and was deleted is
+// reported at once.
 func (s *Store) Wait(key string, after uint64, wait time.Duration, done <-chan struct{}) (platform.Entry, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	ticker := time.NewTicker(watchTick)
+	defer ticker.Stop()
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
 	for {
-		s.mu.Lock()
-		s.expire()
-		entry, ok := s.entries[key]
-		changed := s.changed
-		s.mu.Unlock()
-		if ok && entry.Revision > after {
+		entry, changed, err := s.look(key)
+		if err != nil && (err != errNotFound || after > 0) {
+			return platform.Entry{}, err
+		}
+		if err == nil && entry.Revision > after {
 			return entry, nil
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
+			s.chargeWatch()
 		case <-timer.C:
 			return s.Get(key)
 		case <-done:
@@ -128,6 +154,35 @@
 	}
 }
 
+func (s *Store) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
+// chargeWatch takes one read of a waiting watch from the rate. The watch goes
+// on, so that the calls of others are rejected when the rate is used up.
+func (s *Store) chargeWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads.ReserveN(s.now(), 1)
+}
+
+// look returns the entry of a key and the channel of the next change.
+func (s *Store) look(key string) (platform.Entry, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return platform.Entry{}, nil, errUnavailable
+	}
+	s.expire()
+	entry, ok := s.entries[key]
+	if !ok {
+		return entry, s.changed, errNotFound
+	}
+	return entry, s.changed, nil
+}
+
 // Grant creates a lease.
 func (s *Store) Grant(ttl time.Duration) platform.Lease {
 	s.mu.Lock()
@@ -166,6 +221,9 @@
 
 // expire ends the leases whose time is up.
 func (s *Store) expire() {
+	if s.faults.PauseExpiry {
+		return
+	}
 	now := s.now()
 	for id, l := range s.leases {
 		if now.After(l.expires) {
