Spread configuration versions by rumor and pull, and never go back

Cause: every node watched the store, a node without a store had no configuration, a store that returned with older data stayed so, and two contents under one version went unnoticed. Nobody saw who still sends retired traffic.

The section config_state holds the newest document and the refusals, which GET /v1/config and the metrics show. Refused retired calls are counted by caller in a bounded table (GET /v1/retired).

Seen: the tests of pkg/configstore and pkg/control/configsync pass with the race detector; the rapid state machine over three nodes, two operators and a faulty store ran 100 sequences.

--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -15,12 +15,16 @@
 // Board is the blackboard of one node. Section 2.1 of the design page lists
 // the writer and the readers of each section.
 type Board struct {
-	Config   *Section[*dynconf.Config]
-	Members  *Section[*Members]
-	Local    *Section[*Local]
-	Load     *Section[*LoadTable]
-	Pickers  *Section[*Pickers]
-	Requests Requests
+	Config *Section[*dynconf.Config]
+	// ConfigState belongs to the writer of Config.
+	ConfigState *Section[*ConfigState]
+	Members     *Section[*Members]
+	Local       *Section[*Local]
+	Load        *Section[*LoadTable]
+	Pickers     *Section[*Pickers]
+	Requests    Requests
+	// Retired counts the refused calls of retired traffic.
+	Retired Retired
 
 	// Gossip carries member records received from other nodes to the
 	// membership controller.
@@ -41,6 +45,7 @@
 func New(self InstanceID) *Board {
 	return &Board{
 		Config:        NewSection("config", dynconf.Default()),
+		ConfigState:   NewSection("config_state", &ConfigState{}),
 		Members:       NewSection("members", NewMembers(self, map[InstanceID]Member{})),
 		Local:         NewSection("local", &Local{}),
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -27,6 +27,7 @@
 	config := e.Board.Config.Load()
 	route, refusal := routeOf(config, req)
 	if refusal != "" {
+		countRetired(e.Board, refusal, req.Caller, req.Service)
 		return e.finish(nil, req, NotRun(refusal), config)
 	}
 	applyRoute(req, route, time.Now())
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -94,6 +94,7 @@
 func (x *Executor) serve(ctx context.Context, message *wire.Call, record *board.RequestRecord) *Result {
 	local := x.Board.Local.Load()
 	if reason := x.refusal(local, message); reason != "" {
+		countRetired(x.Board, reason, message.Caller, message.Service)
 		return NotRun(reason)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.DeadlineMicros)*time.Microsecond)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -26,7 +26,6 @@
 	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/opsapi"
 	"mangostand.example/mangostand/pkg/peer"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/settings"
 	"mangostand.example/mangostand/pkg/wire"
@@ -112,16 +111,16 @@
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
 	}
-	if n.settings.Store != "" {
-		store := platform.NewClient(n.settings.Store)
-		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
-	}
+	n.controllers = append(n.controllers, n.configSync())
+	n.board.Retired.Observe(n.countRetired)
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
 	return map[wire.Type]peer.Handler{
 		wire.TypeCall:  n.executor.HandleCall,
 		wire.TypeDelta: membership.HandleDelta(n.board, n.peers),
+
+		wire.TypeConfigPull: configsync.HandlePull(n.board, n.peers),
 	}
 }
 
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -41,6 +41,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("PUT /v1/log-level", setLogLevel)
+	mux.HandleFunc("GET /v1/config", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ConfigStatusOf(b)) })
+	mux.HandleFunc("GET /v1/retired", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Retired.Rows()) })
 	mux.Handle("GET /metrics", metrics)
 	return mux
 }
@@ -52,11 +54,13 @@
 		Instance: members.Self, ConfigVersion: b.Config.Load().Version, Local: *b.Local.Load(),
 		InFlight: b.Requests.Len(),
 		Sections: map[string]SectionStatus{
-			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
-			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
-			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
-			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
-			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
+			b.Config.Name(): {b.Config.Snapshot().Version, b.Config.Owner()},
+
+			b.ConfigState.Name(): {b.ConfigState.Snapshot().Version, b.ConfigState.Owner()},
+			b.Members.Name():     {b.Members.Snapshot().Version, b.Members.Owner()},
+			b.Local.Name():       {b.Local.Snapshot().Version, b.Local.Owner()},
+			b.Load.Name():        {b.Load.Snapshot().Version, b.Load.Owner()},
+			b.Pickers.Name():     {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
 		},
 	}
 	for _, m := range members.ByInstance {
