Test that retired traffic is refused and counted

Change: one test over an entry and an executor with a retired route and a retired service.

Trial on a scratch copy: the test fails without the check of the route or of the service at the entry, without the check at the executor, and without the count.

--- /dev/null
+++ b/pkg/call/retired_test.go
@@ -0,0 +1,43 @@
+package call
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// Guards against retired traffic that passes the entry or an executor with a
+// newer configuration than the entry, and against refusals that nobody sees.
+func TestRetiredTrafficIsRefusedAndCounted(t *testing.T) {
+	text := "[service a]\nservers = x\n[route a/old]\npath = /old\nretired = yes\n[route a/all]\n[service b]\nretired = yes\n"
+	config, problems := dynconf.Merge("s", dynconf.Source{Name: "base", Data: []byte(text)}, nil)
+	require.Empty(t, problems)
+	b := board.New("x")
+	b.Config.Claim("test").Publish(config)
+	b.Local.Claim("test").Publish(&board.Local{Announced: true, Service: "a"})
+	entry := &Entry{Board: b, Log: zerolog.Nop()}
+	executor := &Executor{Instance: "x", Board: b, Log: zerolog.Nop()}
+
+	for _, r := range []*Request{
+		{Service: "a", Method: http.MethodGet, Path: "/old/1", Caller: "screen"},
+		{Service: "b", Method: http.MethodPost, Path: "/", Caller: "screen"},
+	} {
+		result := entry.Serve(t.Context(), r)
+		require.Equal(t, board.OutcomeNotRun, result.Outcome)
+		require.Equal(t, http.StatusGone, result.Status)
+	}
+	result := executor.Serve(t.Context(), &wire.Call{Service: "a", Method: http.MethodGet, Path: "/old", Caller: "screen", DeadlineMicros: 1e6})
+	require.Equal(t, board.ReasonRetired, result.Reason)
+
+	rows := b.Retired.Rows()
+	require.Len(t, rows, 2)
+	require.Equal(t, board.RetiredKey{Caller: "screen", Service: "a"}, rows[0].RetiredKey)
+	require.EqualValues(t, 2, rows[0].Refused)
+	require.EqualValues(t, 1, rows[1].Refused)
+}
