--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check quickstart site fuzz clean
+.PHONY: build fmt lint vet test check model quickstart site fuzz clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
@@ -36,6 +36,11 @@
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
 	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples
 
+# Checks the specifications in model/ (docs/model.md); takes about 1 min.
+model:
+	@command -v spin >/dev/null || apt-get install -y spin
+	model/run.sh
+
 clean:
 	rm -rf $(BIN)
 
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -16,15 +16,19 @@
 // Board is the blackboard of one node. Section 2.1 of the design page lists
 // the writer and the readers of each section.
 type Board struct {
-	Config   *Section[*dynconf.Config]
-	Members  *Section[*Members]
-	Local    *Section[*Local]
-	Load     *Section[*LoadTable]
-	Pickers  *Section[*Pickers]
-	Epochs   *Section[*Epochs]
-	Requests Requests
+	Config *Section[*dynconf.Config]
+	// ConfigState belongs to the writer of Config.
+	ConfigState *Section[*ConfigState]
+	Members     *Section[*Members]
+	Local       *Section[*Local]
+	Load        *Section[*LoadTable]
+	Pickers     *Section[*Pickers]
+	Epochs      *Section[*Epochs]
+	Requests    Requests
 	// Keys holds the key records of non-idempotent calls.
 	Keys *Keys
+	// Retired counts the refused calls of retired traffic.
+	Retired Retired
 
 	Neighbours *Section[*Neighbours]
 	Digest     *Section[*MemberDigest]
@@ -61,6 +65,7 @@
 func New(self InstanceID) *Board {
 	return &Board{
 		Config:        NewSection("config", dynconf.Default()),
+		ConfigState:   NewSection("config_state", &ConfigState{}),
 		Members:       NewSection("members", NewMembers(self, map[InstanceID]Member{})),
 		Local:         NewSection("local", &Local{}),
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -120,7 +120,7 @@
 	options := membership.Options{Self: self, Seeds: n.settings.Seeds, Peers: n.peers, Log: n.log}
 	var store *platform.Client
 	if n.settings.Store != "" {
-		store = platform.NewClient(n.settings.Store)
+		store = platform.NewClient(n.settings.Store, platform.WithObserver(n.countStoreCall))
 		options.Store = store
 	}
 	n.controllers = []control.Controller{
@@ -135,10 +135,10 @@
 	var epochStore epoch.Store
 	if store != nil {
 		epochStore = store
-		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
 	}
-	n.controllers = append(n.controllers,
+	n.controllers = append(n.controllers, n.configSync(store),
 		epoch.New(n.board, n.keeper, epochStore, n.executor.Instance, n.executor.Incarnation, n.log))
+	n.board.Retired.Observe(n.countRetired)
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
@@ -146,6 +146,7 @@
 	handlers := responder.Handlers(n.peers)
 	maps.Copy(handlers, n.keeper.Handlers(n.peers))
 	handlers[wire.TypeCall] = n.executor.HandleCall
+	handlers[wire.TypeConfigPull] = configsync.HandlePull(n.board, n.peers)
 	return handlers
 }
 
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -53,6 +53,8 @@
 	quarantineRoutes(mux, b)
 	mux.HandleFunc("GET /v1/outcome/{key}", outcomeHandler(keys))
 	mux.HandleFunc("PUT /v1/log-level", setLogLevel)
+	mux.HandleFunc("GET /v1/config", handleConfig(b))
+	mux.HandleFunc("GET /v1/retired", handleRetired(b))
 	mux.Handle("GET /metrics", metrics)
 	return mux
 }
@@ -65,12 +67,13 @@
 		InFlight: b.Requests.Len(), Instances: instancesOf(b), Neighbours: *b.Neighbours.Load(), Quarantine: QuarantineOf(b, time.Now()),
 		Epochs: epochsOf(b), Keys: keysOf(b),
 		Sections: map[string]SectionStatus{
-			b.Config.Name():  {b.Config.Snapshot().Version, b.Config.Owner()},
-			b.Members.Name(): {b.Members.Snapshot().Version, b.Members.Owner()},
-			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
-			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
-			b.Epochs.Name():  {b.Epochs.Snapshot().Version, b.Epochs.Owner()},
-			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
+			b.Config.Name():      {b.Config.Snapshot().Version, b.Config.Owner()},
+			b.ConfigState.Name(): {b.ConfigState.Snapshot().Version, b.ConfigState.Owner()},
+			b.Members.Name():     {b.Members.Snapshot().Version, b.Members.Owner()},
+			b.Local.Name():       {b.Local.Snapshot().Version, b.Local.Owner()},
+			b.Load.Name():        {b.Load.Snapshot().Version, b.Load.Owner()},
+			b.Epochs.Name():      {b.Epochs.Snapshot().Version, b.Epochs.Owner()},
+			b.Pickers.Name():     {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
 
 			b.Neighbours.Name(): {b.Neighbours.Snapshot().Version, b.Neighbours.Owner()},
 			b.Digest.Name():     {b.Digest.Snapshot().Version, b.Digest.Owner()},
