Keep the old connection of a slow peer until a new one stands

Cause: after one missed ping the peer transport dropped the connection from its pool. On a busy machine the next calls had to dial, the dials took longer than the 1 s limit, and calls failed with executor-unreachable.

Change: Transport.Refresh dials in the background, swaps the connections on success and leaves the old one open for calls in flight, at most once in 10 s for an address.

--- a/pkg/control/membership/membership.go
+++ b/pkg/control/membership/membership.go
@@ -40,8 +40,8 @@
 // Peers sends control messages to other nodes. *peer.Transport implements it.
 type Peers interface {
 	Exchange(ctx context.Context, addr string, send wire.Type, message any, receive wire.Type, answer any) error
-	// Forget makes the next exchange with addr use a new connection.
-	Forget(addr string)
+	// Refresh replaces the connection to addr when a new one can be made.
+	Refresh(addr string)
 }
 
 // Options configures the controller of one node.
@@ -228,7 +228,7 @@
 	case accepted:
 		if old.Incarnation != record.Incarnation {
 			// A connection to the address may lead to an earlier life.
-			c.peers.Forget(record.PeerAddr)
+			c.peers.Refresh(record.PeerAddr)
 		}
 		c.flood.addMember(record, from)
 	case held:
--- a/pkg/control/membership/ping.go
+++ b/pkg/control/membership/ping.go
@@ -84,7 +84,7 @@
 	if c.exchange(ctx, m.PeerAddr, pingTimeout, wire.TypePing, ping, wire.TypePingAnswer, answer) == nil {
 		return answer, decide.Answered(m, answer.Instance, answer.Incarnation)
 	}
-	c.peers.Forget(m.PeerAddr)
+	c.peers.Refresh(m.PeerAddr)
 	answers := make(chan *wire.PingAnswer, len(relayAddrs))
 	for _, addr := range relayAddrs {
 		c.work.Go(func() {
--- a/pkg/node/cluster_test.go
+++ b/pkg/node/cluster_test.go
@@ -29,6 +29,7 @@
 // waitLimit bounds each wait; it is long, so that a busy machine passes.
 const waitLimit = 30 * time.Second
 
+// testConfig gives calls a long deadline, so that a busy machine cuts none.
 const testConfig = `
 [service work]
 servers = *
@@ -38,6 +39,7 @@
 [route work/read]
 path = /read
 methods = GET
+deadline = 30s
 
 [route work/slow]
 path = /slow
@@ -52,6 +54,7 @@
 path = /book
 methods = POST
 idempotent = no
+deadline = 30s
 `
 
 // cluster runs real nodes on loopback addresses with their backend servers.
--- /dev/null
+++ b/pkg/peer/refresh.go
@@ -0,0 +1,58 @@
+package peer
+
+import "time"
+
+const (
+	// replacedLife is how long a replaced connection stays open for the
+	// exchanges on it: the longest deadline of a call.
+	replacedLife = 10 * time.Minute
+	// refreshInterval is the least time between two replacements of the
+	// connection to an address. A peer that is only slow would otherwise get a
+	// new one with each missed ping.
+	refreshInterval = 10 * time.Second
+)
+
+// Refresh replaces the connection to addr when a new one can be made. A node
+// that was killed and replaced at the same address does not know the old
+// connection, which would otherwise be used until its idle timeout. Until the
+// new one stands, and when it fails, the old one stays in use; exchanges in
+// flight on it go on. It returns at once.
+func (t *Transport) Refresh(addr string) {
+	value, found := t.connections.Load(addr)
+	if !found {
+		return
+	}
+	old := value.(*connection)
+	select {
+	case <-old.ready:
+	default:
+		// The dial is still in progress, so the connection is new.
+		return
+	}
+	if t.refreshDue(addr) {
+		go t.replace(addr, old)
+	}
+}
+
+// refreshDue reports whether the connection to addr may be replaced again.
+func (t *Transport) refreshDue(addr string) bool {
+	last, found := t.refreshes.Load(addr)
+	return !found || time.Since(last.(time.Time)) >= refreshInterval
+}
+
+// replace dials and swaps the connection of addr.
+func (t *Transport) replace(addr string, old *connection) {
+	fresh := &connection{ready: make(chan struct{})}
+	t.dial(addr, fresh)
+	if fresh.err != nil {
+		return
+	}
+	if !t.connections.CompareAndSwap(addr, old, fresh) {
+		_ = fresh.conn.CloseWithError(codeShutdown, "connection not needed")
+		return
+	}
+	t.refreshes.Store(addr, time.Now())
+	if old.conn != nil {
+		time.AfterFunc(replacedLife, func() { _ = old.conn.CloseWithError(codeShutdown, "connection replaced") })
+	}
+}
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -68,6 +68,8 @@
 	Traffic Traffic
 
 	connections sync.Map // of address string to *connection
+	// refreshes says when the connection to an address was replaced last.
+	refreshes sync.Map // of address string to time.Time
 }
 
 // Traffic counts bytes by direction.
