--- a/pkg/atmostonce/guards_test.go
+++ b/pkg/atmostonce/guards_test.go
@@ -159,3 +159,23 @@
 		})
 	}
 }
+
+// Guards against a stop that forgets its records when a second epoch change
+// comes before the homes of the first have fetched them.
+func TestHandOverWaitsForEarlierEpochs(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		l := newLone()
+		former := []board.FormerEpoch{{Members: lives("n1")}, {Members: lives("n0", "n1")}}
+		e := l.enter(3, former, nil, "n1", "n2")
+		handOver := func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return l.HandOver(ctx)
+		}
+		require.False(t, handOver())
+		for _, home := range e.Members {
+			l.HandleTransfer(&wire.Transfer{Service: service, Known: 3, Epoch: e, Requester: home.Instance})
+		}
+		require.True(t, handOver())
+	})
+}
