Choose other addresses when a test cannot bind

Cause: TestGracefulStopHandsOver failed once with an address in use: another process took a port between its choice and its use. Change: the test builds the node again on other addresses, at most 20 times.

--- a/pkg/node/once_test.go
+++ b/pkg/node/once_test.go
@@ -47,6 +47,7 @@
 
 // cluster is a set of nodes with a backend server each, on loopback.
 type cluster struct {
+	seed      string
 	callers   []string
 	operators []string
 	stop      []context.CancelFunc
@@ -74,30 +75,49 @@
 	_, err = platform.NewClient(platformStore.URL).CompareAndSwap(t.Context(), dynconf.CurrentKey, 0, data, "")
 	require.NoError(t, err)
 	c := &cluster{}
-	seed := freeAddr(t)
 	for i := range count {
-		c.start(t, dir, platformStore.URL, i, seed)
+		c.start(t, dir, platformStore.URL, i)
 	}
 	c.waitReady(t)
 	return c
 }
 
-func (c *cluster) start(t testing.TB, dir, storeURL string, i int, seed string) {
+// bindAttempts bounds the attempts to bind addresses that other processes may
+// take between their choice and their use.
+const bindAttempts = 20
+
+// newNode builds a node on free addresses. The first node is the seed.
+func (c *cluster) newNode(t testing.TB, dir, storeURL, name string) (*Node, *settings.Node) {
+	var failure error
+	for range bindAttempts {
+		peers := freeAddr(t)
+		s := &settings.Node{
+			Instance: name, Site: "test", Region: "r", FailureDomain: "d", Callers: freeAddr(t), Peers: peers,
+			AdvertisePeers: peers, Local: freeAddr(t), Operators: freeAddr(t), Store: storeURL, Seeds: []string{peers},
+			PeerTLS: security.Files{
+				Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"), CA: filepath.Join(dir, security.CACertFile),
+			},
+		}
+		if c.seed != "" {
+			s.Seeds = []string{c.seed}
+		}
+		n, err := New(s, zerolog.New(os.Stderr).Level(zerolog.ErrorLevel))
+		if err == nil {
+			return n, s
+		}
+		failure = err
+	}
+	require.NoError(t, failure)
+	return nil, nil
+}
+
+func (c *cluster) start(t testing.TB, dir, storeURL string, i int) {
 	name := fmt.Sprintf("n%d", i)
 	require.NoError(t, security.WriteCertificate(dir, name, true, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour))
-	peers := seed
-	if i > 0 {
-		peers = freeAddr(t)
+	n, s := c.newNode(t, dir, storeURL, name)
+	if i == 0 {
+		c.seed = s.Peers
 	}
-	s := &settings.Node{
-		Instance: name, Site: "test", Region: "r", FailureDomain: "d", Callers: freeAddr(t), Peers: peers,
-		AdvertisePeers: peers, Local: freeAddr(t), Operators: freeAddr(t), Store: storeURL, Seeds: []string{seed},
-		PeerTLS: security.Files{
-			Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"), CA: filepath.Join(dir, security.CACertFile),
-		},
-	}
-	n, err := New(s, zerolog.New(os.Stderr).Level(zerolog.ErrorLevel))
-	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
