--- a/pkg/peer/refresh_test.go
+++ b/pkg/peer/refresh_test.go
@@ -3,29 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
-// peerTLS returns the configurations of a node of a test CA.
-func peerTLS(t *testing.T) (server, client *tls.Config) {
-	dir := t.TempDir()
-	require.NoError(t, security.WriteCA(dir, time.Hour))
-	require.NoError(t, security.WriteCertificate(dir, "n", true, nil, time.Hour))
-	server, client, err := security.LoadPeer(security.Files{
-		Cert: filepath.Join(dir, "n.pem"), Key: filepath.Join(dir, "n-key.pem"), CA: filepath.Join(dir, security.CACertFile),
-	})
-	require.NoError(t, err)
-	return server, client
-}
-
 // listen starts a transport that answers pings with its name.
 func listen(t *testing.T, addr, name string, server, client *tls.Config) *Transport {
 	transport, err := Listen(addr, server, client, zerolog.Nop())
@@ -56,7 +42,7 @@
 // Guards against a process that was killed and replaced at its address and is
 // not reached until the old connection times out after 30 s.
 func TestRefreshReachesReplacementAtTheSameAddress(t *testing.T) {
-	server, client := peerTLS(t)
+	server, client := peerTLS(t, newCA(t), "n", true)
 	caller := listen(t, "127.0.0.1:0", "caller", server, client)
 	old := listen(t, "127.0.0.1:0", "old", server, client)
 	addr := old.Addr().String()
@@ -92,7 +78,7 @@
 // Guards against calls that fail because one ping to a living peer was slow,
 // and against a new connection with each slow ping.
 func TestRefreshKeepsTheOldConnectionUntilTheNewOneStands(t *testing.T) {
-	server, client := peerTLS(t)
+	server, client := peerTLS(t, newCA(t), "n", true)
 	caller := listen(t, "127.0.0.1:0", "caller", server, client)
 	peer := listen(t, "127.0.0.1:0", "peer", server, client)
 	addr := peer.Addr().String()
