--- a/pkg/node/once_test.go
+++ b/pkg/node/once_test.go
@@ -45,14 +45,9 @@
 deadline = 5s
 `
 
-<<<<<<< HEAD
 // bookingCluster is a set of nodes with a backend server each, on loopback.
 type bookingCluster struct {
-=======
-// cluster is a set of nodes with a backend server each, on loopback.
-type cluster struct {
 	seed      string
->>>>>>> once
 	callers   []string
 	operators []string
 	stop      []context.CancelFunc
@@ -79,12 +74,7 @@
 	require.NoError(t, err)
 	_, err = platform.NewClient(platformStore.URL).CompareAndSwap(t.Context(), dynconf.CurrentKey, 0, data, "")
 	require.NoError(t, err)
-<<<<<<< HEAD
 	c := &bookingCluster{}
-	seed := freeLoopbackAddr(t)
-=======
-	c := &cluster{}
->>>>>>> once
 	for i := range count {
 		c.start(t, dir, platformStore.URL, i)
 	}
@@ -92,36 +82,18 @@
 	return c
 }
 
-<<<<<<< HEAD
-func (c *bookingCluster) start(t testing.TB, dir, storeURL string, i int, seed string) {
-	name := fmt.Sprintf("n%d", i)
-	require.NoError(t, security.WriteCertificate(dir, name, true, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour))
-	peers := seed
-	if i > 0 {
-		peers = freeLoopbackAddr(t)
-	}
-	s := &settings.Node{
-		Instance: name, Site: "test", Region: "r", FailureDomain: "d", Callers: freeLoopbackAddr(t), Peers: peers,
-		AdvertisePeers: peers, Local: freeLoopbackAddr(t), Operators: freeLoopbackAddr(t), Store: storeURL, Seeds: []string{seed},
-		PeerTLS: security.Files{
-			Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"), CA: filepath.Join(dir, security.CACertFile),
-		},
-	}
-	n, err := New(s, zerolog.New(os.Stderr).Level(zerolog.ErrorLevel))
-	require.NoError(t, err)
-=======
 // bindAttempts bounds the attempts to bind addresses that other processes may
 // take between their choice and their use.
 const bindAttempts = 20
 
 // newNode builds a node on free addresses. The first node is the seed.
-func (c *cluster) newNode(t testing.TB, dir, storeURL, name string) (*Node, *settings.Node) {
+func (c *bookingCluster) newNode(t testing.TB, dir, storeURL, name string) (*Node, *settings.Node) {
 	var failure error
 	for range bindAttempts {
-		peers := freeAddr(t)
+		peers := freeLoopbackAddr(t)
 		s := &settings.Node{
-			Instance: name, Site: "test", Region: "r", FailureDomain: "d", Callers: freeAddr(t), Peers: peers,
-			AdvertisePeers: peers, Local: freeAddr(t), Operators: freeAddr(t), Store: storeURL, Seeds: []string{peers},
+			Instance: name, Site: "test", Region: "r", FailureDomain: "d", Callers: freeLoopbackAddr(t), Peers: peers,
+			AdvertisePeers: peers, Local: freeLoopbackAddr(t), Operators: freeLoopbackAddr(t), Store: storeURL, Seeds: []string{peers},
 			PeerTLS: security.Files{
 				Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"), CA: filepath.Join(dir, security.CACertFile),
 			},
@@ -139,14 +111,13 @@
 	return nil, nil
 }
 
-func (c *cluster) start(t testing.TB, dir, storeURL string, i int) {
+func (c *bookingCluster) start(t testing.TB, dir, storeURL string, i int) {
 	name := fmt.Sprintf("n%d", i)
 	require.NoError(t, security.WriteCertificate(dir, name, true, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour))
 	n, s := c.newNode(t, dir, storeURL, name)
 	if i == 0 {
 		c.seed = s.Peers
 	}
->>>>>>> once
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
