--- a/pkg/httpfront/front.go
+++ b/pkg/httpfront/front.go
@@ -28,7 +28,7 @@
 	HeaderBackendServer = "Mangostand-Backend-Server"
 	HeaderAttemptsUsed  = "Mangostand-Attempts-Used"
 	HeaderConfigVersion = "Mangostand-Config-Version"
-	headerPriority      = "Mangostand-Priority"
+	HeaderPriority      = "Mangostand-Priority"
 )
 
 // maxDeadline is the longest deadline a caller may ask for.
@@ -104,10 +104,10 @@
 		}
 		req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
-	if value := h.Get(headerPriority); value != "" {
+	if value := h.Get(HeaderPriority); value != "" {
 		p, ok := dynconf.ParsePriority(value)
 		if !ok {
-			return errors.Errorf("%s: unknown priority", headerPriority)
+			return errors.Errorf("%s: unknown priority", HeaderPriority)
 		}
 		req.Priority, req.PrioritySet = p, true
 	}
@@ -146,7 +146,7 @@
 // meshHeaders are set anew for the backend server and are not forwarded.
 var meshHeaders = [...]string{
 	backend.HeaderRequestID, backend.HeaderCaller, backend.HeaderDeadlineMS, backend.HeaderTree,
-	backend.HeaderDepth, backend.HeaderAttempts, backend.HeaderKey, headerPriority,
+	backend.HeaderDepth, backend.HeaderAttempts, backend.HeaderKey, HeaderPriority,
 }
 
 func forwardedHeader(h http.Header) http.Header {
