--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg bench); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -31,5 +31,14 @@
 
 check: fmt vet lint test
 
+# Compares the selection policies; results go to bench/results. BENCH passes
+# options, see `go run ./bench --help`.
+bench:
+	$(GO) run ./bench $(BENCH)
+
+# A subset of about 2 minutes.
+bench-quick:
+	$(GO) run ./bench --quick $(BENCH)
+
 clean:
 	rm -rf $(BIN)
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -10,17 +10,29 @@
 	gossipInboxSize       = 1024
 	announcementInboxSize = 64
 	rumorInboxSize        = 1024
+	finishedInboxSize     = 4096
 )
 
 // Board is the blackboard of one node. Section 2.1 of the design page lists
 // the writer and the readers of each section.
 type Board struct {
-	Config   *Section[*dynconf.Config]
-	Members  *Section[*Members]
-	Local    *Section[*Local]
-	Load     *Section[*LoadTable]
-	Pickers  *Section[*Pickers]
-	Requests Requests
+	Config  *Section[*dynconf.Config]
+	Members *Section[*Members]
+	Local   *Section[*Local]
+	Load    *Section[*LoadTable]
+	Pickers *Section[*Pickers]
+	// Admission, Breakers and Budgets bound the calls that run, the instances
+	// that are tried and the attempts that are added.
+	Admission *Section[*Admission]
+	Breakers  *Section[*Breakers]
+	Budgets   *Section[*Budgets]
+	Requests  Requests
+	// Trees holds the attempt budgets of the call trees that run here.
+	Trees Trees
+	// ServiceTimes holds the newest service times of the backend server.
+	ServiceTimes ServiceTimes
+	// Finished carries ended calls of the executor to the admission controller.
+	Finished *Inbox[FinishedCall]
 
 	// Gossip carries member records received from other nodes to the
 	// membership controller.
@@ -45,6 +57,10 @@
 		Local:         NewSection("local", &Local{}),
 		Load:          NewSection("load", &LoadTable{Cells: map[InstanceID]*Cell{}}),
 		Pickers:       NewSection("pickers", &Pickers{ByService: map[string]Picker{}}),
+		Admission:     NewSection("admission", &Admission{}),
+		Breakers:      NewSection("breakers", &Breakers{}),
+		Budgets:       NewSection("budgets", &Budgets{ProbesOut: &ProbeBudget{}, ProbesIn: &ProbeBudget{}}),
+		Finished:      NewInbox[FinishedCall](finishedInboxSize),
 		Gossip:        NewInbox[[]Member](gossipInboxSize),
 		Announcements: NewInbox[Announcement](announcementInboxSize),
 
--- /dev/null
+++ b/pkg/board/budget.go
@@ -0,0 +1,97 @@
+package board
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangostand.example/mangostand/pkg/decide/budget"
+)
+
+// Budgets holds the budgets of this node.
+type Budgets struct {
+	ByService map[string]*ServiceBudget
+	// ProbesOut bounds the probes that this node sends, ProbesIn those that it
+	// answers.
+	ProbesOut, ProbesIn *ProbeBudget
+}
+
+// ServiceBudget holds the retry tokens of a service at this entry and its
+// recent latency. The call path updates it without a lock.
+type ServiceBudget struct {
+	// Share is the number of tokens earned per success.
+	Share float64
+	// figures survive a change of Share.
+	*serviceFigures
+}
+
+type serviceFigures struct {
+	tokens    atomic.Int64 // thousandths of a token
+	latencyNS atomic.Int64 // moving 95th percentile
+}
+
+// NewServiceBudget returns the budget of a service. It goes on with the
+// figures of old, which may be nil.
+func NewServiceBudget(share float64, old *ServiceBudget) *ServiceBudget {
+	if old != nil {
+		return &ServiceBudget{Share: share, serviceFigures: old.serviceFigures}
+	}
+	b := &ServiceBudget{Share: share, serviceFigures: &serviceFigures{}}
+	b.tokens.Store(budget.InitialTokens(share))
+	return b
+}
+
+// Succeeded earns tokens and adds the latency of the call.
+func (b *ServiceBudget) Succeeded(latency time.Duration) {
+	for {
+		old := b.tokens.Load()
+		next := budget.Earn(old, b.Share)
+		if next == old || b.tokens.CompareAndSwap(old, next) {
+			break
+		}
+	}
+	for {
+		old := b.latencyNS.Load()
+		next := budget.HighLatency(time.Duration(old), latency)
+		if b.latencyNS.CompareAndSwap(old, int64(next)) {
+			return
+		}
+	}
+}
+
+// Take spends the token of one additional attempt, or returns false.
+func (b *ServiceBudget) Take() bool {
+	for {
+		old := b.tokens.Load()
+		if old < budget.Token {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-budget.Token) {
+			return true
+		}
+	}
+}
+
+// HighLatency returns the moving 95th percentile of latency, 0 without calls.
+func (b *ServiceBudget) HighLatency() time.Duration { return time.Duration(b.latencyNS.Load()) }
+
+// ProbeBudget bounds probes in every window of 1 s. It is not on the path of a
+// request, so a lock guards it.
+type ProbeBudget struct {
+	mu     sync.Mutex
+	window budget.Window
+}
+
+// SetLimits changes the limits; probes of the last second still count.
+func (b *ProbeBudget) SetLimits(probes, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window.SetLimits(probes, bytes)
+}
+
+// Take spends one probe of a size in bytes, or returns false.
+func (b *ProbeBudget) Take(now time.Time, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Take(now, bytes)
+}
--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -13,10 +13,17 @@
 	Queued uint32 `cbor:"2,keyasint,omitempty" json:"queued"`
 	// Limit is the current concurrency limit of the executor.
 	Limit uint32 `cbor:"3,keyasint,omitempty" json:"limit"`
-	// LatencyMicros is the recent median service time in microseconds.
+	// LatencyMicros is the recent median service time of successful calls in
+	// microseconds, measured by the executor; 0 when there is none yet.
 	LatencyMicros uint32 `cbor:"4,keyasint,omitempty" json:"latency_us"`
 	// Draining is set when the executor takes no new calls.
 	Draining bool `cbor:"5,keyasint,omitempty" json:"draining"`
+	// Sequence rises with each report of one life of the executor, so that an
+	// entry can tell the newer of two reports that arrive in any order.
+	Sequence uint64 `cbor:"6,keyasint,omitempty" json:"sequence"`
+	// Reported is the backend server's own figure as it announced it last. It
+	// may be late or false; only the twochoices policy uses it.
+	Reported uint32 `cbor:"7,keyasint,omitempty" json:"reported"`
 	// ReceivedAt is set by the entry that received the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
@@ -25,86 +32,157 @@
 // path updates the atomics; the load controller owns the table of cells.
 type Cell struct {
 	Member Member
+	// Since is when this node first saw this life of the instance; zero means
+	// that its age is not known and that it does not start cold.
+	Since time.Time
+	// Figures is shared by all cells of one life of the instance, so that a
+	// changed record loses no call in flight.
+	*Figures
+}
 
-	ownInFlight atomic.Int64
-	sentSince   atomic.Int64
-	report      atomic.Pointer[LoadReport]
-	latencyNS   atomic.Int64
+// Figures are the counters of one life of an instance.
+type Figures struct {
+	sent  atomic.Uint64
+	ended atomic.Uint64
+	view  atomic.Pointer[loadView]
+	// failing packs the share of recent failures, see ObserveOutcome.
+	failing atomic.Uint64
 
 	// Outcome counts since the start, read as differences by the breaker.
 	Successes atomic.Uint64
-	// Failures counts transport errors, resets, 408, 429 and 5xx answers.
+	// Failures counts transport errors, resets, timeouts, 408, 429 and 5xx
+	// answers.
 	Failures atomic.Uint64
-	// Rejections counts proven "not run" answers.
+	// Rejections counts proven "not run" answers of a loaded executor.
 	Rejections atomic.Uint64
 }
 
-// latencyWeight is the divisor of the moving average of latency: each new
-// sample contributes 1/8.
-const latencyWeight = 8
+// loadView is a report together with what it says about other entries.
+type loadView struct {
+	report LoadReport
+	// others is the part of the reported calls that this entry did not send.
+	others int64
+}
 
 // NewCell returns a cell for a member without a load report.
-func NewCell(m Member) *Cell { return &Cell{Member: m} }
+func NewCell(m Member) *Cell { return &Cell{Member: m, Figures: &Figures{}} }
 
-// Started records that a call is sent to the instance.
-func (c *Cell) Started() {
-	c.ownInFlight.Add(1)
-	c.sentSince.Add(1)
+// NewColdCell returns a cell for a member whose life began at since.
+func NewColdCell(m Member, since time.Time) *Cell {
+	return &Cell{Member: m, Since: since, Figures: &Figures{}}
 }
 
-// Finished records that a call has ended.
-func (c *Cell) Finished() { c.ownInFlight.Add(-1) }
+// WithMember returns a cell for a changed record of the same life. Both cells
+// share their figures, so calls in flight on either count in both.
+func (c *Cell) WithMember(m Member) *Cell {
+	return &Cell{Member: m, Since: c.Since, Figures: c.Figures}
+}
+
+// Started records that a call is sent to the instance.
+func (f *Figures) Started() { f.sent.Add(1) }
+
+// Finished records that a call has ended. Each call of Started is followed by
+// exactly one call of Finished.
+func (f *Figures) Finished() { f.ended.Add(1) }
+
+// Sent returns the calls that this entry has sent since the start.
+func (f *Figures) Sent() uint64 { return f.sent.Load() }
 
-// OwnInFlight returns the calls of this entry that are in flight.
-func (c *Cell) OwnInFlight() int64 { return c.ownInFlight.Load() }
+// OwnInFlight returns the calls of this entry that are in flight. The ends are
+// read before the starts: both only rise, so the difference is never negative.
+func (f *Figures) OwnInFlight() int64 {
+	ended := f.ended.Load()
+	return int64(f.sent.Load() - ended)
+}
 
-// Report stores a load report of the instance.
-func (c *Cell) Report(r LoadReport) {
-	c.report.Store(&r)
-	c.sentSince.Store(0)
+// Report stores a load report of the instance and says whether it is newer
+// than the stored one. The call that brought a report still counts as in
+// flight on both sides, or on neither when it was rejected.
+func (f *Figures) Report(r LoadReport) bool {
+	for {
+		old := f.view.Load()
+		if old != nil && r.Sequence != 0 && r.Sequence <= old.report.Sequence {
+			return false
+		}
+		total := int64(r.InFlight) + int64(r.Queued)
+		next := &loadView{report: r, others: max(0, total-f.OwnInFlight())}
+		if f.view.CompareAndSwap(old, next) {
+			return true
+		}
+	}
 }
 
-// LastReport returns the last load report, or nil when there is none yet.
-func (c *Cell) LastReport() *LoadReport { return c.report.Load() }
+// LastReport returns the newest load report, or nil when there is none yet.
+func (f *Figures) LastReport() *LoadReport {
+	if v := f.view.Load(); v != nil {
+		return &v.report
+	}
+	return nil
+}
 
-// EstimatedInFlight returns the reported in-flight count plus the calls that
-// this entry sent since that report.
-func (c *Cell) EstimatedInFlight() int64 {
-	estimate := c.sentSince.Load()
-	if r := c.report.Load(); r != nil {
-		return estimate + int64(r.InFlight) + int64(r.Queued)
+// EstimatedInFlight returns the calls at the instance: those of other entries
+// by the newest report plus those of this entry, which are known exactly. It
+// is never negative, and the error of a report ends with the next one.
+func (f *Figures) EstimatedInFlight() int64 {
+	own := f.OwnInFlight()
+	if v := f.view.Load(); v != nil {
+		return v.others + own
 	}
-	return max(estimate, c.ownInFlight.Load())
+	return own
+}
+
+// Takes reports whether the instance takes new calls as far as its newest
+// report says.
+func (f *Figures) Takes() bool {
+	v := f.view.Load()
+	return v == nil || !v.report.Draining
 }
 
-// ObserveLatency adds a sample to the moving average of latency.
-func (c *Cell) ObserveLatency(d time.Duration) {
+// The share of recent failures is a moving average in which each call weighs
+// 1/8. Without calls it halves in the first failureHalfLife, so that an
+// avoided instance is tried again.
+const (
+	failureScale    = 1 << 20
+	failureWeight   = 8
+	failureHalfLife = time.Second
+)
+
+// ObserveOutcome adds a call to the share of recent failures.
+func (f *Figures) ObserveOutcome(failed bool, now time.Time) {
+	sample := uint64(0)
+	if failed {
+		sample = failureScale
+	}
 	for {
-		old := c.latencyNS.Load()
-		next := int64(d)
-		if old != 0 {
-			next = old + (int64(d)-old)/latencyWeight
+		old := f.failing.Load()
+		share := old & (1<<32 - 1)
+		if share == 0 && sample == 0 {
+			return
 		}
-		if c.latencyNS.CompareAndSwap(old, next) {
+		share = (share*(failureWeight-1) + sample) / failureWeight
+		next := uint64(uint32(now.UnixMilli()))<<32 | share
+		if f.failing.CompareAndSwap(old, next) {
 			return
 		}
 	}
 }
 
-// Latency returns the moving average of latency, 0 when there is no sample.
-func (c *Cell) Latency() time.Duration { return time.Duration(c.latencyNS.Load()) }
+// FailureShare returns the share of recent calls that failed, 0 to 1.
+func (f *Figures) FailureShare(now time.Time) float64 {
+	packed := f.failing.Load()
+	share := packed & (1<<32 - 1)
+	if share == 0 {
+		return 0
+	}
+	age := time.Duration(uint32(now.UnixMilli())-uint32(packed>>32)) * time.Millisecond
+	if age > 1<<31*time.Millisecond {
+		age = 0 // the sample is newer than now
+	}
+	return float64(share) / failureScale * float64(failureHalfLife) / float64(failureHalfLife+age)
+}
 
 // LoadTable maps each known instance to its cell. The table is immutable, the
 // cells are not.
 type LoadTable struct {
 	Cells map[InstanceID]*Cell
 }
-
-// WithMember returns a cell for a changed record of the same instance. It
-// starts with the figures of c; calls in flight on c do not count in it.
-func (c *Cell) WithMember(m Member) *Cell {
-	next := NewCell(m)
-	next.report.Store(c.report.Load())
-	next.latencyNS.Store(c.latencyNS.Load())
-	return next
-}
--- a/pkg/board/outcome.go
+++ b/pkg/board/outcome.go
@@ -26,3 +26,6 @@
 	}
 	return "invalid"
 }
+
+// OutcomeNames returns the names of all outcomes in the order of their numbers.
+func OutcomeNames() []string { return outcomeNames[:] }
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -40,6 +41,11 @@
 	// AttemptsLeft is the remaining budget of additional attempts of the call
 	// tree, -1 when the caller sent none.
 	AttemptsLeft int
+
+	// attempts is the budget that additional attempts draw from; used counts
+	// those that this call and its nested calls have spent.
+	attempts *board.TreeBudget
+	used     atomic.Int64
 }
 
 // Result is what the entry tells the caller.
@@ -60,6 +66,10 @@
 	AttemptsUsed  int
 	ConfigVersion uint64
 	Load          board.LoadReport
+
+	// answered is set when the executor sent the result, as opposed to a result
+	// that the entry concluded from a lost connection.
+	answered bool
 }
 
 // NotRun returns the result of a call that did not run.
--- a/pkg/call/codec.go
+++ b/pkg/call/codec.go
@@ -18,6 +18,9 @@
 	Executor   board.Member
 	// Grant binds a non-idempotent attempt to its key home's grant.
 	Grant Grant
+
+	// lent is the part of the tree's attempt budget handed down with it.
+	lent int
 }
 
 // Grant is the permission of a key home for one attempt of a non-idempotent
@@ -36,7 +39,7 @@
 		Header: encodeHeader(r.Header), Body: r.Body, Caller: r.Caller, Route: a.Route.Name,
 		DeadlineMicros: r.Deadline.Sub(now).Microseconds(),
 		Priority:       uint8(r.Priority), Idempotent: a.Idempotent, Attempt: uint8(a.Number),
-		Tree: r.Tree, AttemptsLeft: clampByte(r.AttemptsLeft), Depth: clampByte(r.Depth),
+		Tree: r.Tree, AttemptsLeft: clampByte(a.lent), Depth: clampByte(r.Depth),
 		Key: a.Grant.Key, Digest: a.Grant.Digest, Epoch: a.Grant.Epoch, Grant: a.Grant.Number,
 		ExecutorIncarnation: a.Executor.Incarnation, ConfigVersion: configVersion,
 	}
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -9,6 +9,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/peer"
 )
 
@@ -19,6 +20,8 @@
 	// Local is the executor of this node; calls to it skip the network.
 	Local *Executor
 	Log   zerolog.Logger
+	// Traffic receives the counts of calls; nil drops them.
+	Traffic *metrics.Traffic
 }
 
 // Serve carries one call and returns its result. The result's body, when there
@@ -30,6 +33,7 @@
 		return e.finish(nil, req, NotRun(refusal), config)
 	}
 	applyRoute(req, route, time.Now())
+	e.openAttempts(req, config)
 	record := &board.RequestRecord{ID: req.ID, Service: req.Service, Caller: req.Caller, Started: time.Now()}
 	e.Board.Requests.Add(record)
 	defer e.Board.Requests.Remove(record)
@@ -78,6 +82,8 @@
 
 func (e *Entry) finish(record *board.RequestRecord, req *Request, result *Result, config *dynconf.Config) *Result {
 	result.ConfigVersion = config.Version
+	result.AttemptsUsed = int(req.used.Load())
+	e.traffic().Call(uint8(result.Outcome))
 	started := time.Time{}
 	if record != nil {
 		record.Finish(result.Outcome)
@@ -108,5 +114,11 @@
 	if picker == nil {
 		return nil
 	}
-	return picker.Pick(&board.PickRequest{Now: time.Now(), Random: rand.Uint64(), Exclude: exclude})
+	cell := picker.Pick(&board.PickRequest{Now: time.Now(), Random: rand.Uint64(), Exclude: exclude})
+	if cell == nil {
+		e.traffic().NoPick.Inc(1)
+		return nil
+	}
+	e.traffic().Picks.Inc(1)
+	return cell
 }
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"mangostand.example/mangostand/pkg/backend"
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/peer"
 	"mangostand.example/mangostand/pkg/wire"
 )
@@ -23,19 +25,27 @@
 	Backend     *backend.Client
 	Log         zerolog.Logger
 
-	inFlight atomic.Int64
+	// Traffic receives the counts of admission; nil drops them.
+	Traffic *metrics.Traffic
+
+	gate    gate
+	reports atomic.Uint64
 }
 
 // InFlight returns the calls that run on the backend server now.
-func (x *Executor) InFlight() int64 { return x.inFlight.Load() }
+func (x *Executor) InFlight() int64 { return x.gate.running.Load() }
 
 // Load returns the load report that rides on each answer.
 func (x *Executor) Load() board.LoadReport {
 	local := x.Board.Local.Load()
 	return board.LoadReport{
-		InFlight: uint32(max(0, x.inFlight.Load())),
-		Limit:    local.Slots,
-		Draining: local.Draining,
+		InFlight:      uint32(x.gate.running.Load()),
+		Queued:        uint32(x.gate.waiting.Load()),
+		Limit:         x.admission(local).Limit,
+		LatencyMicros: uint32(min(x.Board.ServiceTimes.Median().Microseconds(), math.MaxUint32)),
+		Draining:      local.Draining,
+		Sequence:      x.reports.Add(1),
+		Reported:      local.ReportedInFlight,
 	}
 }
 
@@ -72,7 +82,7 @@
 	return &wire.CallResponse{
 		RequestID: message.RequestID, Outcome: result.Outcome, Reason: string(result.Reason),
 		Status: uint16(result.Status), Header: encodeHeader(result.Header),
-		ContentLength: result.ContentLength, Load: x.Load(),
+		ContentLength: result.ContentLength, Load: result.Load,
 		AttemptsUsed:  clampByte(result.AttemptsUsed),
 		ConfigVersion: x.Board.Config.Load().Version,
 	}
@@ -84,13 +94,25 @@
 		ID: message.RequestID, Service: message.Service, Caller: message.Caller, Digest: message.Digest, Started: time.Now(),
 	}
 	x.Board.Requests.Add(record)
-	result := x.serve(ctx, message, record)
+	result := x.serveTree(ctx, message, record)
 	record.Finish(result.Outcome)
 	result.Body = onClose(result.Body, func() { x.Board.Requests.Remove(record) })
 	result.Load = x.Load()
 	return result
 }
 
+// serveTree keeps the attempt budget of the call's tree on the board while the
+// call runs, and reports how much of it the nested calls have used.
+func (x *Executor) serveTree(ctx context.Context, message *wire.Call, record *board.RequestRecord) *Result {
+	lent := int(message.AttemptsLeft)
+	deadline := record.Started.Add(time.Duration(message.DeadlineMicros) * time.Microsecond)
+	tree := x.Board.Trees.Open(message.Tree, lent, deadline)
+	result := x.serve(ctx, message, record)
+	result.AttemptsUsed = x.Board.Trees.Close(message.Tree, tree, lent)
+	result.answered = true
+	return result
+}
+
 func (x *Executor) serve(ctx context.Context, message *wire.Call, record *board.RequestRecord) *Result {
 	local := x.Board.Local.Load()
 	if reason := x.refusal(local, message); reason != "" {
@@ -101,11 +123,15 @@
 		cancel()
 		return NotRun(board.ReasonDeadlineNotRun)
 	}
+	if reason := x.admit(ctx, local, message, record); reason != "" {
+		cancel()
+		return NotRun(reason)
+	}
 	record.Advance(board.RequestRunning)
-	x.inFlight.Add(1)
+	started := time.Now()
 	result := x.run(ctx, local, message)
 	result.Body = onClose(result.Body, func() {
-		x.inFlight.Add(-1)
+		x.ended(local, result, time.Since(started))
 		cancel()
 	})
 	return result
--- a/pkg/call/send.go
+++ b/pkg/call/send.go
@@ -15,13 +15,22 @@
 // send runs one attempt at the executor of a cell and updates the cell.
 func (e *Entry) send(ctx context.Context, a *Attempt, cell *board.Cell, record *board.RequestRecord) *Result {
 	record.Advance(board.RequestSent)
+	return e.attempt(ctx, a, cell)
+}
+
+// attempt runs one attempt without touching the request record, so that two
+// attempts of a request may run at once.
+func (e *Entry) attempt(ctx context.Context, a *Attempt, cell *board.Cell) *Result {
 	started := time.Now()
 	cell.Started()
+	a.lent = a.Request.attempts.Lend()
 	result := e.sendTo(ctx, a)
+	settle(a, result)
 	result.Instance = a.Executor.Instance
 	result.Attempts = a.Number
-	observe(cell, result, time.Since(started))
+	// A call without a body has ended, and its report does not count it.
 	result.Body = onClose(result.Body, cell.Finished)
+	e.observe(cell, a.Request.Service, result, time.Since(started))
 	return result
 }
 
@@ -32,6 +41,9 @@
 	stream, err := e.Peers.Open(ctx, a.Executor.PeerAddr)
 	if err != nil {
 		// Nothing was written, so the executor cannot have started the call.
+		if lostReason(ctx) == board.ReasonCanceled {
+			return NotRun(board.ReasonCanceled)
+		}
 		return NotRun(board.ReasonUnreachable)
 	}
 	stop := context.AfterFunc(ctx, stream.Abort)
@@ -72,7 +84,7 @@
 	result := &Result{
 		Outcome: head.Outcome, Reason: board.Reason(head.Reason), Status: int(head.Status),
 		Header: decodeHeader(head.Header), ContentLength: head.ContentLength,
-		AttemptsUsed: int(head.AttemptsUsed), Load: head.Load,
+		AttemptsUsed: int(head.AttemptsUsed), Load: head.Load, answered: true,
 	}
 	switch head.Outcome {
 	case board.OutcomeSucceeded, board.OutcomeFailed:
@@ -96,22 +108,3 @@
 	}
 	return board.ReasonConnectionLost
 }
-
-// observe updates the figures of a cell after the head of an answer.
-func observe(cell *board.Cell, result *Result, elapsed time.Duration) {
-	if result.Load != (board.LoadReport{}) {
-		report := result.Load
-		report.ReceivedAt = time.Now()
-		cell.Report(report)
-	}
-	switch {
-	case result.Outcome == board.OutcomeSucceeded:
-		cell.Successes.Add(1)
-		cell.ObserveLatency(elapsed)
-	case result.Outcome == board.OutcomeNotRun && result.Reason != board.ReasonUnreachable:
-		cell.Rejections.Add(1)
-	case result.Reason == board.ReasonCanceled:
-	default:
-		cell.Failures.Add(1)
-	}
-}
--- /dev/null
+++ b/pkg/control/breaker/breaker.go
@@ -0,0 +1,160 @@
+// Package breaker keeps the Breakers section: it reads the outcome counters of
+// the cells at short intervals and moves the breaker of each instance.
+package breaker
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/breaker"
+	"mangostand.example/mangostand/pkg/metrics"
+)
+
+const (
+	// interval is the time between two readings.
+	interval = 50 * time.Millisecond
+	// windowReadings is the length of the window of a closed breaker. The
+	// window of 500 ms opens the breaker of a server that fails fast well
+	// within 1 s.
+	windowReadings = 10
+)
+
+// Controller writes the Breakers section.
+type Controller struct {
+	board   *board.Board
+	writer  *board.Writer[*board.Breakers]
+	traffic *metrics.Traffic
+	log     zerolog.Logger
+
+	histories map[board.InstanceID]*history
+}
+
+// history holds the readings of one life of an instance.
+type history struct {
+	figures *board.Figures
+	// readings is the window, oldest first.
+	readings []breaker.Counts
+	// atChange is the reading when the present state began.
+	atChange breaker.Counts
+}
+
+// New claims the Breakers section.
+func New(b *board.Board, traffic *metrics.Traffic, log zerolog.Logger) *Controller {
+	return &Controller{
+		board: b, writer: b.Breakers.Claim("breaker"), traffic: traffic, log: log,
+		histories: map[board.InstanceID]*history{},
+	}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "breaker" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.update(time.Now())
+		}
+	}
+}
+
+// update reads all cells and publishes when a breaker has changed.
+func (c *Controller) update(now time.Time) {
+	table := c.board.Load.Load()
+	old := c.writer.Load()
+	next := maps.Clone(old.ByInstance)
+	if next == nil {
+		next = map[board.InstanceID]*board.BreakerGate{}
+	}
+	changed := c.forget(table, next)
+	for id, cell := range table.Cells {
+		if c.step(id, cell, next, now) {
+			changed = true
+		}
+	}
+	if changed {
+		c.writer.Publish(&board.Breakers{ByInstance: next})
+	}
+	c.traffic.BreakersNotShut.Update(float64(len(next)))
+}
+
+// forget drops instances that are gone or that live a new life, whose breaker
+// starts closed.
+func (c *Controller) forget(table *board.LoadTable, gates map[board.InstanceID]*board.BreakerGate) bool {
+	changed := false
+	for id, h := range c.histories {
+		cell := table.Cells[id]
+		if cell != nil && cell.Figures == h.figures {
+			continue
+		}
+		delete(c.histories, id)
+		if gates[id] != nil {
+			delete(gates, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// step moves the breaker of one instance and reports whether it changed.
+func (c *Controller) step(id board.InstanceID, cell *board.Cell, gates map[board.InstanceID]*board.BreakerGate, now time.Time) bool {
+	h := c.histories[id]
+	if h == nil {
+		h = &history{figures: cell.Figures, atChange: read(cell)}
+		c.histories[id] = h
+	}
+	reading := read(cell)
+	gate := gates[id]
+	state, age, calls, taken := board.BreakerClosed, time.Duration(0), h.inWindow(reading), false
+	if gate != nil {
+		state, age, taken = gate.State, now.Sub(gate.Since), gate.TrialTaken()
+		calls = reading.Since(h.atChange)
+	}
+	next := breaker.Next(state, age, calls, taken, c.board.Config.Load().Breaker)
+	if next == state && !(state == board.BreakerHalfOpen && breaker.TrialLost(age, calls, taken)) {
+		return false
+	}
+	h.change(reading)
+	c.report(id, state, next)
+	if next == board.BreakerClosed {
+		delete(gates, id)
+	} else {
+		gates[id] = &board.BreakerGate{State: next, Since: now}
+	}
+	return true
+}
+
+func (c *Controller) report(id board.InstanceID, from, to board.BreakerState) {
+	if to == board.BreakerOpen {
+		c.traffic.BreakersOpened.Inc(1)
+	}
+	c.log.Info().Str("instance", string(id)).Str("from", from.String()).Str("to", to.String()).Msg("breaker changed")
+}
+
+func read(cell *board.Cell) breaker.Counts {
+	return breaker.Counts{Successes: cell.Successes.Load(), Failures: cell.Failures.Load()}
+}
+
+// inWindow adds a reading and returns the calls within the window.
+func (h *history) inWindow(reading breaker.Counts) breaker.Counts {
+	h.readings = append(h.readings, reading)
+	if len(h.readings) > windowReadings+1 {
+		h.readings = h.readings[1:]
+	}
+	return reading.Since(h.readings[0])
+}
+
+// change starts a new state: calls before it no longer count.
+func (h *history) change(reading breaker.Counts) {
+	h.atChange = reading
+	h.readings = append(h.readings[:0], reading)
+}
--- /dev/null
+++ b/pkg/control/breaker/breaker_test.go
@@ -0,0 +1,65 @@
+package breaker
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/metrics"
+)
+
+// Guards against a server that fails fast for more than 1 s before its breaker
+// opens, and against a breaker that does not recover after its trial or that
+// survives the life of its instance.
+func TestBreakerOpensWithinOneSecondAndRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := board.New("self")
+		cell := board.NewCell(board.Member{Instance: "a"})
+		table := b.Load.Claim("test")
+		table.Publish(&board.LoadTable{Cells: map[board.InstanceID]*board.Cell{"a": cell}})
+		c := New(b, metrics.Discard(1), zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		state := func() board.BreakerState { return b.Breakers.Load().State("a") }
+		time.Sleep(time.Second)
+		cell.Successes.Add(100)
+		time.Sleep(time.Second)
+		require.Equal(t, board.BreakerClosed, state())
+
+		failing := time.Now()
+		for state() == board.BreakerClosed && time.Since(failing) < 5*time.Second {
+			cell.Failures.Add(1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.Less(t, time.Since(failing), time.Second)
+		require.Equal(t, board.BreakerOpen, state())
+
+		time.Sleep(b.Config.Load().Breaker.OpenFor + 2*interval)
+		require.Equal(t, board.BreakerHalfOpen, state())
+		require.True(t, b.Breakers.Load().ByInstance["a"].TakeTrial())
+		cell.Failures.Add(1)
+		time.Sleep(2 * interval)
+		require.Equal(t, board.BreakerOpen, state())
+
+		time.Sleep(b.Config.Load().Breaker.OpenFor + 2*interval)
+		require.True(t, b.Breakers.Load().ByInstance["a"].TakeTrial())
+		time.Sleep(3 * time.Second)
+		require.True(t, b.Breakers.Load().ByInstance["a"].TakeTrial(), "a lost trial is offered again")
+		cell.Successes.Add(1)
+		time.Sleep(2 * interval)
+		require.Equal(t, board.BreakerClosed, state())
+
+		cell.Failures.Add(50)
+		time.Sleep(2 * interval)
+		require.Equal(t, board.BreakerOpen, state())
+		table.Publish(&board.LoadTable{Cells: map[board.InstanceID]*board.Cell{"a": board.NewCell(cell.Member)}})
+		time.Sleep(2 * interval)
+		require.Equal(t, board.BreakerClosed, state(), "a new life starts closed")
+	})
+}
--- /dev/null
+++ b/pkg/control/budget/budget.go
@@ -0,0 +1,53 @@
+// Package budget keeps the Budgets section: the retry tokens of each service
+// and the probe budgets, as the configuration sets them.
+package budget
+
+import (
+	"context"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// Controller writes the Budgets section.
+type Controller struct {
+	board  *board.Board
+	writer *board.Writer[*board.Budgets]
+	wake   <-chan struct{}
+}
+
+// New claims the Budgets section.
+func New(b *board.Board) *Controller {
+	return &Controller{board: b, writer: b.Budgets.Claim("budget"), wake: b.Config.Subscribe()}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "budget" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	for {
+		c.update()
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+	}
+}
+
+// update applies the limits. Counters go on through a change of the
+// configuration, so that a change never grants a fresh budget.
+func (c *Controller) update() {
+	config := c.board.Config.Load()
+	old := c.writer.Load()
+	next := &board.Budgets{
+		ByService: make(map[string]*board.ServiceBudget, len(config.Services)),
+		ProbesOut: old.ProbesOut, ProbesIn: old.ProbesIn,
+	}
+	for name := range config.Services {
+		next.ByService[name] = board.NewServiceBudget(config.Retries.Share, old.ByService[name])
+	}
+	next.ProbesOut.SetLimits(config.Probes.Rate, config.Probes.Bytes)
+	next.ProbesIn.SetLimits(config.Probes.Rate, config.Probes.Bytes)
+	c.writer.Publish(next)
+}
--- a/pkg/control/load/load.go
+++ b/pkg/control/load/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 )
@@ -41,9 +42,10 @@
 	old := c.writer.Load()
 	next := &board.LoadTable{Cells: map[board.InstanceID]*board.Cell{}}
 	changed := false
+	now := time.Now()
 	for _, members := range c.board.Members.Load().ByService {
 		for _, m := range members {
-			cell, kept := reuse(old.Cells[m.Instance], m)
+			cell, kept := reuse(old.Cells[m.Instance], m, now)
 			next.Cells[m.Instance] = cell
 			changed = changed || !kept
 		}
@@ -54,10 +56,11 @@
 }
 
 // reuse returns the old cell when it describes the same record. A changed
-// record of the same life keeps the figures in a new cell.
-func reuse(old *board.Cell, m board.Member) (*board.Cell, bool) {
+// record of the same life keeps the figures in a new cell; a new life starts
+// cold.
+func reuse(old *board.Cell, m board.Member, now time.Time) (*board.Cell, bool) {
 	if old == nil || old.Member.Incarnation != m.Incarnation || old.Member.ServerIncarnation != m.ServerIncarnation {
-		return board.NewCell(m), false
+		return board.NewColdCell(m, now), false
 	}
 	if old.Member == m {
 		return old, true
--- /dev/null
+++ b/pkg/control/probe/probe_test.go
@@ -0,0 +1,171 @@
+package probe
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/metrics"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+const (
+	testRate  = 10
+	testBytes = 8 * wire.ProbeCost
+)
+
+// loopback carries probes to one receiver and notes what passes.
+type loopback struct {
+	receiver *Answerer
+	mu       sync.Mutex
+	sent     map[string][]time.Time
+	answered []time.Time
+}
+
+// link is the end of one sender.
+type link struct {
+	*loopback
+	name string
+}
+
+func (l *link) Exchange(_ context.Context, _ string, send wire.Type, message any, _ wire.Type, answer any) error {
+	var buffer bytes.Buffer
+	if err := wire.WriteMessage(&buffer, send, message); err != nil {
+		return err
+	}
+	frame, err := wire.ReadFrame(&buffer)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[l.name] = append(l.sent[l.name], time.Now())
+	reply, err := l.receiver.Answer(frame, time.Now())
+	if err != nil {
+		return err
+	}
+	l.answered = append(l.answered, time.Now())
+	*answer.(*wire.ProbeAnswer) = *reply
+	return nil
+}
+
+func newBoard(t *testing.T, name board.InstanceID) *board.Board {
+	b := board.New(name)
+	budgets := &board.Budgets{ProbesOut: &board.ProbeBudget{}, ProbesIn: &board.ProbeBudget{}}
+	budgets.ProbesOut.SetLimits(testRate, testBytes)
+	budgets.ProbesIn.SetLimits(testRate, testBytes)
+	b.Budgets.Claim("test").Publish(budgets)
+	return b
+}
+
+// busiest returns the most events in any half-open window of 1 s.
+func busiest(events []time.Time) int {
+	most := 0
+	for i := range events {
+		n := 0
+		for _, e := range events[i:] {
+			if e.Sub(events[i]) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against a window of 1 s in which a sender or the receiver exceeds its
+// probe budget, while the load swings and many senders probe one receiver.
+func TestNoWindowExceedsTheProbeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const senders, seed = 30, 9
+		network := &loopback{sent: map[string][]time.Time{}, receiver: &Answerer{
+			Board: newBoard(t, "r"), Instance: "r", Incarnation: 1, Traffic: metrics.Discard(1),
+			Load: func() board.LoadReport { return board.LoadReport{Limit: 10} },
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range senders {
+			startSender(ctx, t, network, string(rune('A'+i)), uint64(seed+i))
+		}
+		time.Sleep(20 * time.Second)
+		cancel()
+		time.Sleep(time.Second) // the senders end
+		network.mu.Lock()
+		defer network.mu.Unlock()
+		limit := min(testRate, testBytes/wire.ProbeCost)
+		total := 0
+		for name, events := range network.sent {
+			require.LessOrEqual(t, busiest(events), limit, "sender %s", name)
+			total += len(events)
+		}
+		require.Equal(t, limit, busiest(network.answered), "the receiver is asked more than it answers")
+		require.Greater(t, total, 2*len(network.answered))
+		require.Equal(t, limit, busiest(network.sent["A"]), "a sender finds more gaps than it may probe")
+	})
+}
+
+// startSender runs a controller whose service has calls in bursts. Its cells
+// lose their reports all the time, so that it always finds gaps.
+func startSender(ctx context.Context, t *testing.T, network *loopback, name string, seed uint64) {
+	b := newBoard(t, board.InstanceID(name))
+	member := board.Member{Instance: "r", Incarnation: 1, Service: "s", State: board.MemberServing}
+	busy := board.NewCell(board.Member{Instance: "busy", Service: "s"})
+	table := b.Load.Claim("test")
+	go New(b, &link{loopback: network, name: name}, metrics.Discard(1)).Run(ctx)
+	go func() {
+		random := rand.New(rand.NewPCG(seed, 0))
+		for ctx.Err() == nil {
+			cells := map[board.InstanceID]*board.Cell{"busy": busy, "r": board.NewCell(member)}
+			for i := range 20 {
+				gap := member
+				gap.Instance = board.InstanceID(fmt.Sprintf("r%d", i))
+				cells[gap.Instance] = board.NewCell(gap)
+			}
+			for range random.IntN(3) * 100 {
+				busy.Started()
+				busy.Finished()
+			}
+			table.Publish(&board.LoadTable{Cells: cells})
+			time.Sleep(time.Duration(5+random.IntN(45)) * time.Millisecond)
+		}
+	}()
+}
+
+// Guards against probes for services without calls and for instances whose
+// load is known.
+func TestProbesNeedAGapAndCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &loopback{sent: map[string][]time.Time{}, receiver: &Answerer{
+			Board: newBoard(t, "r"), Instance: "r", Incarnation: 1, Traffic: metrics.Discard(1),
+			Load: func() board.LoadReport { return board.LoadReport{Limit: 10, Sequence: 1} },
+		}}
+		b := newBoard(t, "self")
+		cell := board.NewCell(board.Member{Instance: "r", Incarnation: 1, Service: "s", State: board.MemberServing})
+		b.Load.Claim("test").Publish(&board.LoadTable{Cells: map[board.InstanceID]*board.Cell{"r": cell}})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go New(b, &link{loopback: network, name: "self"}, metrics.Discard(1)).Run(ctx)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, network.sent, "no calls")
+		for range 100 {
+			cell.Started()
+			cell.Finished()
+		}
+		time.Sleep(200 * time.Millisecond)
+		require.Len(t, network.sent["self"], 1)
+		require.NotNil(t, cell.LastReport())
+		for range 100 {
+			cell.Started()
+			cell.Finished()
+		}
+		time.Sleep(200 * time.Millisecond)
+		require.Len(t, network.sent["self"], 1, "the load is known")
+	})
+}
--- a/pkg/control/routing/routing.go
+++ b/pkg/control/routing/routing.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/pick"
@@ -15,14 +17,16 @@
 	board  *board.Board
 	writer *board.Writer[*board.Pickers]
 	domain string
-	wake   []<-chan struct{}
+	wake   <-chan struct{}
+	config <-chan struct{}
+	gates  <-chan struct{}
 }
 
 // New claims the Pickers section for an entry in a failure domain.
 func New(b *board.Board, failureDomain string) *Controller {
 	return &Controller{
 		board: b, writer: b.Pickers.Claim("routing"), domain: failureDomain,
-		wake: []<-chan struct{}{b.Config.Subscribe(), b.Load.Subscribe()},
+		wake: b.Load.Subscribe(), config: b.Config.Subscribe(), gates: b.Breakers.Subscribe(),
 	}
 }
 
@@ -36,8 +40,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.wake[0]:
-		case <-c.wake[1]:
+		case <-c.wake:
+		case <-c.config:
+		case <-c.gates:
 		}
 	}
 }
@@ -45,15 +50,33 @@
 func (c *Controller) update() {
 	config := c.board.Config.Load()
 	table := c.board.Load.Load()
+	breakers := c.board.Breakers.Load()
+	rank := rankOf(c.board.Members.Load())
 	next := &board.Pickers{ByService: make(map[string]board.Picker, len(config.Services))}
 	for name, service := range config.Services {
 		next.ByService[name] = pick.New(service.Policy, pick.Input{
-			Cells: candidates(table, service), FailureDomain: c.domain, Balancing: config.Balancing,
+			Cells: candidates(table, service), Breakers: breakers, FailureDomain: c.domain,
+			Rank: rank, Balancing: config.Balancing,
 		})
 	}
 	c.writer.Publish(next)
 }
 
+// rankOf returns the position of this node among the nodes that are up, in the
+// order of their instances.
+func rankOf(members *board.Members) int {
+	rank := 0
+	for _, id := range slices.Sorted(maps.Keys(members.ByInstance)) {
+		if id == members.Self {
+			break
+		}
+		if members.ByInstance[id].State < board.MemberLeft {
+			rank++
+		}
+	}
+	return rank
+}
+
 // candidates returns the cells of serving instances that may serve a service.
 func candidates(table *board.LoadTable, service *dynconf.Service) []*board.Cell {
 	var cells []*board.Cell
--- /dev/null
+++ b/pkg/decide/admission/limit.go
@@ -0,0 +1,77 @@
+// Package admission decides how many calls run at once at an executor, which
+// calls wait for a slot and which are refused.
+package admission
+
+import "time"
+
+// Window sums up the calls that ended in one interval.
+type Window struct {
+	Calls, Shed int
+	// Median is the median service time of the successes, 0 without any.
+	Median time.Duration
+	// PeakInFlight is the most calls that ran at once.
+	PeakInFlight uint32
+}
+
+// State is the adaptive limit between two windows.
+type State struct {
+	Limit float64
+	// Baseline is the median service time that the limit is compared with.
+	Baseline time.Duration
+}
+
+// Constants of the limit. They are additive increase, multiplicative decrease
+// with a tolerance wide enough for the swings of a shared host.
+const (
+	// slowTolerance is the ratio of median to baseline from which a busy server
+	// counts as overloaded. Noisy neighbours alone change the median of 100 ms up
+	// to threefold.
+	slowTolerance = 4
+	slowFactor    = 0.9
+	// shedShare is the share of calls shed by the server itself that lowers the
+	// limit.
+	shedShare  = 0.1
+	shedFactor = 0.8
+	// busyShare of the limit must have been in use before it is changed.
+	busyShare = 0.8
+	// floorShare of the announced slots is always kept.
+	floorShare = 0.25
+	// startShare of the announced slots is open to a server that starts cold.
+	startShare = 0.5
+	// baselineWeight is the divisor of the moving average of medians: it follows
+	// a lasting change in some 50 windows.
+	baselineWeight = 50
+)
+
+// Start returns the state for a server that has just announced its slots.
+func Start(slots uint32) State { return State{Limit: max(1, startShare*float64(slots))} }
+
+// Next returns the state after a window. The announced slots are the ceiling:
+// calls beyond them would only wait inside the server, out of reach of
+// priorities and deadlines.
+func Next(s State, w Window, slots uint32) State {
+	ceiling := max(1, float64(slots))
+	floor := max(1, floorShare*ceiling)
+	s.Baseline = nextBaseline(s.Baseline, w.Median)
+	busy := float64(w.PeakInFlight) >= busyShare*min(s.Limit, ceiling)
+	switch {
+	case w.Calls > 0 && float64(w.Shed) >= shedShare*float64(w.Calls):
+		s.Limit *= shedFactor
+	case busy && w.Median > slowTolerance*s.Baseline:
+		s.Limit *= slowFactor
+	case busy:
+		s.Limit += max(1, ceiling/10)
+	}
+	s.Limit = min(max(s.Limit, floor), ceiling)
+	return s
+}
+
+func nextBaseline(baseline, median time.Duration) time.Duration {
+	switch {
+	case median == 0:
+		return baseline
+	case baseline == 0:
+		return median
+	}
+	return baseline + (median-baseline)/baselineWeight
+}
--- a/pkg/decide/pick/hotcold/hotcold.go
+++ b/pkg/decide/pick/hotcold/hotcold.go
@@ -1,11 +1,14 @@
 // Package hotcold chooses by in-flight count and latency: instances whose
 // in-flight count is high among the candidates are hot and avoided; among the
-// cold ones the lowest latency wins. The rule follows Prequal (NSDI 2024).
+// cold ones the least expected time to an answer wins. The rule follows
+// Prequal (NSDI 2024).
+//
+// It uses only figures that the executors measured themselves. The backend
+// servers' own load reports are not used: they lag and can be false.
 package hotcold
 
 import (
 	"slices"
-	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
@@ -20,82 +23,50 @@
 	balancing dynconf.Balancing
 }
 
-// New returns a picker for an entry in a failure domain.
+// New returns a picker for an entry in a failure domain. Cells that follow one
+// another should be unrelated, since a sample takes neighbours.
 func New(cells []*board.Cell, failureDomain string, balancing dynconf.Balancing) board.Picker {
 	return &picker{cells: cells, domain: failureDomain, balancing: balancing}
 }
 
 // Pick implements board.Picker.
 func (p *picker) Pick(req *board.PickRequest) *board.Cell {
-	var sample [sampleSize]*board.Cell
-	var loads [sampleSize]float64
-	n := p.sample(req, &sample)
-	if n == 0 {
+	var s sample
+	p.fill(&s, req)
+	if s.n == 0 {
 		return nil
 	}
-	for i, cell := range sample[:n] {
-		loads[i] = load(cell)
-	}
-	threshold := quantile(loads[:n], p.balancing.HotQuantile)
-	best := sample[0]
-	bestHot, bestCost := true, float64(0)
-	for i, cell := range sample[:n] {
-		hot := loads[i] > threshold
-		cost := float64(p.distance(cell) + cell.Latency())
-		if hot {
-			cost = loads[i]
-		}
-		if i == 0 || better(hot, cost, bestHot, bestCost) {
-			best, bestHot, bestCost = cell, hot, cost
+	threshold := quantile(s.estimate(), s.n, p.balancing.HotQuantile)
+	best := &s.candidates[0]
+	best.rate(threshold)
+	for i := 1; i < s.n; i++ {
+		c := &s.candidates[i]
+		c.rate(threshold)
+		if c.betterThan(best) {
+			best = c
 		}
 	}
-	return best
-}
-
-func better(hot bool, cost float64, bestHot bool, bestCost float64) bool {
-	if hot != bestHot {
-		return !hot
-	}
-	return cost < bestCost
+	return best.cell
 }
 
-// sample fills the array with different candidates from a random start.
-func (p *picker) sample(req *board.PickRequest, sample *[sampleSize]*board.Cell) int {
+// fill takes different candidates from a random start.
+func (p *picker) fill(s *sample, req *board.PickRequest) {
 	count := uint64(len(p.cells))
 	if count == 0 {
-		return 0
+		return
 	}
 	start := req.Random % count
-	n := 0
-	for i := uint64(0); i < count && n < sampleSize; i++ {
+	for i := uint64(0); i < count && s.n < sampleSize; i++ {
 		cell := p.cells[(start+i)%count]
-		if !req.Excludes(cell.Member.Instance) {
-			sample[n] = cell
-			n++
+		if cell.Takes() && !req.Excludes(cell.Member.Instance) {
+			s.candidates[s.n] = view(cell, req.Now, p.domain, &p.balancing)
+			s.n++
 		}
 	}
-	return n
-}
-
-func (p *picker) distance(cell *board.Cell) time.Duration {
-	if cell.Member.FailureDomain == p.domain {
-		return 0
-	}
-	return p.balancing.DomainPenalty
-}
-
-// load is the estimated in-flight count per slot.
-func load(cell *board.Cell) float64 {
-	limit := cell.Member.Slots
-	if r := cell.LastReport(); r != nil && r.Limit > 0 {
-		limit = r.Limit
-	}
-	return float64(cell.EstimatedInFlight()) / float64(max(limit, 1))
 }
 
-func quantile(values []float64, q float64) float64 {
-	var sorted [sampleSize]float64
-	n := copy(sorted[:], values)
-	slices.Sort(sorted[:n])
-	return sorted[min(n-1, int(q*float64(n)))]
+// quantile returns the value below which a share q of the values lies.
+func quantile(values [sampleSize]float64, n int, q float64) float64 {
+	slices.Sort(values[:n])
+	return values[min(n-1, int(q*float64(n)))]
 }
--- a/pkg/decide/pick/random/random.go
+++ b/pkg/decide/pick/random/random.go
@@ -18,7 +18,7 @@
 	start := req.Random % n
 	for i := range n {
 		cell := p.cells[(start+i)%n]
-		if !req.Excludes(cell.Member.Instance) {
+		if cell.Takes() && !req.Excludes(cell.Member.Instance) {
 			return cell
 		}
 	}
--- /dev/null
+++ b/pkg/decide/pick/twochoices/twochoices.go
@@ -0,0 +1,48 @@
+// Package twochoices compares two random instances by the load that their
+// backend servers reported themselves and takes the lower one. It is the usual
+// baseline: the reports are stale when they are used.
+package twochoices
+
+import "mangostand.example/mangostand/pkg/board"
+
+type picker struct{ cells []*board.Cell }
+
+// New returns a picker over the cells.
+func New(cells []*board.Cell) board.Picker { return &picker{cells: cells} }
+
+// Pick implements board.Picker.
+func (p *picker) Pick(req *board.PickRequest) *board.Cell {
+	n := uint64(len(p.cells))
+	if n == 0 {
+		return nil
+	}
+	first := p.available(req, req.Random%n, nil)
+	second := p.available(req, (req.Random>>32)%n, first)
+	if second == nil || (first != nil && load(first) <= load(second)) {
+		return first
+	}
+	return second
+}
+
+// available returns the first instance from start that can take the call and
+// is not other.
+func (p *picker) available(req *board.PickRequest, start uint64, other *board.Cell) *board.Cell {
+	n := uint64(len(p.cells))
+	for i := range n {
+		cell := p.cells[(start+i)%n]
+		if cell != other && cell.Takes() && !req.Excludes(cell.Member.Instance) {
+			return cell
+		}
+	}
+	return nil
+}
+
+// load is the reported load per slot; an instance without a report counts as
+// idle.
+func load(cell *board.Cell) float64 {
+	r := cell.LastReport()
+	if r == nil {
+		return 0
+	}
+	return float64(r.Reported) / float64(max(cell.Member.Slots, 1))
+}
--- /dev/null
+++ b/pkg/decide/retry/retry.go
@@ -0,0 +1,49 @@
+// Package retry decides which calls may be tried again and which attempts
+// must be paid with a retry token.
+package retry
+
+import "mangostand.example/mangostand/pkg/board"
+
+// Allowed reports whether a call may be sent to another instance after an
+// attempt: any call after proof that it did not run, an idempotent call also
+// after a failure.
+func Allowed(idempotent bool, outcome board.Outcome, reason board.Reason) bool {
+	switch outcome {
+	case board.OutcomeNotRun:
+		return anotherMayRun(reason)
+	case board.OutcomeFailed:
+		return idempotent
+	case board.OutcomeUnknown:
+		return idempotent && reason != board.ReasonCanceled && reason != board.ReasonKeyExpired
+	}
+	return false
+}
+
+// anotherMayRun reports whether another instance could run a call that one
+// instance did not run for the reason.
+func anotherMayRun(reason board.Reason) bool {
+	switch reason {
+	case board.ReasonOverloaded, board.ReasonShed:
+		return true
+	}
+	return isStateRefusal(reason)
+}
+
+// isStateRefusal reports whether the reason is the state of one instance
+// rather than load.
+func isStateRefusal(reason board.Reason) bool {
+	switch reason {
+	case board.ReasonNoServer, board.ReasonDraining, board.ReasonNoBackend, board.ReasonUnreachable,
+		board.ReasonWrongIncarnation, board.ReasonStopping:
+		return true
+	}
+	return false
+}
+
+// NeedsToken reports whether a further attempt costs a retry token. Refusals
+// for the state of an instance cost none: the entry learns the state from the
+// refusal and sends no more calls there, so they cannot add up, and a token
+// that is missing would fail calls during an ordinary drain.
+func NeedsToken(outcome board.Outcome, reason board.Reason) bool {
+	return outcome != board.OutcomeNotRun || !isStateRefusal(reason)
+}
--- /dev/null
+++ b/pkg/decide/retry/retry_test.go
@@ -0,0 +1,31 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// Guards against a second run of a call that must not run twice, and against
+// attempts that no other instance could answer differently.
+func TestAllowed(t *testing.T) {
+	for _, outcome := range []board.Outcome{board.OutcomeSucceeded, board.OutcomeFailed, board.OutcomeUnknown} {
+		require.False(t, Allowed(false, outcome, ""), outcome.String())
+	}
+	require.True(t, Allowed(true, board.OutcomeFailed, ""))
+	require.True(t, Allowed(true, board.OutcomeUnknown, board.ReasonConnectionLost))
+	require.False(t, Allowed(true, board.OutcomeUnknown, board.ReasonCanceled))
+	require.True(t, Allowed(false, board.OutcomeNotRun, board.ReasonOverloaded))
+	require.False(t, Allowed(true, board.OutcomeNotRun, board.ReasonRetired))
+	require.False(t, Allowed(true, board.OutcomeNotRun, board.ReasonQuarantined))
+}
+
+// Guards against an overload that is answered with free retries.
+func TestOnlyStateRefusalsAreFree(t *testing.T) {
+	require.True(t, NeedsToken(board.OutcomeNotRun, board.ReasonOverloaded))
+	require.True(t, NeedsToken(board.OutcomeFailed, ""))
+	require.True(t, NeedsToken(board.OutcomeUnknown, board.ReasonNoBackend))
+	require.False(t, NeedsToken(board.OutcomeNotRun, board.ReasonDraining))
+}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -17,7 +18,9 @@
 // New returns the root scope of a node, the handler that exposes it and a
 // closer that flushes the last figures.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// Each node has a registry of its own: programs may embed several nodes.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "mangostand", Tags: tags, CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,10 +16,14 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/call"
 	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/control/admission"
 	"mangostand.example/mangostand/pkg/control/announce"
+	"mangostand.example/mangostand/pkg/control/breaker"
+	"mangostand.example/mangostand/pkg/control/budget"
 	"mangostand.example/mangostand/pkg/control/configsync"
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
+	"mangostand.example/mangostand/pkg/control/probe"
 	"mangostand.example/mangostand/pkg/control/routing"
 	"mangostand.example/mangostand/pkg/httpfront"
 	"mangostand.example/mangostand/pkg/localapi"
@@ -56,6 +60,7 @@
 	controllers []control.Controller
 	listeners   []listener
 	scope       tally.Scope
+	traffic     *metrics.Traffic
 	metricsHTTP http.Handler
 	metricsDone func() error
 }
@@ -80,6 +85,7 @@
 	n := &Node{settings: s, log: log, board: board.New(board.InstanceID(s.Instance)), peers: peers}
 	scope, metricsHTTP, closer := metrics.New(map[string]string{"node": s.Instance})
 	n.scope, n.metricsHTTP, n.metricsDone = scope, metricsHTTP, closer.Close
+	n.traffic = metrics.NewTraffic(scope, board.OutcomeNames())
 	n.buildCallPath()
 	n.buildControllers()
 	if err := n.buildListeners(); err != nil {
@@ -92,12 +98,17 @@
 // Board returns the node's board, for programs that embed the library.
 func (n *Node) Board() *board.Board { return n.board }
 
+// Entry returns the entry of the node, for programs that embed the library and
+// have a front of their own.
+func (n *Node) Entry() *call.Entry { return n.entry }
+
 func (n *Node) buildCallPath() {
 	n.executor = &call.Executor{
 		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
 		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
+		Traffic: n.traffic,
 	}
-	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Log: n.log}
+	n.entry = &call.Entry{Board: n.board, Peers: n.peers, Local: n.executor, Log: n.log, Traffic: n.traffic}
 }
 
 func (n *Node) buildControllers() {
@@ -111,6 +122,10 @@
 		membership.New(n.board, self, n.peers, n.settings.Seeds, n.log),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
+		budget.New(n.board),
+		breaker.New(n.board, n.traffic, n.log),
+		admission.New(n.board, n.traffic),
+		probe.New(n.board, n.peers, n.traffic),
 	}
 	if n.settings.Store != "" {
 		store := platform.NewClient(n.settings.Store)
@@ -119,7 +134,12 @@
 }
 
 func (n *Node) handlers() map[wire.Type]peer.Handler {
+	probes := &probe.Answerer{
+		Board: n.board, Instance: n.executor.Instance, Incarnation: n.executor.Incarnation,
+		Load: n.executor.Load, Peers: n.peers, Traffic: n.traffic,
+	}
 	return map[wire.Type]peer.Handler{
+		wire.TypeProbe: probes.Handle,
 		wire.TypeCall:  n.executor.HandleCall,
 		wire.TypeDelta: membership.HandleDelta(n.board, n.peers),
 	}
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -57,6 +57,10 @@
 			b.Local.Name():   {b.Local.Snapshot().Version, b.Local.Owner()},
 			b.Load.Name():    {b.Load.Snapshot().Version, b.Load.Owner()},
 			b.Pickers.Name(): {b.Pickers.Snapshot().Version, b.Pickers.Owner()},
+
+			b.Admission.Name(): {b.Admission.Snapshot().Version, b.Admission.Owner()},
+			b.Breakers.Name():  {b.Breakers.Snapshot().Version, b.Breakers.Owner()},
+			b.Budgets.Name():   {b.Budgets.Snapshot().Version, b.Budgets.Owner()},
 		},
 	}
 	for _, m := range members.ByInstance {
