--- a/pkg/control/breaker/breaker.go
+++ b/pkg/control/breaker/breaker.go
@@ -84,7 +84,7 @@
 	if changed {
 		c.writer.Publish(&board.Breakers{ByInstance: next})
 	}
-	c.traffic.BreakersNotShut.Update(float64(len(next)))
+	c.traffic.BreakersNotClosed.Update(float64(len(next)))
 }
 
 // forget drops instances that are gone or that live a new life, whose breaker
--- a/pkg/control/probe/probe_test.go
+++ b/pkg/control/probe/probe_test.go
@@ -30,6 +30,12 @@
 	answered []time.Time
 }
 
+func (l *loopback) count(sender string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sent[sender])
+}
+
 // link is the end of one sender.
 type link struct {
 	*loopback
@@ -153,19 +159,19 @@
 		defer cancel()
 		go New(b, &link{loopback: network, name: "self"}, metrics.Discard(1)).Run(ctx)
 		time.Sleep(2 * time.Second)
-		require.Empty(t, network.sent, "no calls")
+		require.Zero(t, network.count("self"), "no calls")
 		for range 100 {
 			cell.Started()
 			cell.Finished()
 		}
 		time.Sleep(200 * time.Millisecond)
-		require.Len(t, network.sent["self"], 1)
+		require.Equal(t, 1, network.count("self"))
 		require.NotNil(t, cell.LastReport())
 		for range 100 {
 			cell.Started()
 			cell.Finished()
 		}
 		time.Sleep(200 * time.Millisecond)
-		require.Len(t, network.sent["self"], 1, "the load is known")
+		require.Equal(t, 1, network.count("self"), "the load is known")
 	})
 }
--- a/pkg/metrics/traffic.go
+++ b/pkg/metrics/traffic.go
@@ -9,24 +9,35 @@
 // Traffic holds the counters of calls and their control. Any goroutine may
 // use them; an increment is one atomic addition.
 type Traffic struct {
-	// outcomes and attempts are indexed by the number of the outcome.
-	outcomes   []tally.Counter
-	Picks      tally.Counter
-	NoPick     tally.Counter
-	Retries    tally.Counter
-	Hedges     tally.Counter
-	HedgeWins  tally.Counter
+	// outcomes is indexed by the number of the outcome.
+	outcomes []tally.Counter
+
+	// Picks and NoPick count choices of an instance and choices without one.
+	Picks  tally.Counter
+	NoPick tally.Counter
+	// Retries and Hedges count additional attempts, HedgeWins the hedges whose
+	// answer was used.
+	Retries   tally.Counter
+	Hedges    tally.Counter
+	HedgeWins tally.Counter
+	// Rejections and Queued count calls that the executor refused or made wait.
 	Rejections tally.Counter
 	Queued     tally.Counter
 
-	ProbesSent      tally.Counter
-	ProbesFailed    tally.Counter
-	ProbesAnswered  tally.Counter
-	ProbesRefused   tally.Counter
-	ProbeBytes      tally.Counter
-	BreakersOpened  tally.Counter
-	BreakersNotShut tally.Gauge
-	Limit           tally.Gauge
+	// ProbesSent and ProbesFailed count probes of this node, ProbesAnswered and
+	// ProbesRefused those of others. ProbeBytes sums up both directions.
+	ProbesSent     tally.Counter
+	ProbesFailed   tally.Counter
+	ProbesAnswered tally.Counter
+	ProbesRefused  tally.Counter
+	ProbeBytes     tally.Counter
+
+	// BreakersOpened counts changes to open; BreakersNotClosed is the number of
+	// instances whose breaker is open or half open.
+	BreakersOpened    tally.Counter
+	BreakersNotClosed tally.Gauge
+	// Limit is the concurrency limit of the executor.
+	Limit tally.Gauge
 }
 
 // NewTraffic registers the counters. Outcomes are the names of the outcomes of
@@ -39,7 +50,7 @@
 		ProbesSent: scope.Counter("probes_sent"), ProbesFailed: scope.Counter("probes_failed"),
 		ProbesAnswered: scope.Counter("probes_answered"), ProbesRefused: scope.Counter("probes_refused"),
 		ProbeBytes:     scope.Counter("probe_bytes"),
-		BreakersOpened: scope.Counter("breakers_opened"), BreakersNotShut: scope.Gauge("breakers_not_closed"),
+		BreakersOpened: scope.Counter("breakers_opened"), BreakersNotClosed: scope.Gauge("breakers_not_closed"),
 		Limit: scope.Gauge("admission_limit"),
 	}
 	for _, name := range outcomes {
@@ -55,11 +66,6 @@
 	}
 }
 
-// InstanceGauge returns the gauge of a figure of one instance.
-func InstanceGauge(scope tally.Scope, name, instance string) tally.Gauge {
-	return scope.Tagged(map[string]string{"instance": instance}).Gauge(name)
-}
-
 // Discard returns counters that go nowhere, for parts that run without a node.
 func Discard(outcomes int) *Traffic {
 	names := make([]string, outcomes)
