Keep swings of shared hosts out of selection and limit

Cause: the reported median lags by some 50 ms. Following it within the swings sent too many calls to servers that had been fast a moment ago, and single slow windows of 100 ms lowered the limit. Change: an instance counts as slow from 1.5 times the mean service time; the limit falls for slowness only after 5 slow windows in a row.

--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -18,6 +18,8 @@
 	Limit float64
 	// Baseline is the median service time that the limit is compared with.
 	Baseline time.Duration
+	// Slow counts the slow windows in a row.
+	Slow int
 }
 
 // Constants of the limit. They are additive increase, multiplicative decrease
@@ -28,6 +30,9 @@
 	// to threefold.
 	slowTolerance = 4
 	slowFactor    = 0.9
+	// slowWindows is how many windows in a row must be slow. A shorter slowness
+	// is a pause of the host, which a lower limit would only make worse.
+	slowWindows = 5
 	// shedShare is the share of calls shed by the server itself that lowers the
 	// limit.
 	shedShare  = 0.1
@@ -54,10 +59,14 @@
 	floor := max(1, floorShare*ceiling)
 	s.Baseline = nextBaseline(s.Baseline, w.Median)
 	busy := float64(w.PeakInFlight) >= busyShare*min(s.Limit, ceiling)
+	s.Slow++
+	if !busy || w.Median <= slowTolerance*s.Baseline {
+		s.Slow = 0
+	}
 	switch {
 	case w.Calls > 0 && float64(w.Shed) >= shedShare*float64(w.Calls):
 		s.Limit *= shedFactor
-	case busy && w.Median > slowTolerance*s.Baseline:
+	case s.Slow >= slowWindows:
 		s.Limit *= slowFactor
 	case busy:
 		s.Limit += max(1, ceiling/10)
--- a/pkg/decide/pick/hotcold/candidate.go
+++ b/pkg/decide/pick/hotcold/candidate.go
@@ -18,6 +18,10 @@
 	// minLoadLife is the shortest time in which a report of load loses half of
 	// its weight; calls that take longer change the load more slowly.
 	minLoadLife = 0.005
+	// slowTolerance is the ratio to the mean service time from which an instance
+	// counts as slow. Swings of a shared host stay within it; following them
+	// would load the servers that were fast a moment ago beyond their capacity.
+	slowTolerance = 1.5
 	// latencyLife is that time for the median service time, in seconds. It
 	// spans the calls behind a median on a moderately busy server.
 	latencyLife = 0.25
@@ -43,6 +47,8 @@
 	load float64
 	hot  bool
 	cost float64
+	// expected is the service time that the cost counts with.
+	expected float64
 }
 
 // view reads the figures of a cell.
@@ -106,6 +112,7 @@
 	}
 	w = c.weight(latencyLife)
 	c.service = w*c.service + (1-w)*m.service
+	c.expected = max(m.service, c.service/slowTolerance)
 }
 
 // rate sets whether the candidate is hot, and its cost: for a cold one the
@@ -117,7 +124,7 @@
 		c.cost = c.load
 		return
 	}
-	c.cost = c.service*c.load + c.distance
+	c.cost = c.expected*c.load + c.distance
 }
 
 func (c *candidate) betterThan(other *candidate) bool {
