Try a cold server from the start of its ramp

Cause: in the trial of a restart the server got no call within 2 s. Its ramp multiplied the call to send and the mean that stands for a missing report, so it counted as busier than all others. Change: the ramp multiplies only the calls that are there. Trial on a scratch copy: with the former rule, TestColdServerIsTriedFromTheStart fails. Conclusion: a cold server is tried at once and still gets a reduced share.

--- a/pkg/decide/pick/hotcold/candidate.go
+++ b/pkg/decide/pick/hotcold/candidate.go
@@ -31,9 +31,9 @@
 // seconds.
 type candidate struct {
 	cell *board.Cell
-	// own is the number of calls of this entry, with the one to send; others is
-	// the reported number of calls of other entries. Both are per slot.
-	own, others float64
+	// next is the call to send, own the calls of this entry in flight, others
+	// the reported calls of other entries, each per slot.
+	next, own, others float64
 	// service is the reported median service time, without network.
 	service float64
 	// age is the age of the report, negative when there is none.
@@ -68,7 +68,8 @@
 		}
 	}
 	slots := float64(max(limit, 1))
-	c.own = float64(own+1) / slots
+	c.next = 1 / slots
+	c.own = float64(own) / slots
 	c.others = float64(max(0, others)) / slots
 	c.penalty = failurePenalty * cell.FailureShare(now)
 	if c.unknown() && own > 0 {
@@ -106,7 +107,10 @@
 // does not attract traffic and an old high one does not keep it away.
 func (c *candidate) estimate(m means) {
 	w := c.weight(m.loadLife)
-	c.load = (c.own+w*c.others+(1-w)*m.others)*c.slowdown + c.penalty
+	// An instance that ramps up has its share of the mean: the factors cancel
+	// out. The call to send counts plainly, else one call would fill a cold
+	// instance and it would get none until late in the ramp.
+	c.load = c.next + (c.own+w*c.others)*c.slowdown + (1-w)*m.others + c.penalty
 	if c.service == 0 {
 		c.service = m.service
 	}
--- a/pkg/decide/pick/pick_test.go
+++ b/pkg/decide/pick/pick_test.go
@@ -154,11 +154,22 @@
 	over := dynconf.Default().Balancing.ColdStart
 	early, middle, late := share(over/4), share(over/2), share(over)
 	require.Less(t, early, 0.7/6)
-	require.Positive(t, early)
+	require.Greater(t, early, 0.1/6)
 	require.Less(t, early, middle)
 	require.InDelta(t, 1.0/6, late, 0.02)
 }
 
+// Guards against a cold server without a report that is not tried until its
+// ramp has ended, although all others are busy.
+func TestColdServerIsTriedFromTheStart(t *testing.T) {
+	cells := fleet(6)
+	for _, c := range cells {
+		report(c, 6, 10000, 0)
+	}
+	cells[0] = board.NewColdCell(cells[0].Member, testTime)
+	require.Positive(t, drive(newPicker("hotcold", cells, nil), 300, 6)["i000"])
+}
+
 // Guards against calls to an instance with an open breaker, more than one
 // trial, and a service that is lost because all breakers are open.
 func TestBreakersGateEveryPolicy(t *testing.T) {
