--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check model quickstart site fuzz clean
+.PHONY: bench bench-quick build fmt lint vet test check model quickstart site fuzz clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg examples); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples bench); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -41,6 +41,15 @@
 	@command -v spin >/dev/null || apt-get install -y spin
 	model/run.sh
 
+# Compares the selection policies; results go to bench/results. BENCH passes
+# options, see `go run ./bench --help`.
+bench:
+	$(GO) run ./bench $(BENCH)
+
+# A subset of about 2 minutes.
+bench-quick:
+	$(GO) run ./bench --quick $(BENCH)
+
 clean:
 	rm -rf $(BIN)
 
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -11,6 +11,7 @@
 	announcementInboxSize = 64
 	rumorInboxSize        = 1024
 	versionInboxSize      = 256
+	finishedInboxSize     = 4096
 )
 
 // Board is the blackboard of one node. Section 2.1 of the design page lists
@@ -29,6 +30,17 @@
 	Keys *Keys
 	// Retired counts the refused calls of retired traffic.
 	Retired Retired
+	// Admission, Breakers and Budgets bound the calls that run, the instances
+	// that are tried and the attempts that are added.
+	Admission *Section[*Admission]
+	Breakers  *Section[*Breakers]
+	Budgets   *Section[*Budgets]
+	// Trees holds the attempt budgets of the call trees that run here.
+	Trees Trees
+	// ServiceTimes holds the newest service times of the backend server.
+	ServiceTimes ServiceTimes
+	// Finished carries ended calls of the executor to the admission controller.
+	Finished *Inbox[FinishedCall]
 
 	Neighbours *Section[*Neighbours]
 	Digest     *Section[*MemberDigest]
@@ -73,6 +85,10 @@
 		Gossip:        NewInbox[Gossip](gossipInboxSize),
 		Epochs:        NewSection("epochs", &Epochs{ByService: map[string]*EpochView{}}),
 		Keys:          NewKeys(),
+		Admission:     NewSection("admission", &Admission{}),
+		Breakers:      NewSection("breakers", &Breakers{}),
+		Budgets:       NewSection("budgets", &Budgets{ProbesOut: &ProbeBudget{}, ProbesIn: &ProbeBudget{}}),
+		Finished:      NewInbox[FinishedCall](finishedInboxSize),
 		Announcements: NewInbox[Announcement](announcementInboxSize),
 
 		Neighbours: NewSection("neighbours", &Neighbours{}),
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -44,6 +45,10 @@
 	// callerKey is the key that the caller itself sent; it identifies the
 	// request in the quarantine.
 	callerKey string
+	// attempts is the budget that additional attempts draw from; used counts
+	// those that this call and its nested calls have spent.
+	attempts *board.TreeBudget
+	used     atomic.Int64
 }
 
 // Result is what the entry tells the caller.
@@ -66,6 +71,10 @@
 	Load          board.LoadReport
 	// Epoch is the executor's epoch of the service, 0 when it told none.
 	Epoch uint64
+
+	// answered is set when the executor sent the result, as opposed to a result
+	// that the entry concluded from a lost connection.
+	answered bool
 }
 
 // NotRun returns the result of a call that did not run.
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -45,17 +45,14 @@
 	verdict := e.Once.Carry(ctx, &atmostonce.Call{
 		ID:     board.KeyID{Service: req.Service, Caller: req.Caller, Key: req.Key},
 		Digest: o.digest, RequestID: req.ID, Fresh: fresh,
-		MaxAttempts: attemptsOf(req), Pick: o.pick, Send: o.send,
+		MaxAttempts: maxAttempts, Retry: o.retry, Pick: o.pick, Send: o.send,
 	})
 	return o.resultOf(verdict)
 }
 
-// attemptsOf bounds the attempts of a call by what its call tree has left.
-func attemptsOf(req *Request) int {
-	if req.AttemptsLeft < 0 {
-		return maxAttempts
-	}
-	return min(maxAttempts, 1+req.AttemptsLeft)
+// retry pays for an attempt after one that is proven not to have run.
+func (o *onceCall) retry() bool {
+	return o.result == nil || o.entry.takeAttempt(o.req, false, o.result)
 }
 
 func newKey() string {
--- a/pkg/call/once_test.go
+++ b/pkg/call/once_test.go
@@ -17,9 +17,9 @@
 	"mangostand.example/mangostand/pkg/wire"
 )
 
-// newExecutor returns an executor in epoch 1 of a service with two members,
+// newMemberExecutor returns an executor in epoch 1 of a service with two members,
 // whose backend server is at addr.
-func newExecutor(addr string) *Executor {
+func newMemberExecutor(addr string) *Executor {
 	b := board.New("x")
 	b.Local.Claim("test").Publish(&board.Local{Announced: true, Service: "s", Addr: addr, Slots: 1})
 	view := &board.EpochView{
@@ -53,7 +53,7 @@
 		_, _ = io.WriteString(w, "booked")
 	}))
 	defer server.Close()
-	x := newExecutor(server.Listener.Addr().String())
+	x := newMemberExecutor(server.Listener.Addr().String())
 	call := booking()
 	result := x.Serve(entry, call)
 	require.Equal(t, board.OutcomeSucceeded, result.Outcome, result.Reason)
@@ -72,7 +72,7 @@
 		_, _ = io.WriteString(w, "half")
 	}))
 	defer server.Close()
-	x := newExecutor(server.Listener.Addr().String())
+	x := newMemberExecutor(server.Listener.Addr().String())
 	call := booking()
 	result := x.Serve(t.Context(), call)
 	require.Equal(t, board.OutcomeUnknown, result.Outcome)
@@ -84,7 +84,7 @@
 // Guards against a call that stays running although its backend server never
 // saw it, and against a rejected call whose copy runs later.
 func TestCallThatDidNotRunIsSealed(t *testing.T) {
-	x := newExecutor("127.0.0.1:1")
+	x := newMemberExecutor("127.0.0.1:1")
 	unreachable := booking()
 	require.Equal(t, board.OutcomeNotRun, x.Serve(t.Context(), unreachable).Outcome)
 	require.Equal(t, board.KeySealed, recordOf(x, unreachable).State)
--- a/pkg/call/quarantine_test.go
+++ b/pkg/call/quarantine_test.go
@@ -80,40 +80,49 @@
 	require.Equal(t, board.ReasonQuarantined, result.Reason)
 	require.Equal(t, http.StatusUnprocessableEntity, result.Status)
 
-	require.Equal(t, board.OutcomeSucceeded, x.Serve(context.Background(), callTo("/b")).Outcome)
+	succeeds := func(m *wire.Call) {
+		result := x.Serve(context.Background(), m)
+		require.Equal(t, board.OutcomeSucceeded, result.Outcome)
+		closeBody(result.Body)
+	}
+	succeeds(callTo("/b"))
 	publish(false, time.Now().Add(time.Hour))
-	require.Equal(t, board.OutcomeSucceeded, x.Serve(context.Background(), message).Outcome)
+	succeeds(message)
 	publish(true, time.Now())
-	require.Equal(t, board.OutcomeSucceeded, x.Serve(context.Background(), message).Outcome)
+	succeeds(message)
 }
 
 // Guards against requests that are confused with one another, and against a
 // caller who gets another caller's request refused by its key.
 func TestDigestTellsRequestsApart(t *testing.T) {
-	base := Request{Service: "s", Method: "GET", Path: "/ab", Query: "c", Caller: "x", Body: []byte("d")}
-	keyed := base
-	keyed.callerKey = "k"
+	base := func() *Request {
+		return &Request{Service: "s", Method: "GET", Path: "/ab", Query: "c", Caller: "x", Body: []byte("d")}
+	}
 	seen := map[string]string{}
-	add := func(name string, r Request) {
-		digest := digestOf(&r)
+	add := func(name string, change func(*Request)) {
+		r := base()
+		change(r)
+		digest := digestOf(r)
 		require.Empty(t, seen[digest], "%s has the digest of %s", name, seen[digest])
 		seen[digest] = name
 	}
-	change := func(r Request, f func(*Request)) Request { f(&r); return r }
-	add("base", base)
-	add("service", change(base, func(r *Request) { r.Service = "t" }))
-	add("method", change(base, func(r *Request) { r.Method = "POST" }))
-	add("shifted", change(base, func(r *Request) { r.Path, r.Query = "/a", "bc" }))
-	add("body", change(base, func(r *Request) { r.Body = nil }))
-	add("keyed", keyed)
-	add("other caller's key", change(keyed, func(r *Request) { r.Caller = "y" }))
-	require.Equal(t, digestOf(&base), digestOf(&Request{Service: "s", Method: "GET", Path: "/ab", Query: "c", Caller: "y", Body: []byte("d")}))
+	add("base", func(*Request) {})
+	add("service", func(r *Request) { r.Service = "t" })
+	add("method", func(r *Request) { r.Method = "POST" })
+	add("shifted", func(r *Request) { r.Path, r.Query = "/a", "bc" })
+	add("body", func(r *Request) { r.Body = nil })
+	add("keyed", func(r *Request) { r.callerKey = "k" })
+	add("other caller's key", func(r *Request) { r.callerKey, r.Caller = "k", "y" })
+	other := base()
+	other.Caller = "y"
+	require.Equal(t, digestOf(base()), digestOf(other))
 
 	e := &Entry{Board: board.New("self")}
+	keyed := base()
 	keyed.Key = "k"
-	e.quarantined(&keyed)
-	attempt := &Attempt{Request: &keyed, Route: &dynconf.Route{}}
-	require.Equal(t, digestOf(&keyed), digestOfCall(attempt.encode(time.Now(), 1)))
+	e.quarantined(keyed)
+	attempt := &Attempt{Request: keyed, Route: &dynconf.Route{}}
+	require.Equal(t, digestOf(keyed), digestOfCall(attempt.encode(time.Now(), 1)))
 }
 
 // Guards against a death that leaves no suspect: the connection breaks before
@@ -182,7 +191,10 @@
 	x.Board.Pickers.Claim("test").Publish(&board.Pickers{ByService: map[string]board.Picker{"s": always{cell}}})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	req := &Request{Service: "s", Method: "GET", Path: "/a", Deadline: time.Now().Add(time.Minute)}
+	req := &Request{Service: "s", Method: "GET", Path: "/a", Deadline: time.Now().Add(time.Minute), AttemptsLeft: -1}
+	config := dynconf.Default()
+	config.Retries.PerTree = 100
+	e.openAttempts(req, config)
 	result := e.serveIdempotent(ctx, req, &dynconf.Route{}, &board.RequestRecord{})
 	require.Equal(t, board.ReasonConnectionLost, result.Reason)
 	require.EqualValues(t, maxLostConnections, executions.Load())
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -111,7 +111,7 @@
 		}
 		i := instances[m.Instance]
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%.2f\t%d\t%d\t%d\n", m.Instance, service, m.State, m.FailureDomain,
-			m.Slots, i.EstimatedInFlight, i.LatencyMS, i.Successes, i.Failures, i.Rejections)
+			m.Slots, i.EstimatedInFlight, i.ServiceMS, i.Successes, i.Failures, i.Rejections)
 	}
 	return errors.Trace(table.Flush())
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,11 +19,15 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/call"
 	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/control/admission"
 	"mangostand.example/mangostand/pkg/control/announce"
+	"mangostand.example/mangostand/pkg/control/breaker"
+	"mangostand.example/mangostand/pkg/control/budget"
 	"mangostand.example/mangostand/pkg/control/configsync"
 	"mangostand.example/mangostand/pkg/control/epoch"
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
+	"mangostand.example/mangostand/pkg/control/probe"
 	"mangostand.example/mangostand/pkg/control/quarantine"
 	"mangostand.example/mangostand/pkg/control/routing"
 	"mangostand.example/mangostand/pkg/control/telemetry"
@@ -62,6 +66,7 @@
 	controllers []control.Controller
 	listeners   []listener
 	scope       tally.Scope
+	traffic     *metrics.Traffic
 	metricsHTTP http.Handler
 	metricsDone func() error
 }
@@ -86,6 +91,7 @@
 	n := &Node{settings: s, log: log, board: board.New(board.InstanceID(s.Instance)), peers: peers}
 	scope, metricsHTTP, closer := metrics.New(map[string]string{"node": s.Instance})
 	n.scope, n.metricsHTTP, n.metricsDone = scope, metricsHTTP, closer.Close
+	n.traffic = metrics.NewTraffic(scope, board.OutcomeNames())
 	n.buildCallPath()
 	n.buildControllers()
 	if err := n.buildListeners(); err != nil {
@@ -98,16 +104,21 @@
 // Board returns the node's board, for programs that embed the library.
 func (n *Node) Board() *board.Board { return n.board }
 
+// Entry returns the entry of the node, for programs that embed the library and
+// have a front of their own.
+func (n *Node) Entry() *call.Entry { return n.entry }
+
 func (n *Node) buildCallPath() {
 	n.executor = &call.Executor{
 		Instance: board.InstanceID(n.settings.Instance), Incarnation: uint64(time.Now().UnixNano()),
 		Board: n.board, Backend: backend.NewClient(backendConnections), Log: n.log,
+		Traffic: n.traffic,
 	}
 	n.keeper = atmostonce.New(n.executor.Instance, n.executor.Incarnation, n.board, atmostonce.Network{Transport: n.peers}, n.log)
 	n.executor.Once = n.keeper
 	n.entry = &call.Entry{
 		Board: n.board, Peers: n.peers, Local: n.executor, Once: n.keeper,
-		Log: logging.Sampled(n.log), Observer: metrics.NewCalls(n.scope),
+		Log: logging.Sampled(n.log), Observer: metrics.NewCalls(n.scope), Traffic: n.traffic,
 	}
 }
 
@@ -131,6 +142,10 @@
 		telemetry.New(n.board, &n.peers.Traffic, n.scope),
 		quarantine.New(n.board, n.log),
 		n.keeper,
+		budget.New(n.board),
+		breaker.New(n.board, n.traffic, n.log),
+		admission.New(n.board, n.traffic),
+		probe.New(n.board, n.peers, n.traffic),
 	}
 	var epochStore epoch.Store
 	if store != nil {
@@ -147,6 +162,11 @@
 	maps.Copy(handlers, n.keeper.Handlers(n.peers))
 	handlers[wire.TypeCall] = n.executor.HandleCall
 	handlers[wire.TypeConfigPull] = configsync.HandlePull(n.board, n.peers)
+	probes := &probe.Answerer{
+		Board: n.board, Instance: n.executor.Instance, Incarnation: n.executor.Incarnation,
+		Load: n.executor.Load, Peers: n.peers, Traffic: n.traffic,
+	}
+	handlers[wire.TypeProbe] = probes.Handle
 	return handlers
 }
 
--- a/pkg/opsapi/instances.go
+++ b/pkg/opsapi/instances.go
@@ -18,8 +18,9 @@
 	// all nodes.
 	OwnInFlight       int64 `json:"own_in_flight"`
 	EstimatedInFlight int64 `json:"estimated_in_flight"`
-	// LatencyMS is the moving average of latency in milliseconds.
-	LatencyMS  float64 `json:"latency_ms"`
+	// ServiceMS is the executor's median service time as last reported, in
+	// milliseconds.
+	ServiceMS  float64 `json:"service_ms"`
 	Successes  uint64  `json:"successes"`
 	Failures   uint64  `json:"failures"`
 	Rejections uint64  `json:"rejections"`
@@ -32,7 +33,7 @@
 		list = append(list, InstanceStatus{
 			Instance: cell.Member.Instance, Service: cell.Member.Service,
 			OwnInFlight: cell.OwnInFlight(), EstimatedInFlight: cell.EstimatedInFlight(),
-			LatencyMS: float64(cell.Latency()) / float64(time.Millisecond),
+			ServiceMS: serviceMS(cell),
 			Successes: cell.Successes.Load(), Failures: cell.Failures.Load(), Rejections: cell.Rejections.Load(),
 		})
 	}
@@ -40,6 +41,15 @@
 	return list
 }
 
+// serviceMS returns the reported service time, 0 without a report.
+func serviceMS(cell *board.Cell) float64 {
+	report := cell.LastReport()
+	if report == nil {
+		return 0
+	}
+	return float64(report.LatencyMicros) / float64(time.Millisecond/time.Microsecond)
+}
+
 // ready answers 200 when the node can carry calls: it has a configuration and
 // its own backend server, if it has one, is not draining.
 func ready(b *board.Board, w http.ResponseWriter) {
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -79,6 +79,9 @@
 			b.Digest.Name():     {b.Digest.Snapshot().Version, b.Digest.Owner()},
 			b.Versions.Name():   {b.Versions.Snapshot().Version, b.Versions.Owner()},
 			b.Quarantine.Name(): {b.Quarantine.Snapshot().Version, b.Quarantine.Owner()},
+			b.Admission.Name():  {b.Admission.Snapshot().Version, b.Admission.Owner()},
+			b.Breakers.Name():   {b.Breakers.Snapshot().Version, b.Breakers.Owner()},
+			b.Budgets.Name():    {b.Budgets.Snapshot().Version, b.Budgets.Owner()},
 		},
 	}
 	for _, m := range members.ByInstance {
