Tell not-run for a caller's own key only on its home's word

Cause: a refusal before the claim (retired, no route, quarantined) and a key in progress were told as not-run although an earlier request with the key may have run or be running (invariant R3). Change: the entry asks the home of the key before it tells such a refusal, and a key in progress is unknown with status 409.

--- a/pkg/atmostonce/carry.go
+++ b/pkg/atmostonce/carry.go
@@ -89,7 +89,7 @@
 		return v
 	}
 	switch v.Reason {
-	case board.ReasonKeyInProgress, board.ReasonKeyConflict, board.ReasonMalformed, board.ReasonKeyInFuture:
+	case board.ReasonKeyConflict, board.ReasonMalformed, board.ReasonKeyInFuture:
 		// These tell of the key or of another request, not of a run.
 		return v
 	}
@@ -273,7 +273,10 @@
 	switch {
 	case c.claim.Unsettled:
 		return Verdict{Outcome: board.OutcomeUnknown, Reason: c.unsettledReason(ctx)}
-	case c.last == board.ReasonKeyInProgress || c.proven:
+	case c.last == board.ReasonKeyInProgress:
+		// Another request with the key is running.
+		return Verdict{Outcome: board.OutcomeUnknown, Reason: c.last}
+	case c.proven:
 		return Verdict{Outcome: board.OutcomeNotRun, Reason: c.last}
 	}
 	// The caller brought the key, so an earlier call may have run it.
--- a/pkg/call/attempts_test.go
+++ b/pkg/call/attempts_test.go
@@ -77,7 +77,12 @@
 		boards = append(boards, executorBoard)
 		members = append(members, board.EpochMember{Instance: member.Instance, Incarnation: 1, PeerAddr: member.PeerAddr})
 	}
+	byInstance := map[board.InstanceID]board.Member{}
+	for _, m := range members {
+		byInstance[m.Instance] = board.Member{Instance: m.Instance, Incarnation: m.Incarnation, PeerAddr: m.PeerAddr, Service: "s", State: board.MemberServing}
+	}
 	for _, each := range boards {
+		each.Members.Claim("test").Publish(board.NewMembers("entry", byInstance))
 		each.Epochs.Claim("test").Publish(&board.Epochs{ByService: map[string]*board.EpochView{"s": {
 			Epoch:       &board.Epoch{Service: "s", Number: 1, Members: members},
 			ConfirmedAt: time.Now(), Superseded: make(chan struct{}),
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -90,6 +90,11 @@
 		status = http.StatusGatewayTimeout
 	case board.ReasonKeyExpired:
 		status = http.StatusGone
+	case board.ReasonKeyInProgress:
+		status = http.StatusConflict
+	case board.ReasonHomeUnavailable:
+		// A repetition with the same key is safe and will be answered.
+		status = http.StatusServiceUnavailable
 	}
 	return &Result{Outcome: board.OutcomeUnknown, Reason: reason, Status: status}
 }
@@ -100,8 +105,6 @@
 		return http.StatusBadRequest
 	case board.ReasonNoRoute:
 		return http.StatusNotFound
-	case board.ReasonKeyInProgress:
-		return http.StatusConflict
 	case board.ReasonRetired:
 		return http.StatusGone
 	case board.ReasonQuarantined, board.ReasonKeyConflict:
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -50,6 +50,36 @@
 	return o.resultOf(verdict)
 }
 
+// refuse returns the result of a call that the entry refuses before it is
+// claimed. When the caller brought a key, an earlier call with it may have run,
+// so the home of the key is asked before not-run is told.
+func (e *Entry) refuse(ctx context.Context, req *Request, reason board.Reason) *Result {
+	if req.Key == "" || dynconf.SafeMethod(req.Method) || e.Once.EpochNumber(req.Service) == 0 {
+		return NotRun(reason)
+	}
+	ctx, cancel := context.WithTimeout(ctx, refusalLookup)
+	defer cancel()
+	o := &onceCall{entry: e, req: req}
+	verdict := e.Once.Carry(ctx, &atmostonce.Call{
+		ID: board.KeyID{Service: req.Service, Caller: req.Caller, Key: req.Key}, Digest: bindingDigest(req),
+		RequestID: req.ID, Pick: noExecutor, Send: sendNothing,
+	})
+	if verdict.Outcome == board.OutcomeNotRun {
+		return NotRun(reason)
+	}
+	return o.resultOf(verdict)
+}
+
+// refusalLookup bounds the lookup of the key of a refused call.
+const refusalLookup = 2 * time.Second
+
+// noExecutor offers no executor, which turns a claim into a lookup.
+func noExecutor([]board.InstanceID) (board.InstanceID, uint64, bool) { return "", 0, false }
+
+func sendNothing(context.Context, uint64, uint64, int) (board.Outcome, board.Reason) {
+	return board.OutcomeNotRun, board.ReasonNoServer
+}
+
 // retry pays for an attempt after one that is proven not to have run.
 func (o *onceCall) retry() bool {
 	return o.result == nil || o.entry.takeAttempt(o.req, false, o.result)
@@ -113,10 +143,6 @@
 		result = NotRun(v.Reason)
 	default:
 		result = Unknown(v.Reason)
-		if v.Reason == board.ReasonHomeUnavailable {
-			// A repetition with the same key is safe and will be answered.
-			result.Status = http.StatusServiceUnavailable
-		}
 	}
 	if o.result != nil {
 		result.Attempts, result.Load = o.result.Attempts, o.result.Load
--- a/pkg/dynconf/config.go
+++ b/pkg/dynconf/config.go
@@ -216,6 +216,12 @@
 	if r.IdempotentSet {
 		return r.Idempotent
 	}
+	return SafeMethod(method)
+}
+
+// SafeMethod reports whether calls of a method are idempotent unless a route
+// says otherwise.
+func SafeMethod(method string) bool {
 	switch method {
 	case "GET", "HEAD", "OPTIONS":
 		return true
