--- a/pkg/call/retired_test.go
+++ b/pkg/call/retired_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/wire"
@@ -22,7 +23,7 @@
 	b.Config.Claim("test").Publish(config)
 	b.Local.Claim("test").Publish(&board.Local{Announced: true, Service: "a"})
 	entry := &Entry{Board: b, Log: zerolog.Nop()}
-	executor := &Executor{Instance: "x", Board: b, Log: zerolog.Nop()}
+	executor := &Executor{Instance: "x", Board: b, Once: atmostonce.New("x", 1, b, nil, zerolog.Nop()), Log: zerolog.Nop()}
 
 	for _, r := range []*Request{
 		{Service: "a", Method: http.MethodGet, Path: "/old/1", Caller: "screen"},
