Recognise a request that crashes servers by its content

Cause: the quarantine identified a request by the key that its caller sent. A key never runs twice, so a caller that repeats a poison request with a new key each time was never recognised and could crash every backend server. Change: the digest is of service, method, path, query and body; the field CallerKey of wire.Call is removed.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -40,10 +40,6 @@
 	// AttemptsLeft is the remaining budget of additional attempts of the call
 	// tree, -1 when the caller sent none.
 	AttemptsLeft int
-
-	// callerKey is the key that the caller itself sent; it identifies the
-	// request in the quarantine.
-	callerKey string
 }
 
 // Result is what the entry tells the caller.
--- a/pkg/call/codec.go
+++ b/pkg/call/codec.go
@@ -39,7 +39,6 @@
 		Tree: r.Tree, AttemptsLeft: clampByte(r.AttemptsLeft), Depth: clampByte(r.Depth),
 		Key: a.Grant.Key, Digest: a.Grant.Digest, Epoch: a.Grant.Epoch, Grant: a.Grant.Number,
 		ExecutorIncarnation: a.Executor.Incarnation, ConfigVersion: configVersion,
-		CallerKey: r.callerKey,
 	}
 }
 
--- a/pkg/call/digest.go
+++ b/pkg/call/digest.go
@@ -16,14 +16,13 @@
 	maxSummary = 200
 )
 
-// contentDigest identifies a request for the quarantine: by the key that its
-// caller sent, else by service, method, path, query and body. The callers of a
-// key are told apart, so that one cannot get another's request refused.
-func contentDigest(service, method, path, query, caller, callerKey string, body []byte) string {
-	parts := [][]byte{[]byte("content"), []byte(service), []byte(method), []byte(path), []byte(query), body}
-	if callerKey != "" {
-		parts = [][]byte{[]byte("key"), []byte(service), []byte(caller), []byte(callerKey)}
-	}
+// contentDigest identifies a request for the quarantine by its service, method,
+// path, query and body. The key is left out, since one key never runs twice: a
+// request that crashes backend servers reaches a second one only under another
+// key. The caller is left out, since the content is what crashes a backend
+// server: the same request of two callers counts as one.
+func contentDigest(service, method, path, query string, body []byte) string {
+	parts := [][]byte{[]byte(service), []byte(method), []byte(path), []byte(query), body}
 	h := sha256.New()
 	var size [8]byte
 	for _, part := range parts {
@@ -37,13 +36,13 @@
 
 // digestOf returns the digest of a request at its entry.
 func digestOf(r *Request) string {
-	return contentDigest(r.Service, r.Method, r.Path, r.Query, r.Caller, r.callerKey, r.Body)
+	return contentDigest(r.Service, r.Method, r.Path, r.Query, r.Body)
 }
 
 // digestOfCall returns the digest of a call at its executor. It is equal to
 // that at the entry.
 func digestOfCall(m *wire.Call) string {
-	return contentDigest(m.Service, m.Method, m.Path, m.Query, m.Caller, m.CallerKey, m.Body)
+	return contentDigest(m.Service, m.Method, m.Path, m.Query, m.Body)
 }
 
 // summaryOf names a call for operators.
--- a/pkg/call/quarantine.go
+++ b/pkg/call/quarantine.go
@@ -24,12 +24,10 @@
 	return 0
 }
 
-// quarantined reports whether the entry has to refuse a request. It remembers
-// the key that the caller sent, before the entry creates one. The digest is
+// quarantined reports whether the entry has to refuse a request. The digest is
 // only computed while requests are suspected, since it costs about 1 ms for a
 // body of 1 MB.
 func (e *Entry) quarantined(req *Request) bool {
-	req.callerKey = req.Key
 	quarantine := e.Board.Quarantine.Load()
 	return !quarantine.Empty() && quarantine.Refuses(digestOf(req), time.Now())
 }
--- a/pkg/wire/call.go
+++ b/pkg/wire/call.go
@@ -40,9 +40,6 @@
 	ExecutorIncarnation uint64 `cbor:"21,keyasint,omitempty"`
 	// ConfigVersion is the configuration version of the entry.
 	ConfigVersion uint64 `cbor:"22,keyasint,omitempty"`
-	// CallerKey is the key that the caller itself sent. It identifies the
-	// request in the quarantine.
-	CallerKey string `cbor:"23,keyasint,omitempty"`
 }
 
 // CallResponse is the head of the answer to a Call. The body follows on the
