Remove headers that Connection names

Cause: RFC 9110, 7.6.1, asks an intermediary to remove the headers that the header Connection names; the node removed only a fixed list. Change: the named ones are removed towards the backend server and from its answer. Conclusion: a test sends and answers such headers through the client.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -133,7 +134,14 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// removeHopHeaders removes the headers of one connection: those above and
+// those that the header Connection names.
 func removeHopHeaders(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		h.Del(name)
 	}
