--- a/pkg/cli/audit.go
+++ b/pkg/cli/audit.go
@@ -1,8 +1,6 @@
 package cli
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -28,12 +26,10 @@
 // auditCommands adds "audit".
 func auditCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
 	storeURL, limit, asJSON := defaultStore, defaultTrail, false
-	audit := flaggy.NewSubcommand("audit")
-	audit.Description = "list who changed the configuration, when and how, newest first"
-	audit.String(&storeURL, "", "store", "URL of the platform's store")
+	audit := attach(&parser.Subcommand, "audit", "list who changed the configuration, when and how, newest first")
+	storeFlag(audit, &storeURL)
 	audit.Int(&limit, "", "limit", "number of entries at most")
-	audit.Bool(&asJSON, "", "json", "print a JSON array")
-	parser.AttachSubcommand(audit, 1)
+	jsonFlag(audit, &asJSON)
 	return []*command{{audit, func() int {
 		entries, status := readTrail(storeURL, limit, stderr)
 		if status != ExitOK {
@@ -49,15 +45,6 @@
 	}}}
 }
 
-func printJSON(stdout, stderr io.Writer, value any) int {
-	encoder := json.NewEncoder(stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(value); err != nil {
-		return fail(stderr, err)
-	}
-	return ExitOK
-}
-
 func indent(text string) string {
 	if text == "" {
 		return ""
@@ -70,7 +57,7 @@
 	if limit < 1 || limit > maxTrail {
 		return nil, badInput(stderr, "--limit %d: expected 1 to %d", limit, maxTrail)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := callContext()
 	defer cancel()
 	entries, err := configstore.Trail(ctx, platform.NewClient(storeURL), limit)
 	if err != nil {
@@ -81,7 +68,7 @@
 
 // show prints the files of a version, 0 for the current one.
 func show(store *platform.Client, version uint64, stdout, stderr io.Writer) int {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := callContext()
 	defer cancel()
 	current, err := configstore.Current(ctx, store)
 	if err != nil {
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -2,9 +2,7 @@
 package cli
 
 import (
-	"fmt"
 	"io"
-	"time"
 
 	"github.com/integrii/flaggy"
 )
@@ -21,13 +19,6 @@
 	ExitConflict = 3
 )
 
-const (
-	// callTimeout bounds one command's calls to the store and to nodes.
-	callTimeout = 10 * time.Second
-	// defaultValidity is the life of test certificates.
-	defaultValidity = 30 * 24 * time.Hour
-)
-
 // command is one subcommand with the function that runs it.
 type command struct {
 	parsed *flaggy.Subcommand
@@ -39,6 +30,7 @@
 	parser := flaggy.NewParser("mangostand")
 	parser.Description = "command line for operators of mangostand"
 	parser.Version = version
+	printHelpTo(parser, stdout)
 	var commands []*command
 	commands = append(commands, configCommands(parser, stdout, stderr)...)
 	commands = append(commands, drainCommands(parser, stdout, stderr)...)
@@ -49,19 +41,13 @@
 	commands = append(commands, newKeyCommand(parser, stdout, stderr)...)
 	commands = append(commands, outcomeCommand(parser, stdout, stderr))
 	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitBadInput
+		return badInput(stderr, "%v", err)
 	}
 	for _, c := range commands {
 		if c.parsed.Used {
 			return c.run()
 		}
 	}
-	parser.ShowHelp()
+	parser.ShowHelpWithMessage("mangostand: a command is required")
 	return ExitBadInput
 }
-
-func fail(stderr io.Writer, err error) int {
-	fmt.Fprintln(stderr, "mangostand:", err)
-	return ExitFailure
-}
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -10,13 +10,9 @@
 	"mangostand.example/mangostand/pkg/platform"
 )
 
-const defaultStore = "http://127.0.0.1:7000"
-
 // configCommands adds "config check|render|apply|history|show".
 func configCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	config := flaggy.NewSubcommand("config")
-	config.Description = "check, apply and look up configurations"
-	parser.AttachSubcommand(config, 1)
+	config := attach(&parser.Subcommand, "config", "check, apply and look up configurations")
 	return []*command{
 		checkCommand(config, stdout, stderr),
 		renderCommand(config, stdout, stderr),
@@ -26,13 +22,6 @@
 	}
 }
 
-func attach(parent *flaggy.Subcommand, name, description string) *flaggy.Subcommand {
-	c := flaggy.NewSubcommand(name)
-	c.Description = description
-	parent.AttachSubcommand(c, 1)
-	return c
-}
-
 func checkCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
 	files := defaultFiles()
 	c := attach(config, "check", "check the files and report every problem")
@@ -73,22 +62,22 @@
 }
 
 func applyCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
-	a := &application{files: &configFiles{}, timeout: callTimeout, stdout: stdout, stderr: stderr}
+	a := &application{files: &configFiles{}, node: &nodeClient{}, timeout: callTimeout, stdout: stdout, stderr: stderr}
 	c := attach(config, "apply", "check the files and put them in force")
 	a.files.flags(c)
-	c.String(&a.storeURL, "", "store", "URL of the platform's store; required")
+	c.String(&a.storeURL, "s", "store", "URL of the platform's store; required")
 	c.String(&a.author, "", "author", "name for the audit trail; required")
 	c.String(&a.from, "", "from", "version that the change starts from; default: the one in the store now")
 	c.Duration(&a.timeout, "", "timeout", "limit for the calls to the store, and again for --wait")
 	c.Bool(&a.wait, "", "wait", "wait until the node of --node has the version in force")
-	c.String(&a.node, "", "node", "URL of a node's operators' listener, for --wait")
+	a.node.flags(c)
 	return &command{c, a.run}
 }
 
 func historyCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
 	storeURL, limit := defaultStore, defaultTrail
 	c := attach(config, "history", "list the accepted versions, newest first")
-	c.String(&storeURL, "", "store", "URL of the platform's store")
+	storeFlag(c, &storeURL)
 	c.Int(&limit, "", "limit", "number of versions at most")
 	return &command{c, func() int {
 		entries, status := readTrail(storeURL, limit, stderr)
@@ -105,7 +94,7 @@
 func showCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
 	storeURL, version := defaultStore, ""
 	c := attach(config, "show", "print the files of an accepted version")
-	c.String(&storeURL, "", "store", "URL of the platform's store")
+	storeFlag(c, &storeURL)
 	c.AddPositionalValue(&version, "VERSION", 1, false, "version to print; default: the current one")
 	return &command{c, func() int {
 		number, err := parseVersion(version)
@@ -128,9 +117,4 @@
 	return n, nil
 }
 
-func badInput(stderr io.Writer, format string, args ...any) int {
-	fmt.Fprintf(stderr, "mangostand: "+format+"\n", args...)
-	return ExitBadInput
-}
-
 func defaultFiles() *configFiles { return &configFiles{base: "base.ini", overlays: "overlays"} }
--- a/pkg/cli/config_apply.go
+++ b/pkg/cli/config_apply.go
@@ -20,7 +20,7 @@
 	storeURL string
 	author   string
 	from     string
-	node     string
+	node     *nodeClient
 	wait     bool
 	timeout  time.Duration
 	stdout   io.Writer
@@ -61,7 +61,7 @@
 			return 0, errors.Errorf("%s is required", r.name)
 		}
 	}
-	if a.wait != (a.node != "") {
+	if a.wait != (a.node.url != "") {
 		return 0, errors.New("--wait and --node stand together")
 	}
 	if a.from == "0" {
--- a/pkg/cli/config_test.go
+++ b/pkg/cli/config_test.go
@@ -44,9 +44,7 @@
 }
 
 func (b *bench) run(args ...string) (int, string, string) {
-	var stdout, stderr bytes.Buffer
-	status := Run("test", args, &stdout, &stderr)
-	return status, stdout.String(), stderr.String()
+	return run(args...)
 }
 
 func (b *bench) files() []string {
@@ -181,7 +179,7 @@
 	status, _, stderr := b.apply("awa")
 	require.Equal(t, ExitOK, status, stderr)
 	var waitErr bytes.Buffer
-	waiting := &application{node: server.URL, timeout: time.Millisecond, stderr: &waitErr}
+	waiting := &application{node: &nodeClient{url: server.URL}, timeout: time.Millisecond, stderr: &waitErr}
 	require.Equal(t, ExitFailure, waiting.waitForNode(b.current().Document))
 	require.Contains(t, waitErr.String(), "version 1 was applied, but is not in force")
 
--- a/pkg/cli/config_wait.go
+++ b/pkg/cli/config_wait.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,12 +12,8 @@
 	"mangostand.example/mangostand/pkg/opsapi"
 )
 
-const (
-	// pollInterval spaces the questions to a node.
-	pollInterval = 100 * time.Millisecond
-	// maxConfigStatusSize bounds the answer of a node in bytes.
-	maxConfigStatusSize = 1 << 20
-)
+// pollInterval spaces the questions to a node.
+const pollInterval = 100 * time.Millisecond
 
 // waitForNode waits until a node has an accepted document in force. It gives up
 // at once when the node cannot take the document.
@@ -30,13 +23,14 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		status, err := readConfigStatus(ctx, a.node)
+		var status opsapi.ConfigStatus
+		err := a.node.call(ctx, http.MethodGet, "/v1/config", &status)
 		done, verdict := inForce(status, document)
 		if err == nil && done {
 			if verdict != nil {
 				return fail(a.stderr, errors.Annotatef(verdict, "version %d was applied", document.Version))
 			}
-			fmt.Fprintf(a.stdout, "version %d is in force at %s\n", status.Version, a.node)
+			fmt.Fprintf(a.stdout, "version %d is in force at %s\n", status.Version, a.node.url)
 			return ExitOK
 		}
 		select {
@@ -44,7 +38,7 @@
 			if err == nil {
 				err = errors.Errorf("the node has version %d", status.Version)
 			}
-			return fail(a.stderr, errors.Annotatef(err, "version %d was applied, but is not in force at %s after %v", document.Version, a.node, a.timeout))
+			return fail(a.stderr, errors.Annotatef(err, "version %d was applied, but is not in force at %s after %v", document.Version, a.node.url, a.timeout))
 		case <-ticker.C:
 		}
 	}
@@ -65,25 +59,3 @@
 	}
 	return false, nil
 }
-
-// readConfigStatus asks a node which configuration it has in force.
-func readConfigStatus(ctx context.Context, node string) (opsapi.ConfigStatus, error) {
-	var status opsapi.ConfigStatus
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(node, "/")+"/v1/config", nil)
-	if err != nil {
-		return status, errors.Trace(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return status, errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return status, errors.Errorf("node answered %s", resp.Status)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigStatusSize))
-	if err != nil {
-		return status, errors.Trace(err)
-	}
-	return status, errors.Annotate(json.Unmarshal(data, &status), "answer of the node")
-}
--- a/pkg/cli/drain.go
+++ b/pkg/cli/drain.go
@@ -22,14 +22,12 @@
 
 // drainCommands adds "drain".
 func drainCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	drain := flaggy.NewSubcommand("drain")
-	drain.Description = "drain the backend server of a node until it restarts"
+	drain := attach(&parser.Subcommand, "drain", "drain the backend server of a node until it restarts")
 	node, exit, wait, limit := newNodeClient(), false, false, defaultDrainWait
 	node.flags(drain)
 	drain.Bool(&exit, "", "exit", "let the node exit after the drain")
 	drain.Bool(&wait, "w", "wait", "wait until no call is in flight and show the progress")
 	drain.Duration(&limit, "", "timeout", "longest time to wait")
-	parser.AttachSubcommand(drain, 1)
 	return []*command{{drain, func() int {
 		if err := startDrain(node, exit); err != nil {
 			return fail(stderr, err)
@@ -46,7 +44,7 @@
 }
 
 func startDrain(node *nodeClient, exit bool) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := callContext()
 	defer cancel()
 	path := "/v1/drain"
 	if exit {
--- a/pkg/cli/keys.go
+++ b/pkg/cli/keys.go
@@ -5,32 +5,30 @@
 	"io"
 	"net"
 	"os"
+	"time"
 
 	"github.com/integrii/flaggy"
 
 	"mangostand.example/mangostand/pkg/security"
 )
 
+// defaultValidity is the life of test certificates.
+const defaultValidity = 30 * 24 * time.Hour
+
 // keysCommands adds "keys ca" and "keys cert".
 func keysCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	keys := flaggy.NewSubcommand("keys")
-	keys.Description = "test CA and certificates"
-	parser.AttachSubcommand(keys, 1)
+	keys := attach(&parser.Subcommand, "keys", "create a test CA and certificates")
 
 	dir := "keys"
-	ca := flaggy.NewSubcommand("ca")
-	ca.Description = "create a test CA"
+	ca := attach(keys, "ca", "create a test CA")
 	ca.String(&dir, "d", "dir", "directory for the PEM files")
-	keys.AttachSubcommand(ca, 1)
 
 	name, addresses, node := "", []net.IP{}, false
-	cert := flaggy.NewSubcommand("cert")
-	cert.Description = "create a certificate signed by the test CA"
+	cert := attach(keys, "cert", "create a certificate signed by the test CA")
 	cert.String(&dir, "d", "dir", "directory for the PEM files")
 	cert.String(&name, "", "name", "name of the instance, caller or operator")
 	cert.IPSlice(&addresses, "", "ip", "IP number in the certificate")
 	cert.Bool(&node, "", "node", "certificate of a node")
-	keys.AttachSubcommand(cert, 1)
 
 	return []*command{
 		{ca, func() int {
@@ -45,8 +43,7 @@
 		}},
 		{cert, func() int {
 			if name == "" {
-				fmt.Fprintln(stderr, "mangostand: --name is required")
-				return ExitBadInput
+				return badInput(stderr, "--name is required")
 			}
 			if err := security.WriteCertificate(dir, name, node, addresses, defaultValidity); err != nil {
 				return fail(stderr, err)
--- a/pkg/cli/newkey.go
+++ b/pkg/cli/newkey.go
@@ -10,9 +10,7 @@
 
 // newKeyCommand adds "new-key", for callers that use curl.
 func newKeyCommand(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	newKey := flaggy.NewSubcommand("new-key")
-	newKey.Description = "print a new idempotency key (UUID version 7)"
-	parser.AttachSubcommand(newKey, 1)
+	newKey := attach(&parser.Subcommand, "new-key", "print a new idempotency key (UUID version 7)")
 	return []*command{{newKey, func() int {
 		key, err := uuid.NewV7()
 		if err != nil {
--- a/pkg/cli/nodeclient.go
+++ b/pkg/cli/nodeclient.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -14,77 +15,88 @@
 	"github.com/juju/errors"
 )
 
-// maxNodeAnswer bounds the answer of a node in bytes.
-const maxNodeAnswer = 16 << 20
-
-// errNodeNotFound means that the node does not know what was asked for.
-const errNodeNotFound = errors.ConstError("not found on the node")
+const (
+	defaultNode = "http://127.0.0.1:7071"
+	// maxNodeAnswer bounds the answer of a node in bytes; the status of 600
+	// instances takes about 300 KB.
+	maxNodeAnswer = 16 << 20
+)
 
 // nodeClient talks to the operators' listener of a node.
 type nodeClient struct {
-	url           string
+	url string
+	// ca, cert and key name the PEM files for a listener that uses TLS.
 	ca, cert, key string
 }
 
-func newNodeClient() *nodeClient { return &nodeClient{url: "http://127.0.0.1:7071"} }
+func newNodeClient() *nodeClient { return &nodeClient{url: defaultNode} }
 
 func (n *nodeClient) flags(c *flaggy.Subcommand) {
 	c.String(&n.url, "n", "node", "URL of the node's operators' listener")
-	c.String(&n.ca, "", "ca", "PEM file of the CA of an https node")
-	c.String(&n.cert, "", "cert", "PEM file of the operator's certificate")
-	c.String(&n.key, "", "key", "PEM file of the operator's key")
+	c.String(&n.ca, "", "ca", "CA certificate of the node (PEM), for https")
+	c.String(&n.cert, "", "cert", "own certificate (PEM), when the node asks for one")
+	c.String(&n.key, "", "key", "key of the own certificate (PEM)")
 }
 
-// call sends a request and decodes the answer unless answer is nil.
+// call sends a request and decodes the answer unless answer is nil. It returns
+// errBadInput when the node says that the request is not valid.
 func (n *nodeClient) call(ctx context.Context, method, path string, answer any) error {
-	client, err := n.client()
-	if err != nil {
+	data, err := n.send(ctx, method, path, nil)
+	if err != nil || answer == nil {
 		return errors.Trace(err)
 	}
-	defer client.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(n.url, "/")+path, nil)
+	return errors.Annotate(json.Unmarshal(data, answer), "answer of the node")
+}
+
+// send sends a request and returns the body of a successful answer. Its errors
+// are those of call.
+func (n *nodeClient) send(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	config, err := n.tlsConfig()
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(n.url, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.WithType(err, errBadInput)
+	}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Annotate(err, "node does not answer")
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxNodeAnswer))
 	if err != nil {
-		return errors.Trace(err)
-	}
-	if resp.StatusCode == http.StatusNotFound {
-		return errors.Annotate(errNodeNotFound, strings.TrimSpace(string(data)))
-	}
-	if resp.StatusCode >= 300 {
-		return errors.Errorf("node answered %s: %s", resp.Status, strings.TrimSpace(string(data)))
+		return nil, errors.Annotate(err, "reading the answer")
 	}
-	if answer == nil {
-		return nil
+	text := strings.TrimSpace(string(data))
+	switch {
+	case resp.StatusCode == http.StatusBadRequest:
+		return nil, errors.WithType(errors.New(text), errBadInput)
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return nil, errors.Errorf("node answered %s: %s", resp.Status, text)
 	}
-	return errors.Annotate(json.Unmarshal(data, answer), "malformed answer of the node")
+	return data, nil
 }
 
-func (n *nodeClient) client() (*http.Client, error) {
+func (n *nodeClient) tlsConfig() (*tls.Config, error) {
 	config := &tls.Config{MinVersion: tls.VersionTLS12}
 	if n.ca != "" {
 		pem, err := os.ReadFile(n.ca)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, errors.WithType(err, errBadInput)
 		}
 		config.RootCAs = x509.NewCertPool()
 		if !config.RootCAs.AppendCertsFromPEM(pem) {
-			return nil, errors.Errorf("no certificate found in %s", n.ca)
+			return nil, errors.WithType(errors.Errorf("no certificate found in %s", n.ca), errBadInput)
 		}
 	}
-	if n.cert != "" {
+	if n.cert != "" || n.key != "" {
 		pair, err := tls.LoadX509KeyPair(n.cert, n.key)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, errors.WithType(errors.Annotate(err, "own certificate"), errBadInput)
 		}
 		config.Certificates = []tls.Certificate{pair}
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, nil
+	return config, nil
 }
--- a/pkg/cli/quarantine.go
+++ b/pkg/cli/quarantine.go
@@ -1,13 +1,11 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"text/tabwriter"
-	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -16,22 +14,16 @@
 
 // quarantineCommands adds "quarantine list" and "quarantine lift".
 func quarantineCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	quarantine := flaggy.NewSubcommand("quarantine")
-	quarantine.Description = "requests that crash backend servers"
-	parser.AttachSubcommand(quarantine, 1)
+	quarantine := attach(&parser.Subcommand, "quarantine", "list and lift requests that crash backend servers")
 	node := newNodeClient()
 
-	list := flaggy.NewSubcommand("list")
-	list.Description = "list suspected and quarantined requests"
+	list := attach(quarantine, "list", "list suspected and quarantined requests")
 	node.flags(list)
-	quarantine.AttachSubcommand(list, 1)
 
 	digest := ""
-	lift := flaggy.NewSubcommand("lift")
-	lift.Description = "lift the quarantine of a request on all nodes"
+	lift := attach(quarantine, "lift", "lift the quarantine of a request on all nodes")
 	node.flags(lift)
-	lift.AddPositionalValue(&digest, "digest", 1, true, "digest of the request, see list")
-	quarantine.AttachSubcommand(lift, 1)
+	lift.AddPositionalValue(&digest, "DIGEST", 1, true, "digest of the request, see list")
 
 	return []*command{
 		{list, func() int { return listQuarantine(node, stdout, stderr) }},
@@ -40,7 +32,7 @@
 }
 
 func listQuarantine(node *nodeClient, stdout, stderr io.Writer) int {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := callContext()
 	defer cancel()
 	var entries []board.QuarantineEntry
 	if err := node.call(ctx, http.MethodGet, "/v1/quarantine", &entries); err != nil {
@@ -53,7 +45,7 @@
 		if e.Quarantined {
 			state = "quarantined"
 		}
-		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", e.Digest, state, len(e.Deaths), e.Until.Format(time.RFC3339), e.Summary)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", e.Digest, state, len(e.Deaths), e.Until.Format(timeLayout), e.Summary)
 	}
 	if err := table.Flush(); err != nil {
 		return fail(stderr, err)
@@ -62,7 +54,7 @@
 }
 
 func liftQuarantine(node *nodeClient, digest string, stdout, stderr io.Writer) int {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := callContext()
 	defer cancel()
 	if err := node.call(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(digest), nil); err != nil {
 		return fail(stderr, err)
--- /dev/null
+++ b/pkg/cli/setup_test.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"bytes"
+	"path/filepath"
+	"testing"
+
+	"github.com/integrii/flaggy"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against help that a pipe does not get, and against the help of a wrong
+// command line that is taken for output.
+func TestHelpGoesToStandardOutput(t *testing.T) {
+	flaggy.PanicInsteadOfExit = true
+	defer func() { flaggy.PanicInsteadOfExit = false }()
+	var stdout, stderr bytes.Buffer
+	require.PanicsWithValue(t, "Panic instead of exit with code: 0", func() { Run("test", []string{"drain", "--help"}, &stdout, &stderr) })
+	require.Contains(t, stdout.String(), "drain the backend server of a node until it restarts")
+	require.Empty(t, stderr.String())
+	for _, args := range [][]string{nil, {"config"}} {
+		status, out, _ := run(args...)
+		require.Equal(t, ExitBadInput, status, args)
+		require.Empty(t, out, args)
+	}
+}
+
+// Guards against a missing file that is reported as a failure of the command,
+// after which a script would repeat it.
+func TestMissingFilesAreBadInput(t *testing.T) {
+	b := newBench(t)
+	missing := filepath.Join(b.dir, "missing")
+	for _, args := range [][]string{
+		{"config", "check", "--base", missing},
+		{"config", "check", "--base", filepath.Join(b.dir, "base.ini"), "--overlays", missing},
+		{"config", "render", "north", "--base", missing},
+		{"config", "apply", "--store", b.url, "--author", "awa", "--base", missing, "--overlays", missing},
+		{"status", "--node", "https://127.0.0.1:1", "--ca", missing},
+		{"status", "--node", "https://127.0.0.1:1", "--cert", missing, "--key", missing},
+		{"status", "--node", "127.0.0.1:7071"},
+	} {
+		status, _, stderr := run(args...)
+		require.Equal(t, ExitBadInput, status, stderr)
+		require.Contains(t, stderr, "mangostand: ", args)
+	}
+	require.Nil(t, b.current().Document)
+}
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -18,19 +18,15 @@
 
 // statusCommands adds "status" and "log-level".
 func statusCommands(parser *flaggy.Parser, stdout, stderr io.Writer) []*command {
-	node, asJSON := newOperatorsClient(), false
-	status := flaggy.NewSubcommand("status")
-	status.Description = "show the state of a node and what it knows of the fleet"
+	node, asJSON := newNodeClient(), false
+	status := attach(&parser.Subcommand, "status", "show the state of a node and what it knows of the fleet")
 	node.flags(status)
-	status.Bool(&asJSON, "j", "json", "print JSON")
-	parser.AttachSubcommand(status, 1)
+	jsonFlag(status, &asJSON)
 
-	levelNode, level := newOperatorsClient(), ""
-	logLevel := flaggy.NewSubcommand("log-level")
-	logLevel.Description = "change the log level of a running node"
+	levelNode, level := newNodeClient(), ""
+	logLevel := attach(&parser.Subcommand, "log-level", "change the log level of a running node")
 	levelNode.flags(logLevel)
 	logLevel.AddPositionalValue(&level, "LEVEL", 1, true, "debug, info, warn or error")
-	parser.AttachSubcommand(logLevel, 1)
 
 	return []*command{
 		{status, func() int { return showStatus(node, asJSON, stdout, stderr) }},
@@ -38,8 +34,10 @@
 	}
 }
 
-func showStatus(node *operatorsClient, asJSON bool, stdout, stderr io.Writer) int {
-	data, err := node.call(http.MethodGet, "/v1/status", nil)
+func showStatus(node *nodeClient, asJSON bool, stdout, stderr io.Writer) int {
+	ctx, cancel := callContext()
+	defer cancel()
+	data, err := node.send(ctx, http.MethodGet, "/v1/status", nil)
 	if err != nil {
 		return fail(stderr, err)
 	}
@@ -60,12 +58,13 @@
 // logLevels are the words that a node accepts.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
-func setLogLevel(node *operatorsClient, level string, stdout, stderr io.Writer) int {
+func setLogLevel(node *nodeClient, level string, stdout, stderr io.Writer) int {
 	if !slices.Contains(logLevels, level) {
-		fmt.Fprintf(stderr, "mangostand: log level %q: expected debug, info, warn or error\n", level)
-		return ExitBadInput
+		return badInput(stderr, "log level %q: expected debug, info, warn or error", level)
 	}
-	if _, err := node.call(http.MethodPut, "/v1/log-level", []byte(level)); err != nil {
+	ctx, cancel := callContext()
+	defer cancel()
+	if _, err := node.send(ctx, http.MethodPut, "/v1/log-level", []byte(level)); err != nil {
 		return fail(stderr, err)
 	}
 	fmt.Fprintf(stdout, "log level is %s\n", level)
