Share the bit masks of states and the hash step

Cause: two state machines built their masks with the same function, and two packages of decisions had the same finalizer. Change: one generic function in pkg/board and one package hashing.

--- a/pkg/board/keys.go
+++ b/pkg/board/keys.go
@@ -46,19 +46,11 @@
 
 // keyTransitions lists the states that may follow each state.
 var keyTransitions = [...]uint32{
-	KeyGranted: keyBits(KeyGranted, KeyUnknown, KeyDone),
-	KeyUnknown: keyBits(KeyDone),
-	KeyRunning: keyBits(KeySealed, KeyDone),
-	KeySealed:  keyBits(KeySealed, KeyRunning),
-	KeyDone:    keyBits(KeyDone),
-}
-
-func keyBits(states ...KeyState) uint32 {
-	var b uint32
-	for _, s := range states {
-		b |= 1 << s
-	}
-	return b
+	KeyGranted: bits(KeyGranted, KeyUnknown, KeyDone),
+	KeyUnknown: bits(KeyDone),
+	KeyRunning: bits(KeySealed, KeyDone),
+	KeySealed:  bits(KeySealed, KeyRunning),
+	KeyDone:    bits(KeyDone),
 }
 
 // KeyResponse is a recorded response of a backend server.
--- a/pkg/board/request.go
+++ b/pkg/board/request.go
@@ -48,7 +48,8 @@
 	RequestDone:       0,
 }
 
-func bits(states ...RequestState) uint32 {
+// bits returns the set of states as a bit mask.
+func bits[S ~uint8 | ~uint32](states ...S) uint32 {
 	var b uint32
 	for _, s := range states {
 		b |= 1 << s
--- a/pkg/decide/keyhome/keyhome.go
+++ b/pkg/decide/keyhome/keyhome.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
 	"mangostand.example/mangostand/pkg/dynconf"
 )
 
@@ -24,7 +25,7 @@
 	key := hash(id.Service, id.Caller, id.Key)
 	best, bestScore := members[0], uint64(0)
 	for i, m := range members {
-		score := mix(key ^ hash(string(m.Instance)))
+		score := hashing.Mix(key ^ hash(string(m.Instance)))
 		if i == 0 || score > bestScore || (score == bestScore && m.Instance < best.Instance) {
 			best, bestScore = m, score
 		}
@@ -50,7 +51,7 @@
 		binary.BigEndian.PutUint64(seed[:], current.Number)
 	}
 	key := hash(service, string(seed[:]))
-	score := func(id board.InstanceID) uint64 { return mix(key ^ hash(string(id))) }
+	score := func(id board.InstanceID) uint64 { return hashing.Mix(key ^ hash(string(id))) }
 	joins := func(id board.InstanceID) bool {
 		if current == nil {
 			return false
@@ -87,15 +88,6 @@
 	return h.Sum64()
 }
 
-// mix is the finalizer of SplitMix64: FNV alone spreads the high bits badly.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Time returns the time in a UUID version 7, false for any other text.
 func Time(key string) (time.Time, bool) {
 	id, err := uuid.Parse(key)
--- a/pkg/decide/membership/digest.go
+++ b/pkg/decide/membership/digest.go
@@ -7,22 +7,13 @@
 	"slices"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
 )
 
-// mix spreads the bits of an FNV hash, whose high bits differ little for short
-// names (finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func hashString(s string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
-	return mix(h.Sum64())
+	return hashing.Mix(h.Sum64())
 }
 
 func hashID(id board.InstanceID) uint64 { return hashString(string(id)) }
@@ -37,7 +28,7 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(m.Instance))
 	_, _ = h.Write(position[:])
-	return mix(h.Sum64())
+	return hashing.Mix(h.Sum64())
 }
 
 // BucketOf returns the bucket of an instance in a digest.
@@ -53,7 +44,7 @@
 		}
 	}
 	for _, b := range buckets {
-		root = mix(root ^ b)
+		root = hashing.Mix(root ^ b)
 	}
 	return buckets, root
 }
@@ -109,7 +100,7 @@
 func HashVersions(numbers map[string]uint64) uint64 {
 	var sum uint64
 	for name, number := range numbers {
-		sum ^= mix(hashString(name) + mix(number))
+		sum ^= hashing.Mix(hashString(name) + hashing.Mix(number))
 	}
 	return sum
 }
