--- a/pkg/control/membership/fake_test.go
+++ b/pkg/control/membership/fake_test.go
@@ -38,6 +38,16 @@
 	synctest.Test(t, test)
 }
 
+// inNetwork runs a test in a bubble with a network of its own.
+func inNetwork(t *testing.T, test func(*testing.T, *network)) {
+	t.Helper()
+	inBubble(t, func(t *testing.T) {
+		n := newNetwork(t)
+		defer n.stopAll()
+		test(t, n)
+	})
+}
+
 // network passes messages between the controllers of one test. Messages are
 // encoded, so that their sizes count and nothing is shared.
 type network struct {
--- a/pkg/control/membership/membership_test.go
+++ b/pkg/control/membership/membership_test.go
@@ -28,9 +28,7 @@
 // Guards against a crashed instance that stays in the tables, and against
 // living ones that are declared dead with it.
 func TestCrashIsDeclared(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(16, "r")
 		eventually(t, 10*time.Second, "all nodes know each other", allLive(nodes, 16))
 		n.crash(nodes[5])
@@ -45,9 +43,7 @@
 // Guards against the loss of a failure domain that takes a suspicion time for
 // each member.
 func TestManyCrashesAreDeclaredTogether(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(20, "r")
 		eventually(t, 10*time.Second, "all nodes know each other", allLive(nodes, 20))
 		for _, node := range nodes[10:] {
@@ -61,9 +57,7 @@
 // Guards against an instance that was frozen, was declared dead and is never
 // used again after it wakes up.
 func TestFrozenNodeRefutesItsDeath(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(12, "r")
 		eventually(t, 10*time.Second, "all nodes know each other", allLive(nodes, 12))
 		before, _ := nodes[0].state("r-003")
@@ -83,9 +77,7 @@
 // Guards against a false declaration of death that takes a living instance out
 // of service before it can refute it.
 func TestFalseClaimIsRefutedBeforeItTakesEffect(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(12, "r")
 		eventually(t, 10*time.Second, "all nodes know each other", allLive(nodes, 12))
 		before, _ := nodes[0].state("r-007")
@@ -107,9 +99,7 @@
 // Guards against a replacement that inherits the state of the instance that
 // had its address before.
 func TestReplacementAtTheSameAddress(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(8, "r")
 		eventually(t, 10*time.Second, "all nodes know each other", allLive(nodes, 8))
 		old, _ := nodes[0].state("r-004")
@@ -144,9 +134,7 @@
 // Guards against a node that cannot join while the store is down, and against
 // one that never looks at the store again.
 func TestJoinWithStoreDown(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		keys := newTestStore()
 		keys.setDown(true)
 		n.store = keys
@@ -164,9 +152,7 @@
 // Guards against contact keys that grow with the fleet, that a stopped or
 // crashed holder keeps, or that a holder trusts after its lease has ended.
 func TestContactKeys(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		keys := newTestStore()
 		n.store = keys
 		nodes := n.startFleet(24, "r")
@@ -215,9 +201,7 @@
 // Guards against regions that were apart for minutes and do not find each
 // other again, and against living members that drop out while they do.
 func TestRegionsFindEachOtherAgain(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		// No node has a seed in the other region, so that only the tries of dead
 		// members bring them together again.
 		nodes := append(n.startFleet(8, "east"), n.startFleet(8, "west")...)
@@ -258,9 +242,7 @@
 // Guards against changes and rumors that a lossy network swallows, and against
 // duplicates that are handed on twice.
 func TestLostAndDuplicatedMessages(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(12, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 12))
 		n.mu.Lock()
@@ -287,9 +269,7 @@
 
 // Guards against a node that joins late and misses a rumor that still counts.
 func TestLateNodeGetsKeptRumors(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(4, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 4))
 		kept := board.Rumor{Kind: board.RumorQuarantine, ID: "kept", Until: time.Now().Add(time.Minute).UnixMilli()}
@@ -306,9 +286,7 @@
 
 // Guards against old records that bring a left, dead or dropped instance back.
 func TestStaleRecordsStayOut(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(6, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 6))
 		stale, _ := nodes[0].state("r-005")
@@ -333,9 +311,7 @@
 // Guards against a living instance that stays locked out after its dead record
 // was dropped.
 func TestReturnAfterTombstone(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(6, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 6))
 		n.setCut(func(from, to string) bool { return from == "r-004" || to == "r-004" })
@@ -347,9 +323,7 @@
 
 // Guards against a graceful stop that is taken for a crash or is told late.
 func TestLeftIsFlooded(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(10, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 10))
 		leaver, drainer := nodes[3], nodes[4]
@@ -367,9 +341,7 @@
 
 // Guards against a controller that never learns of a version it missed.
 func TestVersionsAheadAreReported(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(4, "r")
 		eventually(t, 15*time.Second, "all nodes know each other", allLive(nodes, 4))
 		nodes[1].board.VersionsOut.Post(board.Version{Name: board.VersionEpochPrefix + "s", Number: 9})
@@ -398,9 +370,7 @@
 // Guards against a ping answer that hides from its sender that it is held for
 // dead, and from an old record that the target has moved on.
 func TestPingAnswerCarriesNews(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		n := newNetwork(t)
-		defer n.stopAll()
+	inNetwork(t, func(t *testing.T, n *network) {
 		node := n.start("a", "r", "")
 		other := board.Member{Instance: "b", Incarnation: 5, Sequence: 2, State: board.MemberDead, PeerAddr: "b"}
 		node.board.Gossip.Post(board.Gossip{Members: []board.Member{{Instance: "b", Incarnation: 5, Sequence: 2, PeerAddr: "b"}}})
