Call an incarnation by one name and split long files

Cause: comments and a type said life for what the glossary calls an incarnation, and two files mixed several concerns. Change: board.Life is board.ServerIncarnation; the membership controller's handling of messages and its publication stand in files of their own, as does the backend server of the node's tests; the quarantine tests share their set-up. No behaviour and no check changes.

--- a/pkg/board/epoch.go
+++ b/pkg/board/epoch.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// EpochMember is one life of an instance in an epoch.
+// EpochMember is one incarnation of an instance in an epoch.
 type EpochMember struct {
 	Instance    InstanceID `cbor:"1,keyasint" json:"instance"`
 	Incarnation uint64     `cbor:"2,keyasint" json:"incarnation"`
@@ -37,7 +37,7 @@
 	End time.Time `cbor:"3,keyasint" json:"end"`
 }
 
-// Has reports whether this life of the instance was a member.
+// Has reports whether this incarnation of the instance was a member.
 func (f *FormerEpoch) Has(id InstanceID, incarnation uint64) bool {
 	for _, m := range f.Members {
 		if m.Instance == id && m.Incarnation == incarnation {
@@ -47,7 +47,7 @@
 	return false
 }
 
-// Asks reports whether homes of this epoch ask this life for records.
+// Asks reports whether homes of this epoch ask this incarnation for records.
 func (e *Epoch) Asks(id InstanceID, incarnation uint64) bool {
 	for i := range e.Former {
 		if e.Former[i].Has(id, incarnation) {
@@ -57,7 +57,7 @@
 	return false
 }
 
-// WasMember reports whether this life was a member of the epoch before.
+// WasMember reports whether this incarnation was a member of the epoch before.
 func (e *Epoch) WasMember(id InstanceID, incarnation uint64) bool {
 	return len(e.Former) > 0 && e.Former[0].Has(id, incarnation)
 }
@@ -72,7 +72,7 @@
 	return EpochMember{}, false
 }
 
-// Has reports whether this life of the instance is a member.
+// Has reports whether this incarnation of the instance is a member.
 func (e *Epoch) Has(id InstanceID, incarnation uint64) bool {
 	m, ok := e.Member(id)
 	return ok && m.Incarnation == incarnation
--- a/pkg/board/quarantine.go
+++ b/pkg/board/quarantine.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Life is one run of a backend server, from its start to its end.
-type Life struct {
+// ServerIncarnation is one run of a backend server, from its start to its end.
+type ServerIncarnation struct {
 	Instance InstanceID `cbor:"1,keyasint" json:"instance"`
 	// ServerIncarnation is the incarnation that the backend server announced.
 	ServerIncarnation uint64 `cbor:"2,keyasint" json:"server_incarnation"`
@@ -14,9 +14,9 @@
 	Digest string `json:"digest"`
 	// Summary names service, method and path for operators.
 	Summary string `json:"summary"`
-	// Deaths are the lives that ended while the request ran on them, without
+	// Deaths are the incarnations that ended while the request ran on them, without
 	// those that a completion or an operator cleared.
-	Deaths []Life `json:"deaths"`
+	Deaths []ServerIncarnation `json:"deaths"`
 	// Quarantined is set when the deaths suffice to refuse the request.
 	Quarantined bool      `json:"quarantined"`
 	Until       time.Time `json:"until"`
--- a/pkg/cli/keys.go
+++ b/pkg/cli/keys.go
@@ -12,7 +12,7 @@
 	"mangostand.example/mangostand/pkg/security"
 )
 
-// defaultValidity is the life of test certificates.
+// defaultValidity is how long test certificates are valid.
 const defaultValidity = 30 * 24 * time.Hour
 
 // keysCommands adds "keys ca" and "keys cert".
--- a/pkg/control/announce/announce_test.go
+++ b/pkg/control/announce/announce_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against a late heartbeat that brings a withdrawn backend server back,
-// and against a failure that is charged to the next life.
+// and against a failure that is charged to the next incarnation.
 func TestEndsOfALife(t *testing.T) {
 	run(t, func(t *testing.T, post func(board.AnnouncementKind, uint64) *board.Local) {
 		post(board.AnnounceHeartbeat, 1)
--- a/pkg/control/load/load.go
+++ b/pkg/control/load/load.go
@@ -36,7 +36,7 @@
 }
 
 // update publishes a table with one cell per member. A cell stays the same
-// while the lives of the node and its backend server last.
+// while the node and its backend server keep their incarnations.
 func (c *Controller) update() {
 	old := c.writer.Load()
 	next := &board.LoadTable{Cells: map[board.InstanceID]*board.Cell{}}
@@ -54,7 +54,7 @@
 }
 
 // reuse returns the old cell when it describes the same record. A changed
-// record of the same life keeps the figures in a new cell.
+// record of the same incarnation keeps the figures in a new cell.
 func reuse(old *board.Cell, m board.Member) (*board.Cell, bool) {
 	if old == nil || old.Member.Incarnation != m.Incarnation || old.Member.ServerIncarnation != m.ServerIncarnation {
 		return board.NewCell(m), false
--- a/pkg/control/membership/contact.go
+++ b/pkg/control/membership/contact.go
@@ -24,7 +24,7 @@
 	// contactRelease is the rank from which a holder gives its key up. It lies
 	// above contactKeys, so that a join does not move keys.
 	contactRelease = 2 * contactKeys
-	// contactTTL is the life of a lease; it is renewed three times as often.
+	// contactTTL is the duration of a lease; it is renewed three times as often.
 	contactTTL      = 6 * time.Second
 	contactInterval = 2 * time.Second
 	// storeTimeout bounds one store call.
--- a/pkg/control/membership/fake_test.go
+++ b/pkg/control/membership/fake_test.go
@@ -115,7 +115,7 @@
 	return nodes
 }
 
-// crash ends a node without a word to the others.
+// crash ends a node without a message to the others.
 func (n *network) crash(node *testNode) {
 	n.mu.Lock()
 	if n.nodes[node.addr] == node {
--- a/pkg/control/membership/membership.go
+++ b/pkg/control/membership/membership.go
@@ -28,10 +28,6 @@
 	floodDelay = 20 * time.Millisecond
 	// retryInterval spaces the tries of dead members.
 	retryInterval = 2 * time.Second
-	// maxBurst bounds the messages that are handled before a publication.
-	maxBurst = 64
-	// maxChallenges bounds the instances asked on the word of others per second.
-	maxChallenges = 4
 	// seedRounds is the number of exchanges after which one goes to a seed or
 	// contact that is not a live member.
 	seedRounds = 10
@@ -194,85 +190,6 @@
 	}
 }
 
-// receiveWaiting handles messages that wait already, so that a burst is
-// published once. A publication costs some hundred microseconds at 600 members.
-func (c *Controller) receiveWaiting(ctx context.Context) {
-	for range maxBurst {
-		select {
-		case message := <-c.board.Gossip.Events():
-			c.receive(ctx, message, time.Now())
-		default:
-			return
-		}
-	}
-}
-
-// receive handles one message of another node.
-func (c *Controller) receive(ctx context.Context, message board.Gossip, now time.Time) {
-	for _, record := range message.Members {
-		c.receiveRecord(ctx, record, message.From, now)
-	}
-	for _, rumor := range message.Rumors {
-		c.receiveRumor(rumor, message.From, now)
-	}
-	c.compareVersions(message)
-}
-
-func (c *Controller) receiveRecord(ctx context.Context, record board.Member, from board.InstanceID, now time.Time) {
-	if !decide.Valid(record) {
-		c.log.Warn().Str("peer", string(from)).Msg("refused an invalid member record")
-		return
-	}
-	old := c.table.members[record.Instance]
-	switch result := c.table.receive(record, now); result {
-	case accepted:
-		if old.Incarnation != record.Incarnation {
-			// A connection to the address may lead to an earlier life.
-			c.peers.Refresh(record.PeerAddr)
-		}
-		c.flood.addMember(record, from)
-	case held:
-		c.flood.addMember(record, from)
-	case refuted:
-		c.log.Warn().Str("claimed_state", record.State.String()).Msg("refuted a claim about this node")
-		c.flood.addMember(c.table.self(), "")
-	case replaced:
-		c.log.Error().Uint64("incarnation", record.Incarnation).Msg("another process runs under the name of this instance")
-	case below:
-		if from == record.Instance || c.mayChallenge(record.Instance, now) {
-			c.challenge(ctx, record)
-		}
-	}
-}
-
-// mayChallenge reports whether an instance that another node holds for live is
-// to be asked. Only the position of its dead record is left here, so that the
-// digest exchange cannot settle who is right.
-func (c *Controller) mayChallenge(id board.InstanceID, now time.Time) bool {
-	if _, found := c.table.floors[id]; !found {
-		return false
-	}
-	if now.Sub(c.challengeWindow) >= time.Second {
-		c.challengeWindow, c.challenges = now, 0
-	}
-	c.challenges++
-	return c.challenges <= maxChallenges
-}
-
-// challenge tells a living instance which record holds it for dead, so that it
-// refutes it.
-func (c *Controller) challenge(ctx context.Context, record board.Member) {
-	claim, found := c.table.claimAgainst(record)
-	if !found {
-		return
-	}
-	message := wire.Delta{From: c.table.selfID, Members: []board.Member{claim}}
-	c.work.Go(func() {
-		var answer wire.Delta
-		c.send(ctx, record.PeerAddr, wire.TypeDelta, message, wire.TypeDelta, &answer)
-	})
-}
-
 // check ends suspicions, held claims and old tombstones.
 func (c *Controller) check(now time.Time) {
 	for id, suspicion := range c.suspects {
@@ -320,46 +237,3 @@
 	}
 	return board.MemberJoining
 }
-
-// publish writes the sections that changed.
-func (c *Controller) publish() {
-	tableChanged, rumorsChanged := c.table.changed, c.rumors.changed
-	if tableChanged {
-		members := c.table.snapshot()
-		c.members.Publish(members)
-		c.ring = decide.NewRing(members)
-	}
-	if tableChanged || rumorsChanged {
-		c.publishDigest()
-	}
-	c.publishNeighbours()
-}
-
-func (c *Controller) publishDigest() {
-	digest := &board.MemberDigest{Kept: c.rumors.keptCopy()}
-	digest.Buckets, digest.Root = decide.Digest(c.members.Load())
-	digest.Rumors = decide.HashRumors(digest.Kept)
-	c.digest.Publish(digest)
-}
-
-func (c *Controller) publishNeighbours() {
-	next := &board.Neighbours{Contact: c.contact, LeftSent: c.leftSent}
-	for _, m := range c.ring.Neighbours(c.table.selfID) {
-		next.Ring = append(next.Ring, board.Neighbour{Instance: m.Instance, Addr: m.PeerAddr})
-	}
-	if !sameNeighbours(c.neighbours.Load(), next) {
-		c.neighbours.Publish(next)
-	}
-}
-
-func sameNeighbours(a, b *board.Neighbours) bool {
-	if a.Contact != b.Contact || a.LeftSent != b.LeftSent || len(a.Ring) != len(b.Ring) {
-		return false
-	}
-	for i := range a.Ring {
-		if a.Ring[i] != b.Ring[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/control/membership/membership_test.go
+++ b/pkg/control/membership/membership_test.go
@@ -107,7 +107,7 @@
 		n.crash(nodes[4])
 		time.Sleep(100 * time.Millisecond)
 		nodes[4] = n.start("r-004", "r", "r-004", "r-000")
-		eventually(t, 5*time.Second, "the new life is known", func() bool {
+		eventually(t, 5*time.Second, "the new incarnation is known", func() bool {
 			for _, node := range nodes {
 				if m, _ := node.state("r-004"); m.Incarnation <= old.Incarnation || m.State != board.MemberServing {
 					return false
@@ -321,7 +321,7 @@
 	})
 }
 
-// Guards against a graceful stop that is taken for a crash or is told late.
+// Guards against a graceful stop that is taken for a crash or is announced late.
 func TestLeftIsFlooded(t *testing.T) {
 	inNetwork(t, func(t *testing.T, n *network) {
 		nodes := n.startFleet(10, "r")
--- a/pkg/control/membership/ping.go
+++ b/pkg/control/membership/ping.go
@@ -78,7 +78,7 @@
 }
 
 // ping asks a member directly and, after a miss, through the relays. It
-// returns the last answer and whether one proves that the member lives.
+// returns the last answer and whether one proves that the member is alive.
 func (c *Controller) ping(ctx context.Context, m board.Member, ping wire.Ping, relayAddrs []string) (*wire.PingAnswer, bool) {
 	answer := &wire.PingAnswer{}
 	if c.exchange(ctx, m.PeerAddr, pingTimeout, wire.TypePing, ping, wire.TypePingAnswer, answer) == nil {
--- a/pkg/control/membership/table.go
+++ b/pkg/control/membership/table.go
@@ -45,7 +45,7 @@
 	below
 	// refuted: the record was a false claim about this node.
 	refuted
-	// replaced: the record is a newer life of this node's instance.
+	// replaced: the record is a newer incarnation of this node's instance.
 	replaced
 )
 
--- a/pkg/control/quarantine/probe.go
+++ b/pkg/control/quarantine/probe.go
@@ -62,6 +62,6 @@
 }
 
 // rumorID names a death, so that nodes that hear of it twice count it once.
-func rumorID(kind, digest string, life board.Life) string {
-	return fmt.Sprintf("quarantine/%s/%s/%s/%d", kind, digest, life.Instance, life.ServerIncarnation)
+func rumorID(kind, digest string, incarnation board.ServerIncarnation) string {
+	return fmt.Sprintf("quarantine/%s/%s/%s/%d", kind, digest, incarnation.Instance, incarnation.ServerIncarnation)
 }
--- a/pkg/control/quarantine/quarantine.go
+++ b/pkg/control/quarantine/quarantine.go
@@ -30,7 +30,7 @@
 	state decide.State
 	local *board.Local
 	lost  []decide.Lost
-	// ended are the lives of the backend server that ended lately. Calls that
+	// ended are the incarnations of the backend server that ended lately. Calls that
 	// notice the death later than the controller are suspects too.
 	ended   map[uint64]time.Time
 	probing bool
@@ -112,7 +112,7 @@
 	return false
 }
 
-// handleLocal looks for the end of a life of the backend server.
+// handleLocal looks for the end of an incarnation of the backend server.
 func (c *Controller) handleLocal(now time.Time) bool {
 	old := c.local
 	c.local = c.board.Local.Load()
@@ -137,28 +137,28 @@
 	changed := false
 	until := now.Add(c.board.Config.Load().Quarantine.TTL)
 	for _, e := range suspects {
-		life := c.lifeOf(e)
-		if !c.state.Died(e.Digest, e.Summary, []board.Life{life}, until) {
+		incarnation := c.incarnationOf(e)
+		if !c.state.Died(e.Digest, e.Summary, []board.ServerIncarnation{incarnation}, until) {
 			continue
 		}
 		changed = true
-		c.log.Warn().Str("digest", e.Digest).Str("request", e.Summary).Uint64("server_incarnation", life.ServerIncarnation).
+		c.log.Warn().Str("digest", e.Digest).Str("request", e.Summary).Uint64("server_incarnation", incarnation.ServerIncarnation).
 			Msg("backend server died under a request")
-		c.tell(rumorID("death", e.Digest, life), until, wire.QuarantineRumor{
-			Digest: e.Digest, Summary: e.Summary, Deaths: []board.Life{life},
+		c.tell(rumorID("death", e.Digest, incarnation), until, wire.QuarantineRumor{
+			Digest: e.Digest, Summary: e.Summary, Deaths: []board.ServerIncarnation{incarnation},
 		})
 	}
 	return changed
 }
 
-func (c *Controller) lifeOf(e board.Execution) board.Life {
-	return board.Life{Instance: c.board.Members.Load().Self, ServerIncarnation: e.ServerIncarnation}
+func (c *Controller) incarnationOf(e board.Execution) board.ServerIncarnation {
+	return board.ServerIncarnation{Instance: c.board.Members.Load().Self, ServerIncarnation: e.ServerIncarnation}
 }
 
 // completed clears a suspect that completed on another backend server.
 func (c *Controller) completed(e board.Execution, now time.Time) bool {
 	entry, found := c.writer.Load().Entries[e.Digest]
-	if !found || !decide.Elsewhere(entry.Deaths, c.lifeOf(e)) {
+	if !found || !decide.Elsewhere(entry.Deaths, c.incarnationOf(e)) {
 		return false
 	}
 	return c.clear(entry, now)
--- a/pkg/control/quarantine/quarantine_test.go
+++ b/pkg/control/quarantine/quarantine_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// withNodes runs a test in a bubble with nodes of its own.
+func withNodes(t *testing.T, count int, test func(*testing.T, []*testNode)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		nodes, stop := startNodes(t, count)
+		defer stop()
+		test(t, nodes)
+	})
+}
+
 func (n *testNode) announce(incarnation uint64) {
 	n.local.Publish(&board.Local{Announced: true, Service: "s", Addr: "a", Incarnation: incarnation})
 }
@@ -95,9 +105,7 @@
 
 // Guards against a request that crashes backend servers one after the other.
 func TestPoisonIsQuarantinedEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 4)
-		defer stop()
+	withNodes(t, 4, func(t *testing.T, nodes []*testNode) {
 		nodes[0].kill("poison", 1)
 		requireAll(t, nodes, "poison", false)
 		nodes[1].kill("poison", 1)
@@ -111,9 +119,7 @@
 // Guards against an innocent request that is refused because it ran beside a
 // poison one, or was lost without a death.
 func TestInnocentRequestIsCleared(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 3)
-		defer stop()
+	withNodes(t, 3, func(t *testing.T, nodes []*testNode) {
 		nodes[0].lose("no death", 1)
 		nodes[1].lose("no death", 1)
 		time.Sleep(time.Minute)
@@ -124,7 +130,7 @@
 		completed := board.Execution{Kind: board.ExecutionCompleted, Digest: "innocent", ServerIncarnation: 1}
 		nodes[0].board.Executions.Post(completed)
 		synctest.Wait()
-		require.Len(t, nodes[2].board.Quarantine.Load().Entries, 1, "a completion on the life that died clears it")
+		require.Len(t, nodes[2].board.Quarantine.Load().Entries, 1, "a completion on the incarnation that died clears it")
 		nodes[1].board.Executions.Post(completed)
 		synctest.Wait()
 		require.Empty(t, nodes[2].board.Quarantine.Load().Entries)
@@ -140,9 +146,7 @@
 
 // Guards against a quarantine that an operator cannot end.
 func TestOperatorLiftsQuarantine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 3)
-		defer stop()
+	withNodes(t, 3, func(t *testing.T, nodes []*testNode) {
 		nodes[0].kill("poison", 1)
 		nodes[1].kill("poison", 1)
 		requireAll(t, nodes, "poison", true)
@@ -158,9 +162,7 @@
 // Guards against a death that is only known when the next request is refused,
 // and against a closed connection that is taken for a death.
 func TestLostConnectionIsConfirmed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 1)
-		defer stop()
+	withNodes(t, 1, func(t *testing.T, nodes []*testNode) {
 		n := nodes[0]
 		n.lose("a", 1)
 		time.Sleep(time.Second)
@@ -178,9 +180,7 @@
 // Guards against suspects that are missed: requests still running at the death
 // of a backend server, and those that notice it late.
 func TestRunningAndLateRequestsAreSuspects(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 2)
-		defer stop()
+	withNodes(t, 2, func(t *testing.T, nodes []*testNode) {
 		n := nodes[0]
 		record := &board.RequestRecord{ID: "r", Execution: func() board.Execution {
 			return board.Execution{Digest: "running", ServerIncarnation: 1}
@@ -191,7 +191,7 @@
 		n.announce(2)
 		synctest.Wait()
 		n.lose("late", 1)
-		n.lose("next life", 2)
+		n.lose("next incarnation", 2)
 		entries := nodes[1].board.Quarantine.Load().Entries
 		require.Len(t, entries, 2)
 		require.Contains(t, entries, "running")
@@ -202,15 +202,13 @@
 // Guards against a malformed rumor that stops the controller, and against a
 // clock that is ahead and stretches a quarantine.
 func TestStrangeRumors(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		nodes, stop := startNodes(t, 1)
-		defer stop()
+	withNodes(t, 1, func(t *testing.T, nodes []*testNode) {
 		for _, payload := range [][]byte{nil, {0xff}, []byte("text")} {
 			nodes[0].board.QuarantineRumors.Post(board.Rumor{Kind: board.RumorQuarantine, ID: "x", Payload: payload})
 		}
 		synctest.Wait()
 		require.Empty(t, nodes[0].board.Quarantine.Load().Entries)
-		data, err := wire.EncodePayload(wire.QuarantineRumor{Digest: "d", Deaths: []board.Life{{Instance: "i1", ServerIncarnation: 1}}})
+		data, err := wire.EncodePayload(wire.QuarantineRumor{Digest: "d", Deaths: []board.ServerIncarnation{{Instance: "i1", ServerIncarnation: 1}}})
 		require.NoError(t, err)
 		nodes[0].board.QuarantineRumors.Post(board.Rumor{
 			Kind: board.RumorQuarantine, ID: "ahead", Payload: data, Until: time.Now().Add(24 * time.Hour).UnixMilli(),
--- a/pkg/decide/keyhome/keyhome.go
+++ b/pkg/decide/keyhome/keyhome.go
@@ -33,7 +33,7 @@
 	return best, true
 }
 
-// Moved reports whether a key has another home, or another life of its home,
+// Moved reports whether a key has another home, or another incarnation of its home,
 // in next than in former.
 func Moved(former, next []board.EpochMember, id board.KeyID) bool {
 	a, okA := Home(former, id)
--- a/pkg/decide/keyhome/transfer.go
+++ b/pkg/decide/keyhome/transfer.go
@@ -18,11 +18,11 @@
 	lossMargin = 2 * ConfirmValid
 )
 
-// Answer is what one life of an instance has told about an epoch.
+// Answer is what one incarnation of an instance has answered about an epoch.
 type Answer struct {
 	// Answered: the member sent all records and has adopted the epoch.
 	Answered bool
-	// Ended: that life of the instance has left or was replaced by another.
+	// Ended: that incarnation of the instance has left or was replaced by another.
 	Ended bool
 	// Horizon came with the records.
 	Horizon time.Time
@@ -146,7 +146,7 @@
 	return next
 }
 
-// SameMembers reports whether two lists hold the same lives of instances.
+// SameMembers reports whether two lists hold the same incarnations of instances.
 func SameMembers(a, b []board.EpochMember) bool {
 	if len(a) != len(b) {
 		return false
--- a/pkg/decide/membership/detect.go
+++ b/pkg/decide/membership/detect.go
@@ -66,7 +66,7 @@
 	return m
 }
 
-// Answered reports whether an answer to a ping proves that the pinged life
+// Answered reports whether an answer to a ping proves that the pinged incarnation
 // runs. A replacement at the same address, with another instance ID or
 // incarnation, does not prove it.
 func Answered(pinged board.Member, instance board.InstanceID, incarnation uint64) bool {
--- a/pkg/decide/membership/merge.go
+++ b/pkg/decide/membership/merge.go
@@ -66,7 +66,7 @@
 
 // Refute returns the record with which an instance answers a claim about
 // itself, and whether it has to. It does not answer a claim with a higher
-// incarnation: its instance was replaced, and the old life must not override
+// incarnation: its instance was replaced, and the old one must not override
 // the new one.
 func Refute(self, claim board.Member) (board.Member, bool) {
 	if claim.Incarnation != self.Incarnation || !Supersedes(claim, self) {
--- a/pkg/decide/membership/merge_test.go
+++ b/pkg/decide/membership/merge_test.go
@@ -34,8 +34,8 @@
 	})
 }
 
-// Guards against an old life that overrides the one that replaced it, and
-// against an old state that overrides a later one of the same life.
+// Guards against an old incarnation that overrides the one that replaced it, and
+// against an old state that overrides a later one of the same incarnation.
 func TestMergeNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := anyRecord(t, "a"), anyRecord(t, "b")
@@ -50,7 +50,7 @@
 	})
 }
 
-// Guards against a life that keeps being declared dead after it woke up, and
+// Guards against an incarnation that keeps being declared dead after it resumed, and
 // against an old process that fights the one that replaced it.
 func TestRefute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/decide/quarantine/death.go
+++ b/pkg/decide/quarantine/death.go
@@ -11,7 +11,7 @@
 // announces itself within a few seconds.
 const SuspectWindow = 10 * time.Second
 
-// MaxLost bounds the remembered lost executions of one life.
+// MaxLost bounds the remembered lost executions of one incarnation.
 const MaxLost = 256
 
 // Lost is an execution whose connection broke.
@@ -20,7 +20,7 @@
 	At        time.Time
 }
 
-// Ended returns the incarnation of the backend server whose life ended between
+// Ended returns the incarnation of the backend server that ended between
 // two states of the Local section, and whether one did: it was found down or
 // fell silent, or another incarnation took its place. A backend server that
 // withdraws after its drain has no request left that could be suspected.
@@ -32,7 +32,7 @@
 	return old.Incarnation, ended
 }
 
-// SuspectsOf returns the executions that a life took with it: those lost
+// SuspectsOf returns the executions that ended with an incarnation: those lost
 // within SuspectWindow and those still running, each digest once.
 func SuspectsOf(incarnation uint64, lost []Lost, running []board.Execution, now time.Time) []board.Execution {
 	var suspects []board.Execution
--- a/pkg/decide/quarantine/quarantine.go
+++ b/pkg/decide/quarantine/quarantine.go
@@ -14,18 +14,18 @@
 	// MaxEntries bounds the suspected requests: the requests in flight, about
 	// 15 each, of more than 60 backend servers that die within the TTL.
 	MaxEntries = 1024
-	// maxLives bounds the lives that are kept per request.
-	maxLives = 32
+	// maxIncarnations bounds the incarnations that are kept per request.
+	maxIncarnations = 32
 )
 
 // Suspect is what is known about one request. Deaths and clearances are sets,
 // so that all nodes agree in whatever order they hear of them.
 type Suspect struct {
 	Summary string
-	Deaths  map[board.Life]bool
-	// Cleared are the lives that do not count any more, because the request
+	Deaths  map[board.ServerIncarnation]bool
+	// Cleared are the incarnations that do not count any more, because the request
 	// completed elsewhere later or an operator lifted the quarantine.
-	Cleared map[board.Life]bool
+	Cleared map[board.ServerIncarnation]bool
 	// Until is when the entry ends: the TTL after the last death.
 	Until time.Time
 }
@@ -34,23 +34,23 @@
 // its owner calls them.
 type State map[string]*Suspect
 
-// Died records that lives ended while the request ran on them; the entry lasts
+// Died records that incarnations ended while the request ran on them; the entry lasts
 // until the given time at least. It reports whether the state changed.
-func (s State) Died(digest, summary string, lives []board.Life, until time.Time) bool {
+func (s State) Died(digest, summary string, incarnations []board.ServerIncarnation, until time.Time) bool {
 	suspect := s.get(digest)
 	if suspect.Summary == "" {
 		suspect.Summary = summary
 	}
 	suspect.extend(until)
-	return addLives(suspect.Deaths, lives)
+	return addIncarnations(suspect.Deaths, incarnations)
 }
 
-// Clear takes back the given lives until the given time at least. It reports
+// Clear takes back the given incarnations until the given time at least. It reports
 // whether the state changed.
-func (s State) Clear(digest string, lives []board.Life, until time.Time) bool {
+func (s State) Clear(digest string, incarnations []board.ServerIncarnation, until time.Time) bool {
 	suspect := s.get(digest)
 	suspect.extend(until)
-	return addLives(suspect.Cleared, lives)
+	return addIncarnations(suspect.Cleared, incarnations)
 }
 
 func (s *Suspect) extend(until time.Time) {
@@ -68,7 +68,7 @@
 	if len(s) >= MaxEntries {
 		delete(s, s.leastNeeded())
 	}
-	suspect := &Suspect{Deaths: map[board.Life]bool{}, Cleared: map[board.Life]bool{}}
+	suspect := &Suspect{Deaths: map[board.ServerIncarnation]bool{}, Cleared: map[board.ServerIncarnation]bool{}}
 	s[digest] = suspect
 	return suspect
 }
@@ -91,11 +91,11 @@
 	)
 }
 
-func addLives(set map[board.Life]bool, lives []board.Life) bool {
+func addIncarnations(set map[board.ServerIncarnation]bool, incarnations []board.ServerIncarnation) bool {
 	changed := false
-	for _, life := range lives {
-		if !set[life] && len(set) < maxLives {
-			set[life] = true
+	for _, incarnation := range incarnations {
+		if !set[incarnation] && len(set) < maxIncarnations {
+			set[incarnation] = true
 			changed = true
 		}
 	}
@@ -103,17 +103,17 @@
 }
 
 // Counted returns the deaths that are not cleared, in a fixed order.
-func (s *Suspect) Counted() []board.Life {
-	var lives []board.Life
-	for life := range s.Deaths {
-		if !s.Cleared[life] {
-			lives = append(lives, life)
+func (s *Suspect) Counted() []board.ServerIncarnation {
+	var incarnations []board.ServerIncarnation
+	for incarnation := range s.Deaths {
+		if !s.Cleared[incarnation] {
+			incarnations = append(incarnations, incarnation)
 		}
 	}
-	slices.SortFunc(lives, func(a, b board.Life) int {
+	slices.SortFunc(incarnations, func(a, b board.ServerIncarnation) int {
 		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.ServerIncarnation, b.ServerIncarnation))
 	})
-	return lives
+	return incarnations
 }
 
 // Expire drops the entries whose time has passed. It reports whether there
@@ -145,8 +145,8 @@
 	return snapshot
 }
 
-// Elsewhere reports whether a completion on a life counts as proof that the
-// request is harmless: the request killed other lives, not this one.
-func Elsewhere(deaths []board.Life, completedOn board.Life) bool {
+// Elsewhere reports whether a completion on an incarnation counts as proof that the
+// request is harmless: the request killed other incarnations, not this one.
+func Elsewhere(deaths []board.ServerIncarnation, completedOn board.ServerIncarnation) bool {
 	return len(deaths) > 0 && !slices.Contains(deaths, completedOn)
 }
--- a/pkg/decide/quarantine/quarantine_test.go
+++ b/pkg/decide/quarantine/quarantine_test.go
@@ -13,23 +13,23 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func life(n int) board.Life {
-	return board.Life{Instance: board.InstanceID(fmt.Sprintf("i%d", n/2)), ServerIncarnation: uint64(n % 2)}
+func incarnation(n int) board.ServerIncarnation {
+	return board.ServerIncarnation{Instance: board.InstanceID(fmt.Sprintf("i%d", n/2)), ServerIncarnation: uint64(n % 2)}
 }
 
 // step is one rumor about one request.
 type step struct {
-	cleared bool
-	lives   []board.Life
+	cleared      bool
+	incarnations []board.ServerIncarnation
 }
 
 func apply(steps []step) *board.Quarantine {
 	s := State{}
 	for _, st := range steps {
 		if st.cleared {
-			s.Clear("d", st.lives, epoch.Add(time.Hour))
+			s.Clear("d", st.incarnations, epoch.Add(time.Hour))
 		} else {
-			s.Died("d", "GET /s/a", st.lives, epoch.Add(time.Hour))
+			s.Died("d", "GET /s/a", st.incarnations, epoch.Add(time.Hour))
 		}
 	}
 	return s.Snapshot(2)
@@ -40,8 +40,10 @@
 func TestRumorsCommute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			lives := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) board.Life { return life(rapid.IntRange(0, 5).Draw(t, "life")) }), 1, 3)
-			return step{cleared: rapid.Bool().Draw(t, "cleared"), lives: lives.Draw(t, "lives")}
+			incarnations := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) board.ServerIncarnation {
+				return incarnation(rapid.IntRange(0, 5).Draw(t, "incarnation"))
+			}), 1, 3)
+			return step{cleared: rapid.Bool().Draw(t, "cleared"), incarnations: incarnations.Draw(t, "incarnations")}
 		}), 1, 6).Draw(t, "steps")
 		shuffled := rapid.Permutation(append(steps[:len(steps):len(steps)], steps...)).Draw(t, "order")
 		require.Equal(t, apply(steps).Entries["d"].Deaths, apply(shuffled).Entries["d"].Deaths)
@@ -52,9 +54,9 @@
 // Guards against a quarantine after one death that was told twice, and against
 // a request that goes on crashing backend servers after two.
 func TestTwoDistinctDeathsQuarantine(t *testing.T) {
-	one := step{lives: []board.Life{life(0)}}
+	one := step{incarnations: []board.ServerIncarnation{incarnation(0)}}
 	require.False(t, apply([]step{one, one}).Refuses("d", epoch))
-	sameInstanceRestarted := step{lives: []board.Life{life(1)}}
+	sameInstanceRestarted := step{incarnations: []board.ServerIncarnation{incarnation(1)}}
 	require.True(t, apply([]step{one, sameInstanceRestarted}).Refuses("d", epoch))
 	require.False(t, apply([]step{one, sameInstanceRestarted}).Refuses("d", epoch.Add(time.Hour)))
 	require.False(t, apply([]step{one, sameInstanceRestarted}).Refuses("other", epoch))
@@ -65,36 +67,36 @@
 func TestClearanceCoversOnlyTheDeathsBefore(t *testing.T) {
 	s := State{}
 	until := epoch.Add(time.Hour)
-	s.Died("d", "", []board.Life{life(0), life(1)}, until)
+	s.Died("d", "", []board.ServerIncarnation{incarnation(0), incarnation(1)}, until)
 	require.True(t, s.Snapshot(2).Refuses("d", epoch))
-	s.Clear("d", []board.Life{life(0), life(1)}, until)
+	s.Clear("d", []board.ServerIncarnation{incarnation(0), incarnation(1)}, until)
 	require.Empty(t, s.Snapshot(2).Entries)
-	require.False(t, s.Died("d", "", []board.Life{life(0)}, until), "an old rumor counts again")
+	require.False(t, s.Died("d", "", []board.ServerIncarnation{incarnation(0)}, until), "an old rumor counts again")
 	require.Empty(t, s.Snapshot(2).Entries)
-	s.Died("d", "", []board.Life{life(2), life(3)}, until)
+	s.Died("d", "", []board.ServerIncarnation{incarnation(2), incarnation(3)}, until)
 	require.True(t, s.Snapshot(2).Refuses("d", epoch))
 
-	require.True(t, Elsewhere([]board.Life{life(0)}, life(1)))
-	require.False(t, Elsewhere([]board.Life{life(0)}, life(0)))
-	require.False(t, Elsewhere(nil, life(0)))
+	require.True(t, Elsewhere([]board.ServerIncarnation{incarnation(0)}, incarnation(1)))
+	require.False(t, Elsewhere([]board.ServerIncarnation{incarnation(0)}, incarnation(0)))
+	require.False(t, Elsewhere(nil, incarnation(0)))
 }
 
 // Guards against memory that grows with the number of crashes, and against a
 // flood of suspects that pushes a quarantined request out.
 func TestStateIsBounded(t *testing.T) {
 	s := State{}
-	s.Died("poison", "", []board.Life{life(0), life(1)}, epoch.Add(time.Minute))
+	s.Died("poison", "", []board.ServerIncarnation{incarnation(0), incarnation(1)}, epoch.Add(time.Minute))
 	for i := range 2 * MaxEntries {
-		s.Died(fmt.Sprintf("d%d", i), "", []board.Life{life(2)}, epoch.Add(time.Hour))
+		s.Died(fmt.Sprintf("d%d", i), "", []board.ServerIncarnation{incarnation(2)}, epoch.Add(time.Hour))
 	}
 	require.Len(t, s, MaxEntries)
 	require.True(t, s.Snapshot(2).Refuses("poison", epoch))
-	var lives []board.Life
+	var incarnations []board.ServerIncarnation
 	for i := range 1000 {
-		lives = append(lives, life(i))
+		incarnations = append(incarnations, incarnation(i))
 	}
-	s.Died("poison", "", lives, epoch)
-	require.Len(t, s["poison"].Deaths, maxLives)
+	s.Died("poison", "", incarnations, epoch)
+	require.Len(t, s["poison"].Deaths, maxIncarnations)
 	require.True(t, s.Expire(epoch.Add(time.Hour)))
 	require.Empty(t, s)
 }
@@ -124,7 +126,7 @@
 	}
 }
 
-// Guards against innocent suspects: calls of another life, or lost long ago.
+// Guards against innocent suspects: calls of another incarnation, or lost long ago.
 func TestSuspectsOf(t *testing.T) {
 	execution := func(digest string, incarnation uint64) board.Execution {
 		return board.Execution{Digest: digest, ServerIncarnation: incarnation}
@@ -132,9 +134,9 @@
 	lost := []Lost{
 		{execution("recent", 1), epoch},
 		{execution("old", 1), epoch.Add(-SuspectWindow)},
-		{execution("other life", 2), epoch},
+		{execution("other incarnation", 2), epoch},
 	}
-	running := []board.Execution{execution("running", 1), execution("recent", 1), execution("next life", 2)}
+	running := []board.Execution{execution("running", 1), execution("recent", 1), execution("next incarnation", 2)}
 	suspects := SuspectsOf(1, lost, running, epoch.Add(1))
 	require.Equal(t, []board.Execution{execution("recent", 1), execution("running", 1)}, suspects)
 }
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -101,7 +101,7 @@
 }
 
 // encMode keeps times exact to the nanosecond: the default encoding cuts them
-// to seconds, which would shorten the life of key records.
+// to seconds, which would shorten the retention of key records.
 var encMode = mustEncMode()
 
 func mustEncMode() cbor.EncMode {
--- a/pkg/wire/gossip.go
+++ b/pkg/wire/gossip.go
@@ -7,7 +7,7 @@
 	"mangostand.example/mangostand/pkg/board"
 )
 
-// Ping asks whether the target lives. The answer is a PingAnswer.
+// Ping asks whether the target is alive. The answer is a PingAnswer.
 type Ping struct {
 	From board.InstanceID `cbor:"1,keyasint"`
 	// FromIncarnation and FromSequence are those of the sender's own record.
@@ -80,13 +80,13 @@
 // Ack answers a message that needs no other answer.
 type Ack struct{}
 
-// QuarantineRumor is the payload of a rumor of kind RumorQuarantine: lives that
-// ended under a request, or lives that a completion or an operator cleared.
+// QuarantineRumor is the payload of a rumor of kind RumorQuarantine: incarnations that
+// ended under a request, or incarnations that a completion or an operator cleared.
 type QuarantineRumor struct {
-	Digest  string       `cbor:"1,keyasint"`
-	Summary string       `cbor:"2,keyasint,omitempty"`
-	Deaths  []board.Life `cbor:"3,keyasint,omitempty"`
-	Cleared []board.Life `cbor:"4,keyasint,omitempty"`
+	Digest  string                    `cbor:"1,keyasint"`
+	Summary string                    `cbor:"2,keyasint,omitempty"`
+	Deaths  []board.ServerIncarnation `cbor:"3,keyasint,omitempty"`
+	Cleared []board.ServerIncarnation `cbor:"4,keyasint,omitempty"`
 }
 
 // EncodePayload encodes the payload of a rumor.
