--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -42,9 +42,6 @@
 	// tree, -1 when the caller sent none.
 	AttemptsLeft int
 
-	// callerKey is the key that the caller itself sent; it identifies the
-	// request in the quarantine.
-	callerKey string
 	// attempts is the budget that additional attempts draw from; used counts
 	// those that this call and its nested calls have spent.
 	attempts *board.TreeBudget
--- a/pkg/control/load/load.go
+++ b/pkg/control/load/load.go
@@ -37,7 +37,7 @@
 }
 
 // update publishes a table with one cell per member. A cell stays the same
-// while the lives of the node and its backend server last.
+// while the node and its backend server keep their incarnations.
 func (c *Controller) update() {
 	old := c.writer.Load()
 	next := &board.LoadTable{Cells: map[board.InstanceID]*board.Cell{}}
@@ -56,8 +56,8 @@
 }
 
 // reuse returns the old cell when it describes the same record. A changed
-// record of the same life keeps the figures in a new cell; a new life starts
-// cold.
+// record of the same incarnation keeps the figures in a new cell; a new
+// incarnation starts cold.
 func reuse(old *board.Cell, m board.Member, now time.Time) (*board.Cell, bool) {
 	if old == nil || old.Member.Incarnation != m.Incarnation || old.Member.ServerIncarnation != m.ServerIncarnation {
 		return board.NewColdCell(m, now), false
