Strike a call with each fault at each of its steps

The random schedules of pkg/atmostonce reach a step of a call only by chance. The fabric can freeze a node, and lose, hold or repeat the next message of a call; a message reaches its receiver also when its sender has given up. A frozen node of the fabric still has running timers.

--- a/pkg/atmostonce/fabric_test.go
+++ b/pkg/atmostonce/fabric_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -53,6 +54,8 @@
 	// rough draws delays and losses of single messages; nil for none.
 	rough  *rand.Rand
 	limits dynconf.AtMostOnce
+	// faults are the faults of one row of the fault matrix.
+	faults rowFaults
 }
 
 // node is one life of an instance.
@@ -84,8 +87,12 @@
 func (f *fabric) close() {
 	for _, n := range f.nodes {
 		n.stop()
+	}
+	f.thawAll()
+	for _, n := range f.nodes {
 		n.stopped.Wait()
 	}
+	f.faults.handling.Wait()
 }
 
 // settle waits until an epoch with the live nodes is adopted and transferred.
@@ -118,8 +125,8 @@
 
 // crash ends a node without warning; detect tells the others.
 func (f *fabric) crash(name board.InstanceID) *node {
-	n := f.nodes[name]
 	f.mu.Lock()
+	n := f.nodes[name]
 	n.dead = true
 	f.mu.Unlock()
 	n.stop()
@@ -135,7 +142,7 @@
 		records := map[board.InstanceID]board.Member{}
 		for name, other := range f.nodes {
 			m := other.self
-			if other.dead || f.side[name] != f.side[n.self.Instance] {
+			if other.dead || f.side[name] != f.side[n.self.Instance] || f.faults.frozen[name] != nil && name != n.self.Instance {
 				m.State = board.MemberDead
 			}
 			records[name] = m
@@ -215,14 +222,20 @@
 func exchange[Q, A any](ctx context.Context, l link, addr string, qt, at wire.Type, q *Q, handle func(*node, *Q) *A) (*A, error) {
 	question, answer := new(Q), new(A)
 	copyMessage(qt, q, question)
+	l.from.fabric.hold(l.from)
 	l.from.fabric.delay()
 	to := l.from.fabric.target(l.from, addr)
-	if to == nil || l.from.fabric.loses() {
+	if to == nil || l.from.fabric.loses() || l.from.fabric.losesQuestion(qt) {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	result := deliver(ctx, to, qt, question, handle)
+	if result == nil || l.from.fabric.losesAnswer(qt) {
 		<-ctx.Done()
 		return nil, errLost
 	}
-	result := handle(to, question)
 	l.from.fabric.delay()
+	l.from.fabric.hold(l.from)
 	if l.from.fabric.target(l.from, addr) != to || ctx.Err() != nil || l.from.fabric.loses() {
 		<-ctx.Done()
 		return nil, errLost
@@ -243,7 +256,11 @@
 
 func (l link) Claim(ctx context.Context, to board.EpochMember, m *wire.Claim) (*wire.ClaimAnswer, error) {
 	return exchange(ctx, l, to.PeerAddr, wire.TypeClaim, wire.TypeClaimAnswer, m,
-		func(n *node, q *wire.Claim) *wire.ClaimAnswer { return n.keeper.HandleClaim(ctx, q) })
+		func(n *node, q *wire.Claim) *wire.ClaimAnswer {
+			ctx, cancel := atReceiver(ctx)
+			defer cancel()
+			return n.keeper.HandleClaim(ctx, q)
+		})
 }
 
 func (l link) Seal(ctx context.Context, to board.EpochMember, m *wire.Seal) (*wire.SealAnswer, error) {
@@ -369,6 +386,8 @@
 	fresh       bool
 	// executor fixes the choice when it is set.
 	executor board.InstanceID
+	// among limits the choice to these executors, in the order of their names.
+	among []board.InstanceID
 	// beforeSend runs when a grant is obtained.
 	beforeSend func(call *wire.Call)
 	deadline   time.Duration
@@ -386,7 +405,7 @@
 	verdict := n.keeper.Carry(ctx, &atmostonce.Call{
 		ID: idOf(a.key), Digest: a.digest, RequestID: request, Fresh: a.fresh, MaxAttempts: 3,
 		Pick: func(exclude []board.InstanceID) (board.InstanceID, uint64, bool) {
-			chosen = n.choose(a.executor, exclude)
+			chosen = n.choose(a, exclude)
 			return chosen.Instance, chosen.Incarnation, chosen.Instance != ""
 		},
 		Send: func(ctx context.Context, epoch, grant uint64, _ int) (board.Outcome, board.Reason) {
@@ -403,32 +422,48 @@
 	return verdict, request
 }
 
-func (n *node) choose(fixed board.InstanceID, exclude []board.InstanceID) board.Member {
+func (n *node) choose(a attempt, exclude []board.InstanceID) board.Member {
 	var candidates []board.Member
 	for _, m := range n.board.Members.Load().ByService[service] {
 		excluded := false
 		for _, e := range exclude {
 			excluded = excluded || e == m.Instance
 		}
-		if m.State == board.MemberServing && !excluded && (fixed == "" || fixed == m.Instance) {
+		if m.State == board.MemberServing && !excluded && a.allows(m.Instance) {
 			candidates = append(candidates, m)
 		}
 	}
 	if len(candidates) == 0 {
 		return board.Member{}
 	}
+	if len(a.among) > 0 {
+		return candidates[0]
+	}
 	return candidates[rand.IntN(len(candidates))]
 }
 
+func (a attempt) allows(executor board.InstanceID) bool {
+	if len(a.among) > 0 {
+		return slices.Contains(a.among, executor)
+	}
+	return a.executor == "" || a.executor == executor
+}
+
 // send carries a call to its executor and runs it there.
 func (n *node) send(ctx context.Context, to board.InstanceID, call *wire.Call) (board.Outcome, board.Reason) {
+	n.fabric.reach(call.Key, stepSent)
+	n.fabric.hold(n)
 	n.fabric.delay()
 	x := n.fabric.target(n, string(to))
-	if x == nil {
+	if x == nil || n.fabric.losesQuestion(wire.TypeCall) {
 		return board.OutcomeUnknown, board.ReasonConnectionLost
 	}
-	outcome, reason := x.execute(ctx, call)
+	outcome, reason := x.take(ctx, call)
 	n.fabric.delay()
+	n.fabric.hold(n)
+	if n.fabric.losesAnswer(wire.TypeCall) {
+		return board.OutcomeUnknown, board.ReasonConnectionLost
+	}
 	if n.fabric.target(n, string(to)) != x {
 		return board.OutcomeUnknown, board.ReasonConnectionLost
 	}
@@ -436,6 +471,8 @@
 }
 
 func (n *node) execute(ctx context.Context, call *wire.Call) (board.Outcome, board.Reason) {
+	n.fabric.reach(call.Key, stepQueued)
+	n.fabric.hold(n)
 	run, refusal := n.keeper.Begin(ctx, call)
 	if refusal != nil {
 		return refusal.Outcome, refusal.Reason
@@ -443,13 +480,17 @@
 	if !n.touchBackend(call) {
 		return board.OutcomeUnknown, board.ReasonConnectionLost
 	}
+	n.fabric.reach(call.Key, stepRunning)
 	time.Sleep(serviceTime)
+	n.fabric.hold(n)
 	n.fabric.mu.Lock()
 	dead := n.dead
 	n.fabric.mu.Unlock()
 	if !dead {
 		run.Done(board.OutcomeSucceeded, "", &board.KeyResponse{Status: 200, Body: []byte(call.RequestID), Stored: true})
 	}
+	n.fabric.reach(call.Key, stepResponding)
+	n.fabric.hold(n)
 	return board.OutcomeSucceeded, ""
 }
 
