Tell unknown when a node without configuration refuses a key

A node that had restarted during a store outage had no configuration yet and told not-run (no-route) of a booking whose key had run at another node, seen in TestStoreOutage of test/processes. Such a node now tells unknown with 503 when the caller brought the key; fresh calls are still told not-run.

--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check model quickstart site fuzz clean
+.PHONY: build fmt lint vet test check model quickstart site fuzz faults clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg examples); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples test); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -41,6 +41,14 @@
 	@command -v spin >/dev/null || apt-get install -y spin
 	model/run.sh
 
+# Runs the rows of the fault matrix (docs/faults.md) and prints a line for each:
+# first in process, then with real processes; takes about 2 min.
+faults: SHELL := bash
+faults: .SHELLFLAGS := -o pipefail -c
+faults: build
+	$(GO) test ./pkg/faultmatrix ./pkg/atmostonce -run '^(TestPageNamesTests|TestMatrixIsComplete|TestFaultAtEachStep|TestPairsOfFaults)$$' -count=1 -v | grep -v '^=== '
+	MANGOSTAND_BIN=$(CURDIR)/$(BIN) $(GO) test -tags processes ./test/processes -count=1 -v -timeout 5m | grep -v '^=== '
+
 clean:
 	rm -rf $(BIN)
 
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -33,7 +33,7 @@
 	route, refusal := routeOf(config, req)
 	if refusal != "" {
 		countRetired(e.Board, refusal, req.Caller, req.Service)
-		return e.finish(nil, req, NotRun(refusal), config)
+		return e.finish(nil, req, refusedResult(config, req, refusal), config)
 	}
 	if e.quarantined(req) {
 		return e.finish(nil, req, NotRun(board.ReasonQuarantined), config)
--- /dev/null
+++ b/pkg/faultmatrix/page_test.go
@@ -0,0 +1,98 @@
+// Package faultmatrix_test checks docs/faults.md against the tests of the tree.
+package faultmatrix_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	root = "../.."
+	page = root + "/docs/faults.md"
+)
+
+// tests returns the names of all tests as FOLDER.TestName, whatever their
+// build tags.
+func tests(t *testing.T) map[string]bool {
+	found := map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		folder := filepath.Base(filepath.Dir(path))
+		for _, declaration := range file.Decls {
+			if f, ok := declaration.(*ast.FuncDecl); ok && f.Recv == nil && strings.HasPrefix(f.Name.Name, "Test") {
+				found[folder+"."+f.Name.Name] = true
+			}
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	return found
+}
+
+// reference is a test named on the page; bareTest finds one that is written
+// without its package.
+var (
+	reference = regexp.MustCompile("`([a-z]+\\.Test[A-Za-z0-9]+)`")
+	bareTest  = regexp.MustCompile(`(^|[^.A-Za-z])Test[A-Z][A-Za-z0-9]*`)
+)
+
+// Guards against a page that names a test which was renamed or removed.
+func TestPageNamesTests(t *testing.T) {
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	known := tests(t)
+	named := reference.FindAllStringSubmatch(string(text), -1)
+	require.NotEmpty(t, named)
+	for _, name := range named {
+		require.True(t, known[name[1]], "docs/faults.md names %s, which does not exist", name[1])
+	}
+	for _, name := range bareTest.FindAllString(string(text), -1) {
+		require.Contains(t, name, "TestPageNamesTests", "a test without its package")
+	}
+}
+
+// faults are the rows of each table of the matrix.
+var faults = []string{
+	"slow server", "drain", "fail fast", "store down", "store slow", "answer lost after the write", "lease lapse while paused",
+	"two operators at once", "crashing request", "late and reordered answers", "lost or duplicated messages", "kill", "freeze", "cut",
+}
+
+// steps is the number of steps of each table: a call, a drain, a configuration
+// change and a join.
+var steps = []int{7, 5, 5, 5}
+
+// Guards against a fault or a step that a table leaves out, and against a cell
+// that claims coverage without a test.
+func TestMatrixIsComplete(t *testing.T) {
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	tables := strings.Split(string(text), "| fault |")[1:]
+	require.Len(t, tables, len(steps))
+	for i, table := range tables {
+		rows := strings.Split(strings.TrimSpace(strings.Split(table, "\n\n")[0]), "\n")[2:]
+		require.Len(t, rows, len(faults))
+		for j, row := range rows {
+			cells := strings.Split(strings.Trim(row, "| "), " | ")
+			require.Len(t, cells, steps[i]+1, row)
+			require.True(t, strings.HasPrefix(cells[0], faults[j]), row)
+			for _, cell := range cells[1:] {
+				require.True(t, cell == "not covered" || reference.MatchString(cell), row)
+			}
+		}
+	}
+}
