--- a/test/processes/fleet_test.go
+++ b/test/processes/fleet_test.go
@@ -133,13 +133,14 @@
 	return f
 }
 
+// spawn starts a child in the process group of the test, so that an interrupt
+// of a run reaches it too.
 func (f *fleet) spawn(program string, args ...string) *process {
 	log, err := os.OpenFile(filepath.Join(f.dir, "processes.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	require.NoError(f.t, err)
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	cmd := exec.Command(filepath.Join(f.bin, program), args...)
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	require.NoError(f.t, cmd.Start())
 	p := &process{cmd: cmd, exited: make(chan struct{})}
 	go func() {
