--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: bench bench-quick build fmt lint vet test check model quickstart site fuzz clean
+.PHONY: build fmt lint vet test check model quickstart site fuzz faults bench bench-quick clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg examples bench); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples bench test); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -50,6 +50,14 @@
 bench-quick:
 	$(GO) run ./bench --quick $(BENCH)
 
+# Runs the rows of the fault matrix (docs/faults.md) and prints a line for each:
+# first in process, then with real processes; takes about 2 min.
+faults: SHELL := bash
+faults: .SHELLFLAGS := -o pipefail -c
+faults: build
+	$(GO) test ./pkg/faultmatrix ./pkg/atmostonce -run '^(TestPageNamesTests|TestMatrixIsComplete|TestFaultAtEachStep|TestPairsOfFaults)$$' -count=1 -v | grep -v '^=== '
+	MANGOSTAND_BIN=$(CURDIR)/$(BIN) $(GO) test -tags processes ./test/processes -count=1 -v -timeout 5m | grep -v '^=== '
+
 clean:
 	rm -rf $(BIN)
 
--- a/pkg/call/attempts_test.go
+++ b/pkg/call/attempts_test.go
@@ -63,6 +63,7 @@
 	base := "[service s]\nservers = *\n[route s/all]\npath = /\ndeadline = 20s\n" + config
 	parsed, problems := dynconf.Merge("test", dynconf.Source{Name: "base", Data: []byte(base)}, nil)
 	require.Empty(t, problems)
+	parsed.Version = 1
 	b := board.New("entry")
 	b.Config.Claim("test").Publish(parsed)
 	transport := newTransport(t, dir)
--- a/pkg/call/once.go
+++ b/pkg/call/once.go
@@ -54,7 +54,14 @@
 // claimed. When the caller brought a key, an earlier call with it may have run,
 // so the home of the key is asked before not-run is told.
 func (e *Entry) refuse(ctx context.Context, req *Request, reason board.Reason) *Result {
-	if req.Key == "" || dynconf.SafeMethod(req.Method) || e.Once.EpochNumber(req.Service) == 0 {
+	if req.Key == "" || dynconf.SafeMethod(req.Method) {
+		return NotRun(reason)
+	}
+	if e.Board.Config.Load().Version == 0 {
+		// A node that has just started knows nothing of the services.
+		return Unknown(board.ReasonHomeUnavailable)
+	}
+	if e.Once.EpochNumber(req.Service) == 0 {
 		return NotRun(reason)
 	}
 	ctx, cancel := context.WithTimeout(ctx, refusalLookup)
