Count the messages between nodes by class and type

Cause: the totals of control bytes did not say which messages they came from, and included the key messages that belong to calls. Change: the transport counts each exchange by class and message type, and the UDP payload of its connections. The metrics message_bytes_*, key_bytes_* and peer_wire_* are new; control_bytes_* no longer include Claim, Seal and Complete, and received bytes include frame headers.

--- a/pkg/control/telemetry/telemetry.go
+++ b/pkg/control/telemetry/telemetry.go
@@ -19,6 +19,9 @@
 	board   *board.Board
 	traffic *peer.Traffic
 	scope   tally.Scope
+	// Wire returns what the connections between nodes have carried and how many
+	// are open; nil means that it is not measured. It is set before Run.
+	Wire func() (peer.WireTraffic, int)
 	// counted holds the totals that the counters already contain.
 	counted map[string]uint64
 }
@@ -50,8 +53,7 @@
 	c.scope.Gauge("config_version").Update(float64(c.board.Config.Load().Version))
 	c.updateMembers()
 	c.updateLocal()
-	c.count("control_bytes_sent_total", c.traffic.Sent.Load())
-	c.count("control_bytes_received_total", c.traffic.Received.Load())
+	c.updateTraffic()
 	c.countDropped("gossip", c.board.Gossip.Dropped())
 	c.countDropped("announcements", c.board.Announcements.Dropped())
 	c.countDropped("rumors_out", c.board.RumorsOut.Dropped())
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -26,7 +26,6 @@
 	"mangostand.example/mangostand/pkg/control/membership"
 	"mangostand.example/mangostand/pkg/control/quarantine"
 	"mangostand.example/mangostand/pkg/control/routing"
-	"mangostand.example/mangostand/pkg/control/telemetry"
 	"mangostand.example/mangostand/pkg/httpfront"
 	"mangostand.example/mangostand/pkg/localapi"
 	"mangostand.example/mangostand/pkg/logging"
@@ -128,7 +127,7 @@
 		membership.New(n.board, options),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
-		telemetry.New(n.board, &n.peers.Traffic, n.scope),
+		n.telemetry(),
 		quarantine.New(n.board, n.log),
 		n.keeper,
 	}
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -42,6 +42,8 @@
 // Stream is one exchange with a peer.
 type Stream struct {
 	*quic.Stream
+	// question is the type of the message that started the exchange.
+	question wire.Type
 }
 
 // Abort tells the peer that the exchange failed in both directions.
@@ -64,20 +66,15 @@
 	log       zerolog.Logger
 	handlers  atomic.Pointer[map[wire.Type]Handler]
 
-	// Traffic counts the payload of control exchanges of this node.
+	// Traffic counts the exchanges of this node, calls excepted.
 	Traffic Traffic
+	meter   meter
 
 	connections sync.Map // of address string to *connection
 	// refreshes says when the connection to an address was replaced last.
 	refreshes sync.Map // of address string to time.Time
 }
 
-// Traffic counts bytes by direction.
-type Traffic struct {
-	Sent     atomic.Uint64
-	Received atomic.Uint64
-}
-
 type connection struct {
 	ready chan struct{}
 	conn  *quic.Conn
@@ -131,12 +128,14 @@
 }
 
 func (t *Transport) serveConnection(conn *quic.Conn) {
+	t.meter.opened(conn)
+	defer t.meter.closed(conn)
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
 		if err != nil {
 			return
 		}
-		go t.serveStream(&Stream{stream})
+		go t.serveStream(&Stream{Stream: stream})
 	}
 }
 
@@ -150,6 +149,7 @@
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
+	stream.question = frame.Type
 	handler, ok := (*t.handlers.Load())[frame.Type]
 	if !ok {
 		t.log.Debug().Uint8("type", uint8(frame.Type)).Msg("no handler for message from a peer")
@@ -180,7 +180,7 @@
 		}
 		return nil, errors.Annotatef(err, "opening a stream to %s", addr)
 	}
-	return &Stream{stream}, nil
+	return &Stream{Stream: stream}, nil
 }
 
 // connect returns the shared connection to addr. The path of a request takes
@@ -222,11 +222,14 @@
 		t.connections.CompareAndDelete(addr, c)
 		return
 	}
-	context.AfterFunc(c.conn.Context(), func() { t.connections.CompareAndDelete(addr, c) })
+	t.meter.opened(c.conn)
+	context.AfterFunc(c.conn.Context(), func() {
+		t.meter.closed(c.conn)
+		t.connections.CompareAndDelete(addr, c)
+	})
 }
 
-// Exchange sends a control message and reads the answer. The message and the
-// answer count as control traffic.
+// Exchange sends a message and reads the answer. Both count in Traffic.
 func (t *Transport) Exchange(ctx context.Context, addr string, send wire.Type, message any, receive wire.Type, answer any) error {
 	stream, err := t.Open(ctx, addr)
 	if err != nil {
@@ -234,12 +237,13 @@
 	}
 	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
-	counted := countedStream{stream: stream, traffic: &t.Traffic}
+	counted := countedStream{stream: stream, traffic: &t.Traffic, class: classOf(send), message: send}
 	if err := wire.WriteMessage(counted, send, message); err != nil {
 		stream.Abort()
 		return errors.Trace(err)
 	}
 	_ = stream.Close()
+	counted.message = receive
 	if err := wire.ReadMessage(counted, receive, answer); err != nil {
 		stream.CancelRead(codeAborted)
 		return errors.Annotatef(err, "exchange with %s", addr)
@@ -248,14 +252,15 @@
 	return nil
 }
 
-// Answer sends the answer of a control exchange and counts it.
+// Answer sends the answer of an exchange and counts it.
 func (t *Transport) Answer(stream *Stream, send wire.Type, message any) error {
-	return wire.WriteMessage(countedStream{stream: stream, traffic: &t.Traffic}, send, message)
+	counted := countedStream{stream: stream, traffic: &t.Traffic, class: classOf(stream.question), message: send}
+	return wire.WriteMessage(counted, send, message)
 }
 
-// CountReceived adds a received control frame to the traffic count.
+// CountReceived adds the received question of an exchange to the count.
 func (t *Transport) CountReceived(frame wire.Frame) {
-	t.Traffic.Received.Add(uint64(len(frame.Payload)))
+	t.Traffic.received(classOf(frame.Type), frame.Type, frame.Size())
 }
 
 // Close ends all connections and frees the socket.
@@ -278,21 +283,3 @@
 	_ = t.quic.Conn.Close()
 	return errors.Trace(err)
 }
-
-// countedStream adds the bytes of a control exchange to a traffic count.
-type countedStream struct {
-	stream  *Stream
-	traffic *Traffic
-}
-
-func (c countedStream) Write(p []byte) (int, error) {
-	n, err := c.stream.Write(p)
-	c.traffic.Sent.Add(uint64(n))
-	return n, err
-}
-
-func (c countedStream) Read(p []byte) (int, error) {
-	n, err := c.stream.Read(p)
-	c.traffic.Received.Add(uint64(n))
-	return n, err
-}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -136,6 +136,9 @@
 	Payload []byte
 }
 
+// Size returns the length of the frame in bytes, header included.
+func (f Frame) Size() int { return headerSize + len(f.Payload) }
+
 // ReadFrame reads one frame and checks its version, type and size. The
 // payload is not decoded.
 func ReadFrame(r io.Reader) (Frame, error) {
