Pull configurations and epochs when a peer states a higher version

Cause: each node pulled the configuration and an epoch every 2 to 3 s, although ping answers and digests carry the version numbers. Change: configsync and the epoch controller read the version inboxes and post their own numbers; the regular pull is a safety net once per minute. Questions for an epoch that no member has become rare.

--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -4,8 +4,9 @@
 //
 // Nodes that hold a contact key watch the store, announce new versions by
 // rumor, repair missing audit entries and write the document back when the
-// store returns with an older one. All other nodes pull the document from a
-// peer.
+// store returns with an older one. All other nodes learn the version from the
+// rumor or from the version numbers that peers state, and pull the document
+// from a peer.
 package configsync
 
 import (
@@ -70,8 +71,8 @@
 
 	// pulling is set while a pull runs.
 	pulling bool
-	// wanted is the version that a rumor named, origin the node that announced
-	// it. The rumor is forgotten after wantedUntil.
+	// wanted is the version that a rumor or a peer named, origin the node that
+	// has it. It is forgotten after wantedUntil.
 	wanted      uint64
 	origin      string
 	wantedUntil time.Time
@@ -152,6 +153,8 @@
 			}
 		case r := <-c.Board.ConfigRumors.Events():
 			c.hear(ctx, r)
+		case ahead := <-c.Board.ConfigVersions.Events():
+			c.learn(ctx, ahead)
 		case <-timer.C:
 			c.startPull(ctx)
 			timer.Reset(c.pullInterval())
@@ -254,6 +257,9 @@
 // version it has.
 func (c *Controller) adopt(document *dynconf.Document, data []byte, next *board.ConfigState) {
 	next.Newest, next.Document, next.Problem = configstore.StampOf(document), data, ""
+	// The Config section lags behind when the document is not valid for this
+	// site, but peers of other sites need to know that it is here.
+	c.Board.VersionsOut.Post(board.Version{Name: board.VersionConfig, Number: next.Newest.Version})
 	config, err := document.ForSite(c.Site)
 	if err != nil {
 		c.Log.Error().Err(err).Msg("the newest configuration is not valid for this site")
@@ -294,7 +300,26 @@
 	if rumor.Version <= max(c.wanted, newest.Version) {
 		return
 	}
-	c.wanted, c.origin, c.wantedUntil = rumor.Version, rumor.Addr, time.Now().Add(wantedFor)
+	c.want(ctx, rumor.Version, rumor.Addr)
+}
+
+// learn starts a pull when a peer states a newer version on a ping answer or a
+// digest. The peer lives and has the document, so it replaces the origin of a
+// rumor for the same version. Peers repeat their versions.
+func (c *Controller) learn(ctx context.Context, ahead board.PeerVersion) {
+	if ahead.Number <= c.state.Load().Newest.Version || ahead.Number < c.wanted {
+		return
+	}
+	if ahead.Number == c.wanted {
+		c.origin = ahead.Peer.Addr
+		return
+	}
+	c.want(ctx, ahead.Number, ahead.Peer.Addr)
+}
+
+// want searches a version from now on, first at the node that has it.
+func (c *Controller) want(ctx context.Context, version uint64, origin string) {
+	c.wanted, c.origin, c.wantedUntil = version, origin, time.Now().Add(wantedFor)
 	c.startPull(ctx)
 }
 
--- a/pkg/control/configsync/pull.go
+++ b/pkg/control/configsync/pull.go
@@ -18,16 +18,16 @@
 	// startInterval spaces the pulls of a node without a configuration, which
 	// cannot serve a call.
 	startInterval = 250 * time.Millisecond
-	// wantedInterval spaces the pulls of a version that a rumor named.
+	// wantedInterval spaces the pulls of a version that a rumor or a peer named.
 	wantedInterval = 500 * time.Millisecond
-	// exchangeInterval spaces the pulls that only make up for lost rumors. With
-	// its jitter a node is at most 3 s behind one of its peers; one pull
-	// costs some 200 bytes.
-	exchangeInterval = 2 * time.Second
+	// exchangeInterval spaces the pulls that find other content under the same
+	// version, which the version numbers on ping answers do not show. A node
+	// learns of higher versions from these numbers within a second.
+	exchangeInterval = time.Minute
 	// pullTimeout bounds one exchange with one peer, document included.
 	pullTimeout = 2 * time.Second
-	// wantedFor bounds the search for a version that a rumor named, which may
-	// be false or gone with its origin.
+	// wantedFor bounds the search for a version that a rumor or a peer named,
+	// which may be false or gone with its origin.
 	wantedFor = 30 * time.Second
 	// peersPerPull is the number of peers that one pull asks at most.
 	peersPerPull = 3
--- a/pkg/control/epoch/epoch.go
+++ b/pkg/control/epoch/epoch.go
@@ -33,9 +33,15 @@
 	// confirmInterval spaces the confirmations of the epoch; two may fail before
 	// the executor stops at keyhome.ConfirmValid.
 	confirmInterval = 4 * time.Second
-	// pullInterval spaces the comparisons of epochs with a random node, which
-	// find the epochs whose rumor was lost.
-	pullInterval = 2 * time.Second
+	// pullInterval spaces the comparisons of epochs with a random node. They
+	// only make up for version numbers that were lost on their way between the
+	// controllers; peers state the numbers of their epochs on ping answers.
+	pullInterval = time.Minute
+	// firstUnknownPause and lastUnknownPause space the questions for the epoch of
+	// a service that has none here: a starting node needs it at once, a service
+	// may have none for as long as the store is down.
+	firstUnknownPause = tickInterval
+	lastUnknownPause  = 5 * time.Second
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * time.Second
 	// firstFetchPause and lastFetchPause space the repeated requests to a member
@@ -89,6 +95,10 @@
 	wantedSince time.Time
 	proposing   bool
 	pulling     bool
+	// nextAsk is when an unknown epoch is asked for again, askPause the pause
+	// before it.
+	nextAsk     time.Time
+	askPause    time.Duration
 	confirming  bool
 	nextConfirm time.Time
 	transfer    *transfer
@@ -118,6 +128,8 @@
 			return
 		case rumor := <-c.board.EpochRumors.Events():
 			c.hear(ctx, rumor)
+		case ahead := <-c.board.EpochVersions.Events():
+			c.learn(ctx, ahead)
 		case apply := <-c.results:
 			apply()
 		case <-c.members:
@@ -201,6 +213,7 @@
 		view.Sources = pendingSources(epoch)
 	}
 	c.publish(epoch.Service, view)
+	c.tell(epoch)
 	c.log.Info().Str("service", epoch.Service).Uint64("epoch", epoch.Number).Int("members", len(epoch.Members)).
 		Bool("member", epoch.Has(c.self, c.incarnation)).Msg("epoch adopted")
 	if view.Sources != nil {
--- a/pkg/control/epoch/learn.go
+++ b/pkg/control/epoch/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -88,13 +89,16 @@
 func (c *Controller) compare(ctx context.Context, now time.Time) {
 	for name := range c.board.Config.Load().Services {
 		if c.current(name) == nil {
-			c.pull(ctx, name, c.nodesToAsk(name))
+			c.askUnknown(ctx, c.state(name), now)
 		}
 	}
 	if now.Before(c.nextPull) {
 		return
 	}
 	c.nextPull = now.Add(pullInterval)
+	for _, view := range c.writer.Load().ByService {
+		c.tell(view.Epoch)
+	}
 	for name := range c.writer.Load().ByService {
 		// The order of a map is random enough to reach each service in time.
 		c.pull(ctx, name, c.nodesToAsk(name))
@@ -102,6 +106,38 @@
 	}
 }
 
+// askUnknown asks for the epoch of a service that has none here, with growing
+// pauses.
+func (c *Controller) askUnknown(ctx context.Context, s *service, now time.Time) {
+	if now.Before(s.nextAsk) {
+		return
+	}
+	nodes := c.nodesToAsk(s.name)
+	if len(nodes) == 0 {
+		return
+	}
+	s.askPause = min(max(2*s.askPause, firstUnknownPause), lastUnknownPause)
+	s.nextAsk = now.Add(s.askPause)
+	c.pull(ctx, s.name, nodes)
+}
+
+// tell passes the number of an epoch to the membership controller, which
+// states it to peers.
+func (c *Controller) tell(epoch *board.Epoch) {
+	c.board.VersionsOut.Post(board.Version{Name: board.VersionEpochPrefix + epoch.Service, Number: epoch.Number})
+}
+
+// learn pulls an epoch whose number a peer stated on a ping answer or a digest.
+// Peers repeat their numbers.
+func (c *Controller) learn(ctx context.Context, ahead board.PeerVersion) {
+	name, isEpoch := strings.CutPrefix(ahead.Name, board.VersionEpochPrefix)
+	if !isEpoch || ahead.Number <= numberOf(c.current(name)) || c.board.Config.Load().Services[name] == nil {
+		return
+	}
+	peer := board.EpochMember{Instance: ahead.Peer.Instance, PeerAddr: ahead.Peer.Addr}
+	c.pull(ctx, name, append([]board.EpochMember{peer}, c.nodesToAsk(name)...))
+}
+
 // confirm asks a majority of the members, or else the store, whether there is
 // a higher epoch. Only members need it, see keyhome.ConfirmValid.
 func (c *Controller) confirm(ctx context.Context, s *service, now time.Time) {
