Measure the cost of a node against the size of the fleet

Cause: the limits for 600 nodes were not checked against measured growth. Change: make capacity starts one fleet of real nodes, grows it through the sizes, measures messages by type, wire traffic, processor time, memory and store calls per node, and fits a line to each. A board of 600 members and the key records are measured in its own process.

--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check model quickstart site fuzz clean
+.PHONY: build fmt lint vet test check model quickstart site fuzz capacity clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg examples); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg examples bench); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -56,3 +56,10 @@
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./pkg/httpfront -run '^$$' -fuzz '^FuzzParseRequest$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./pkg/localapi -run '^$$' -fuzz '^FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) -parallel 4
+
+# Measures the cost of a node against the size of the fleet, with up to 200 node
+# processes; takes about 3 min (docs/CAPACITY.md). CAPACITY_ARGS adds options:
+# make capacity CAPACITY_ARGS="--sizes 10,40 --window 10s".
+capacity: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./bench/capacity
+	@$(BIN)/capacity --bin $(BIN) $(CAPACITY_ARGS)
--- /dev/null
+++ b/bench/capacity/child.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/juju/errors"
+)
+
+// child is one process that this program started.
+type child struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// newChild starts a program with its output in a log file. The child is killed
+// when this program dies.
+func newChild(dir, name, program string, args ...string) (*child, error) {
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	err = cmd.Start()
+	_ = log.Close()
+	if err != nil {
+		return nil, errors.Annotatef(err, "starting %s", name)
+	}
+	c := &child{name: name, cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(c.exited)
+	}()
+	return c, nil
+}
+
+// kill ends the child at once. Nodes keep no state, and a graceful stop of a
+// whole fleet would be a storm of membership changes.
+func (c *child) kill() {
+	_ = c.cmd.Process.Kill()
+	<-c.exited
+}
+
+func (c *child) ended() bool {
+	select {
+	case <-c.exited:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/bench/capacity/results.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+)
+
+// point is one figure at one size. Mean and Max are over the nodes; a figure of
+// the whole fleet has them equal.
+type point struct {
+	figure, unit string
+	nodes        int
+	mean, max    float64
+}
+
+// results collects the figures of a run in the order of their measurement.
+type results struct {
+	points []point
+}
+
+func (r *results) add(p point) { r.points = append(r.points, p) }
+
+// single adds a figure that was measured once, at a size.
+func (r *results) single(figure, unit string, nodes int, value float64) {
+	r.add(point{figure: figure, unit: unit, nodes: nodes, mean: value, max: value})
+}
+
+// write stores all points as CSV.
+func (r *results) write(path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	w := csv.NewWriter(file)
+	rows := [][]string{{"figure", "unit", "nodes", "mean", "max"}}
+	for _, p := range r.points {
+		rows = append(rows, []string{p.figure, p.unit, strconv.Itoa(p.nodes), format(p.mean), format(p.max)})
+	}
+	err = w.WriteAll(rows)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
+
+func format(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
+
+// series returns the figures that were measured at several sizes, sorted, and
+// their points.
+func (r *results) series() ([]string, map[string][]point) {
+	byFigure := map[string][]point{}
+	for _, p := range r.points {
+		byFigure[p.figure] = append(byFigure[p.figure], p)
+	}
+	var names []string
+	for name, points := range byFigure {
+		if len(points) > 1 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, byFigure
+}
+
+// print shows the series as a Markdown table with their lines, then the single
+// figures.
+func (r *results) print(out io.Writer) {
+	names, byFigure := r.series()
+	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	if len(names) > 0 {
+		printHeader(w, byFigure[names[0]])
+	}
+	for _, name := range names {
+		printSeries(w, name, byFigure[name])
+	}
+	_, _ = fmt.Fprintf(w, "\n| single figure\t| unit\t| nodes\t| value\t|\n|---\t|---\t|---\t|---\t|\n")
+	for _, p := range r.points {
+		if len(byFigure[p.figure]) == 1 {
+			_, _ = fmt.Fprintf(w, "| %s\t| %s\t| %d\t| %s\t|\n", p.figure, p.unit, p.nodes, short(p.mean))
+		}
+	}
+	_ = w.Flush()
+}
+
+func printHeader(w io.Writer, points []point) {
+	_, _ = fmt.Fprintf(w, "\n| figure\t| unit\t")
+	for _, p := range points {
+		_, _ = fmt.Fprintf(w, "| %d\t", p.nodes)
+	}
+	_, _ = fmt.Fprintf(w, "| slope per 100 nodes\t| intercept\t| at %d\t|\n%s|\n", designSize, strings.Repeat("|---\t", len(points)+5))
+}
+
+func printSeries(w io.Writer, name string, points []point) {
+	var xs, ys []float64
+	_, _ = fmt.Fprintf(w, "| %s\t| %s\t", name, points[0].unit)
+	for _, p := range points {
+		xs, ys = append(xs, float64(p.nodes)), append(ys, p.mean)
+		_, _ = fmt.Fprintf(w, "| %s\t", short(p.mean))
+	}
+	l := fit(xs, ys)
+	_, _ = fmt.Fprintf(w, "| %s\t| %s\t| %s\t|\n", short(100*l.slope), short(l.intercept), short(l.at(designSize)))
+}
+
+func short(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
