--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -37,7 +37,7 @@
 	// startBatch nodes are started per startPause, so that handshakes and
 	// membership changes of starting nodes do not pile up.
 	startBatch = 5
-	startPause = 300 * time.Millisecond
+	startPause = 500 * time.Millisecond
 	// announceInterval is the heartbeat that backend servers use.
 	announceInterval = time.Second
 	readyTimeout     = time.Minute
@@ -245,7 +245,8 @@
 		f.mu.Unlock()
 		began := time.Now()
 		for i, n := range nodes {
-			f.announce(ctx, n)
+			// A slow node must not hold up the heartbeats of the others.
+			f.beating.Go(func() { f.announce(ctx, n) })
 			due := began.Add(announceInterval * time.Duration(i) / time.Duration(len(nodes)))
 			_ = pause(ctx, time.Until(due))
 		}
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -109,11 +109,13 @@
 	table := &results{}
 	measureBoard(table)
 	measureKeyRecords(table)
-	if err := measureFleet(ctx, o, dir, table); err != nil {
+	failure := measureFleet(ctx, o, dir, table)
+	if failure != nil {
 		fmt.Println("settings and logs:", dir)
-		return errors.Trace(err)
+	} else {
+		_ = os.RemoveAll(dir)
 	}
-	_ = os.RemoveAll(dir)
+	// The sizes that were measured before a failure are kept.
 	if err := os.MkdirAll(filepath.Dir(o.out), 0o755); err != nil {
 		return errors.Trace(err)
 	}
@@ -123,7 +125,7 @@
 	table.print(os.Stdout)
 	fmt.Println(machineState())
 	fmt.Printf("run time %.0f s, results in %s\n", time.Since(started).Seconds(), o.out)
-	return nil
+	return errors.Trace(failure)
 }
 
 // measureFleet grows one fleet through the sizes and measures each.
