Run the at-most-once model with make model

Change: model/run.sh takes several macros per case and a list of cases; make check includes make model.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	@sed -n 's/^test: */known red, skipped: /p' KNOWN-RED.txt
 	$(GO) test -race $(if $(RED),-skip '$(RED)') ./...
 
-check: fmt vet lint test
+check: fmt vet lint test model
 
 # Runs a site in small on this machine: make quickstart SITE=great-lakes.
 quickstart: build
--- a/model/run.sh
+++ b/model/run.sh
@@ -3,21 +3,21 @@
 # Fails when a specification fails or a variant with a removed guard passes.
 set -euo pipefail
 cd "$(dirname "$0")"
-cases=$PWD/cases.txt
+cases=$PWD/${1:-cases.txt}
 models=$PWD
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 # Depth of the search in steps, and memory in MB; a search that reaches either
 # limit is not exhaustive and counts as failed.
 depth=200000
-memory=4096
+memory=12000
 
 check() {
     local file=$1 macro=$2 expected=$3 define=() output verdict states violated
-    [ "$macro" = - ] || define=("-D$macro")
+    [ "$macro" = - ] || define=($(sed "s/^/-D/; s/,/ -D/g" <<< "$macro"))
     rm -rf "$work/run" && mkdir "$work/run" && cd "$work/run"
     spin "${define[@]}" -a "$models/$file" > spin.log || { cat spin.log; return 1; }
-    gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=$memory -o pan pan.c
+    gcc -O2 -w -DSAFETY -DMEMLIM=$memory -o pan pan.c
     output=$(./pan -m$depth 2>&1 || true)
     states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' <<< "$output")
     if grep -q 'errors: 0' <<< "$output" && ! grep -qE 'max search depth too small|out of memory|Search not completed' <<< "$output"; then
@@ -28,7 +28,7 @@
         verdict=incomplete
     fi
     violated=$(sed -n 's/.*assertion violated \(.*\) (at depth.*/ violates \1/p' <<< "$output")
-    printf '%-12s %-20s %-10s expected %-5s %s states%s\n' "$file" "$macro" "$verdict" "$expected" "${states:-?}" "$violated"
+    printf '%-15s %-45s %-10s expected %-5s %s states%s\n' "$file" "$macro" "$verdict" "$expected" "${states:-?}" "$violated"
     if [ "$verdict" != "$expected" ]; then
         echo "$output" | head -30
         return 1
