--- a/bench/plot.go
+++ b/bench/plot.go
@@ -17,6 +17,13 @@
 	barWidth   = 4 * vg.Millimeter
 )
 
+const (
+	// sidePadding is the space beside the outer groups of bars, in groups.
+	sidePadding = 0.5
+	// legendHeadroom raises the vertical axis so that no bar reaches the legend.
+	legendHeadroom = 1.4
+)
+
 var policyOrder = []string{"random", "roundrobin", "twochoices", "hotcold", "hotcold" + hedgeSuffix}
 
 func (p *report) plotAll(dir string) error {
@@ -58,6 +65,9 @@
 		chart.Legend.Add(policy, bars)
 	}
 	chart.NominalX(names...)
+	// Room for the outer bars, and above all bars for the legend.
+	chart.X.Min, chart.X.Max = -sidePadding, float64(len(names)-1)+sidePadding
+	chart.Y.Max *= legendHeadroom
 	return errors.Trace(chart.Save(plotWidth, plotHeight, filepath.Join(dir, shape+"-p99.png")))
 }
 
