--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -36,6 +36,7 @@
 	commands = append(commands, drainCommands(parser, stdout, stderr)...)
 	commands = append(commands, quarantineCommands(parser, stdout, stderr)...)
 	commands = append(commands, auditCommands(parser, stdout, stderr)...)
+	commands = append(commands, loadCommands(parser, stdout, stderr)...)
 	commands = append(commands, keysCommands(parser, stdout, stderr)...)
 	commands = append(commands, statusCommands(parser, stdout, stderr)...)
 	commands = append(commands, newKeyCommand(parser, stdout, stderr)...)
