--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # Checks the specifications in model/ (docs/model.md); takes about 1 min.
 model:
-	@command -v spin >/dev/null || apt-get install -y spin
+	@command -v spin >/dev/null || { apt-get update && apt-get install -y spin; }
 	model/run.sh
 
 # Compares the selection policies; results go to bench/results. BENCH passes
