--- a/pkg/node/once_test.go
+++ b/pkg/node/once_test.go
@@ -77,7 +77,7 @@
 	created := c.book(c.nodes[2], "", "slot 6")
 	require.NotEmpty(t, created.header.Get("Idempotency-Key"), "the entry returns the key that it created")
 	var outcome opsapi.KeyOutcome
-	get(t, c.nodes[1].ops+"/v1/outcome/"+key+"?service=work&caller=atelier", &outcome)
+	get(t, c.nodes[1].ops+"/v1/outcome/"+key+"?service=jobs&caller=atelier", &outcome)
 	require.Equal(t, opsapi.KeyRecorded, outcome.State)
 	require.Equal(t, "succeeded", outcome.Outcome)
 }
