Share the waits of the controllers

Cause: membership, epoch and configsync each had the same sleep function, and breaker and probe the same ticker loop. Change: control.Sleep and control.Every serve all of them. Behaviour and assertions are unchanged. make fmt lint and make test pass; make model was not run again, since the models did not change.

--- a/pkg/control/breaker/breaker.go
+++ b/pkg/control/breaker/breaker.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/breaker"
 	"mangostand.example/mangostand/pkg/metrics"
 )
@@ -55,16 +56,7 @@
 
 // Run implements control.Controller.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.update(time.Now())
-		}
-	}
+	control.Every(ctx, interval, c.update)
 }
 
 // update reads all cells and publishes when a breaker has changed.
--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -323,13 +323,4 @@
 	c.startPull(ctx)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func isMissing(err error) bool { return errors.Is(err, platform.ErrNotFound) }
--- a/pkg/control/configsync/watch.go
+++ b/pkg/control/configsync/watch.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/configstore"
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/platform"
@@ -40,11 +41,11 @@
 		if !w.controller.Watches() {
 			w.synced = false
 			w.controller.deliver(ctx, event{fromStore: true})
-			sleep(ctx, idleInterval)
+			control.Sleep(ctx, idleInterval)
 			continue
 		}
 		if err := w.step(ctx, watchWait); err != nil {
-			sleep(ctx, retryInterval)
+			control.Sleep(ctx, retryInterval)
 		}
 	}
 }
--- a/pkg/control/epoch/transfer.go
+++ b/pkg/control/epoch/transfer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/keyhome"
 )
 
@@ -45,20 +46,11 @@
 			return
 		}
 		c.log.Debug().Err(err).Str("peer", from.PeerAddr).Uint64("epoch", t.epoch.Number).Msg("transfer is not complete")
-		sleep(ctx, pause)
+		control.Sleep(ctx, pause)
 		pause = min(2*pause, lastFetchPause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (c *Controller) deliver(ctx context.Context, apply func()) {
 	select {
 	case c.results <- apply:
--- a/pkg/control/membership/contact.go
+++ b/pkg/control/membership/contact.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	decide "mangostand.example/mangostand/pkg/decide/membership"
 	"mangostand.example/mangostand/pkg/platform"
 )
@@ -75,7 +76,7 @@
 		addrs := k.round(ctx)
 		report(k.held, addrs)
 		// The spread keeps nodes that start together from calling together.
-		if !sleep(ctx, contactInterval+time.Duration(k.random.Int64N(int64(contactInterval/8)))) {
+		if !control.Sleep(ctx, contactInterval+time.Duration(k.random.Int64N(int64(contactInterval/8)))) {
 			break
 		}
 	}
--- a/pkg/control/membership/fake_test.go
+++ b/pkg/control/membership/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/standin/store"
 	"mangostand.example/mangostand/pkg/wire"
@@ -182,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	if !sleep(ctx, linkDelay) {
+	if !control.Sleep(ctx, linkDelay) {
 		return ctx.Err()
 	}
 	target := t.net.lookUp(t.addr, addr)
@@ -201,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	if !sleep(ctx, linkDelay) {
+	if !control.Sleep(ctx, linkDelay) {
 		return ctx.Err()
 	}
 	if t.net.lookUp(addr, t.addr) == nil || t.net.chance(t.net.loss) {
--- a/pkg/control/membership/ping.go
+++ b/pkg/control/membership/ping.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	decide "mangostand.example/mangostand/pkg/decide/membership"
 	"mangostand.example/mangostand/pkg/wire"
 )
@@ -157,7 +158,7 @@
 			return
 		}
 		c.board.Gossip.Post(board.Gossip{From: answer.Instance, Members: answer.Members, Versions: answer.Versions})
-		if !sleep(ctx, reunionInterval) {
+		if !control.Sleep(ctx, reunionInterval) {
 			return
 		}
 	}
@@ -169,15 +170,3 @@
 	defer cancel()
 	return c.peers.Exchange(ctx, addr, send, message, receive, answer)
 }
-
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/control/probe/probe.go
+++ b/pkg/control/probe/probe.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/budget"
 	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/peer"
@@ -60,16 +61,7 @@
 
 // Run implements control.Controller.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.fillGaps(ctx, time.Now())
-		}
-	}
+	control.Every(ctx, interval, func(now time.Time) { c.fillGaps(ctx, now) })
 }
 
 // fillGaps probes the instances of services in use whose load is not known.
