--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -29,6 +29,9 @@
 	if refusal != "" {
 		return e.finish(nil, req, NotRun(refusal), config)
 	}
+	if e.quarantined(req) {
+		return e.finish(nil, req, NotRun(board.ReasonQuarantined), config)
+	}
 	applyRoute(req, route, time.Now())
 	record := &board.RequestRecord{ID: req.ID, Service: req.Service, Caller: req.Caller, Started: time.Now()}
 	e.Board.Requests.Add(record)
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -83,6 +83,8 @@
 	record := &board.RequestRecord{
 		ID: message.RequestID, Service: message.Service, Caller: message.Caller, Digest: message.Digest, Started: time.Now(),
 	}
+	local := x.Board.Local.Load()
+	record.Execution = func() board.Execution { return execution(message, local) }
 	x.Board.Requests.Add(record)
 	result := x.serve(ctx, message, record)
 	record.Finish(result.Outcome)
@@ -104,6 +106,7 @@
 	record.Advance(board.RequestRunning)
 	x.inFlight.Add(1)
 	result := x.run(ctx, local, message)
+	x.watchEnd(ctx, result, message, local)
 	result.Body = onClose(result.Body, func() {
 		x.inFlight.Add(-1)
 		cancel()
@@ -123,6 +126,8 @@
 		return board.ReasonNoServer
 	case message.ExecutorIncarnation != 0 && message.ExecutorIncarnation != x.Incarnation:
 		return board.ReasonWrongIncarnation
+	case x.quarantined(message):
+		return board.ReasonQuarantined
 	}
 	config := x.Board.Config.Load()
 	if service := config.Services[message.Service]; service != nil {
--- a/pkg/call/idempotent.go
+++ b/pkg/call/idempotent.go
@@ -15,6 +15,7 @@
 func (e *Entry) serveIdempotent(ctx context.Context, req *Request, route *dynconf.Route, record *board.RequestRecord) *Result {
 	var tried []board.InstanceID
 	result := NotRun(board.ReasonNoServer)
+	lost := 0
 	for number := 1; number <= maxAttempts && ctx.Err() == nil; number++ {
 		cell := e.pick(req.Service, tried)
 		if cell == nil {
@@ -26,6 +27,9 @@
 		if result.Outcome == board.OutcomeSucceeded || result.Outcome == board.OutcomeFailed {
 			break
 		}
+		if lost += lostConnections(result); lost >= maxLostConnections {
+			break
+		}
 		tried = append(tried, cell.Member.Instance)
 	}
 	return result
--- /dev/null
+++ b/pkg/control/quarantine/quarantine.go
@@ -0,0 +1,220 @@
+// Package quarantine keeps the Quarantine section: requests that were running
+// when backend servers died, and those refused because of it.
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	decide "mangostand.example/mangostand/pkg/decide/quarantine"
+	"mangostand.example/mangostand/pkg/wire"
+)
+
+// expireInterval spaces the checks for entries that have ended.
+const expireInterval = time.Second
+
+// Controller writes the Quarantine section.
+type Controller struct {
+	board     *board.Board
+	writer    *board.Writer[*board.Quarantine]
+	log       zerolog.Logger
+	localWake <-chan struct{}
+	dial      Dialer
+
+	// The fields below belong to the goroutine of Run.
+	state decide.State
+	local *board.Local
+	lost  []decide.Lost
+	// ended are the lives of the backend server that ended lately. Calls that
+	// notice the death later than the controller are suspects too.
+	ended   map[uint64]time.Time
+	probing bool
+	probed  chan struct{}
+}
+
+// New claims the Quarantine section.
+func New(b *board.Board, log zerolog.Logger) *Controller { return NewWithDialer(b, log, dialTCP) }
+
+// NewWithDialer is New with another way to find out whether the backend server
+// listens.
+func NewWithDialer(b *board.Board, log zerolog.Logger, dial Dialer) *Controller {
+	return &Controller{
+		board: b, writer: b.Quarantine.Claim("quarantine"), log: log,
+		localWake: b.Local.Subscribe(), dial: dial,
+		state: decide.State{}, local: b.Local.Load(), ended: map[uint64]time.Time{},
+		probed: make(chan struct{}, 1),
+	}
+}
+
+// Name implements control.Controller.
+func (c *Controller) Name() string { return "quarantine" }
+
+// Run implements control.Controller.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.board.Executions.Events():
+			changed = c.handleExecution(ctx, e, time.Now())
+		case <-c.localWake:
+			changed = c.handleLocal(time.Now())
+		case r := <-c.board.QuarantineRumors.Events():
+			changed = c.handleRumor(r, time.Now())
+		case lift := <-c.board.QuarantineLifts.Events():
+			changed = c.lift(lift, time.Now())
+		case now := <-ticker.C:
+			changed = c.expire(now)
+		case <-c.probed:
+			c.probing = false
+		}
+		if changed {
+			c.publish()
+		}
+	}
+}
+
+func (c *Controller) publish() {
+	old, next := c.writer.Load(), c.state.Snapshot(c.board.Config.Load().Quarantine.Deaths)
+	for digest, entry := range next.Entries {
+		if entry.Quarantined && !old.Entries[digest].Quarantined {
+			c.log.Warn().Str("digest", digest).Str("request", entry.Summary).Int("deaths", len(entry.Deaths)).Msg("request quarantined")
+		}
+	}
+	for digest, entry := range old.Entries {
+		if entry.Quarantined && !next.Entries[digest].Quarantined {
+			c.log.Info().Str("digest", digest).Str("request", entry.Summary).Msg("quarantine ended")
+		}
+	}
+	c.writer.Publish(next)
+}
+
+func (c *Controller) handleExecution(ctx context.Context, e board.Execution, now time.Time) bool {
+	if e.Kind == board.ExecutionCompleted {
+		return c.completed(e, now)
+	}
+	if _, found := c.ended[e.ServerIncarnation]; found {
+		return c.accuse([]board.Execution{e}, now)
+	}
+	c.lost = append(c.lost, decide.Lost{Execution: e, At: now})
+	if len(c.lost) > decide.MaxLost {
+		c.lost = slices.Delete(c.lost, 0, len(c.lost)-decide.MaxLost)
+	}
+	c.probe(ctx, e)
+	return false
+}
+
+// handleLocal looks for the end of a life of the backend server.
+func (c *Controller) handleLocal(now time.Time) bool {
+	old := c.local
+	c.local = c.board.Local.Load()
+	incarnation, ended := decide.Ended(old, c.local)
+	if !ended {
+		return false
+	}
+	c.ended[incarnation] = now
+	var running []board.Execution
+	c.board.Requests.Each(func(r *board.RequestRecord) bool {
+		if r.Execution != nil && r.State() == board.RequestRunning {
+			running = append(running, r.Execution())
+		}
+		return len(running) < decide.MaxLost
+	})
+	return c.accuse(decide.SuspectsOf(incarnation, c.lost, running, now), now)
+}
+
+// accuse records the death of the backend server under the suspects and tells
+// the other nodes.
+func (c *Controller) accuse(suspects []board.Execution, now time.Time) bool {
+	changed := false
+	until := now.Add(c.board.Config.Load().Quarantine.TTL)
+	for _, e := range suspects {
+		life := c.lifeOf(e)
+		if !c.state.Died(e.Digest, e.Summary, []board.Life{life}, until) {
+			continue
+		}
+		changed = true
+		c.log.Warn().Str("digest", e.Digest).Str("request", e.Summary).Uint64("server_incarnation", life.ServerIncarnation).
+			Msg("backend server died under a request")
+		c.tell(rumorID("death", e.Digest, life), until, wire.QuarantineRumor{
+			Digest: e.Digest, Summary: e.Summary, Deaths: []board.Life{life},
+		})
+	}
+	return changed
+}
+
+func (c *Controller) lifeOf(e board.Execution) board.Life {
+	return board.Life{Instance: c.board.Members.Load().Self, ServerIncarnation: e.ServerIncarnation}
+}
+
+// completed clears a suspect that completed on another backend server.
+func (c *Controller) completed(e board.Execution, now time.Time) bool {
+	entry, found := c.writer.Load().Entries[e.Digest]
+	if !found || !decide.Elsewhere(entry.Deaths, c.lifeOf(e)) {
+		return false
+	}
+	return c.clear(entry, now)
+}
+
+func (c *Controller) lift(order board.QuarantineLift, now time.Time) bool {
+	entry, found := c.writer.Load().Entries[order.Digest]
+	if !found {
+		return false
+	}
+	c.log.Info().Str("digest", order.Digest).Str("request", entry.Summary).Msg("quarantine lifted by an operator")
+	return c.clear(entry, now)
+}
+
+// clear takes back the deaths of an entry here and on the other nodes.
+func (c *Controller) clear(entry board.QuarantineEntry, now time.Time) bool {
+	until := now.Add(c.board.Config.Load().Quarantine.TTL)
+	if !c.state.Clear(entry.Digest, entry.Deaths, until) {
+		return false
+	}
+	c.tell("quarantine/clear/"+uuid.NewString(), until, wire.QuarantineRumor{Digest: entry.Digest, Cleared: entry.Deaths})
+	return true
+}
+
+func (c *Controller) tell(id string, until time.Time, payload wire.QuarantineRumor) {
+	data, err := wire.EncodePayload(payload)
+	if err != nil {
+		c.log.Error().Err(err).Msg("quarantine rumor cannot be encoded")
+		return
+	}
+	c.board.RumorsOut.Post(board.Rumor{Kind: board.RumorQuarantine, ID: id, Payload: data, Until: until.UnixMilli()})
+}
+
+func (c *Controller) handleRumor(r board.Rumor, now time.Time) bool {
+	var payload wire.QuarantineRumor
+	if err := wire.DecodePayload(r.Payload, &payload); err != nil || payload.Digest == "" {
+		c.log.Warn().Str("rumor", r.ID).Msg("refused a malformed quarantine rumor")
+		return false
+	}
+	// A clock that is ahead must not stretch a quarantine.
+	until := time.UnixMilli(r.Until)
+	if limit := now.Add(c.board.Config.Load().Quarantine.TTL); until.After(limit) {
+		until = limit
+	}
+	died := c.state.Died(payload.Digest, payload.Summary, payload.Deaths, until)
+	cleared := c.state.Clear(payload.Digest, payload.Cleared, until)
+	return died || cleared
+}
+
+// expire drops what has ended.
+func (c *Controller) expire(now time.Time) bool {
+	c.lost = slices.DeleteFunc(c.lost, func(l decide.Lost) bool { return now.Sub(l.At) > decide.SuspectWindow })
+	for incarnation, at := range c.ended {
+		if now.Sub(at) > decide.SuspectWindow {
+			delete(c.ended, incarnation)
+		}
+	}
+	return c.state.Expire(now)
+}
--- /dev/null
+++ b/pkg/decide/quarantine/death.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// SuspectWindow is how long a lost connection may precede the proof of death.
+// A backend server that is silent counts as dead after 3 s; one that restarts
+// announces itself within a few seconds.
+const SuspectWindow = 10 * time.Second
+
+// MaxLost bounds the remembered lost executions of one life.
+const MaxLost = 256
+
+// Lost is an execution whose connection broke.
+type Lost struct {
+	Execution board.Execution
+	At        time.Time
+}
+
+// Ended returns the incarnation of the backend server whose life ended between
+// two states of the Local section, and whether one did: it was found down or
+// fell silent, or another incarnation took its place. A backend server that
+// withdraws after its drain has no request left that could be suspected.
+func Ended(old, next *board.Local) (uint64, bool) {
+	if old.Service == "" {
+		return 0, false
+	}
+	ended := old.Incarnation != next.Incarnation || (old.Announced && !next.Announced)
+	return old.Incarnation, ended
+}
+
+// SuspectsOf returns the executions that a life took with it: those lost
+// within SuspectWindow and those still running, each digest once.
+func SuspectsOf(incarnation uint64, lost []Lost, running []board.Execution, now time.Time) []board.Execution {
+	var suspects []board.Execution
+	seen := map[string]bool{}
+	add := func(e board.Execution) {
+		if e.ServerIncarnation == incarnation && e.Digest != "" && !seen[e.Digest] {
+			seen[e.Digest] = true
+			suspects = append(suspects, e)
+		}
+	}
+	for _, l := range lost {
+		if now.Sub(l.At) <= SuspectWindow {
+			add(l.Execution)
+		}
+	}
+	for _, e := range running {
+		add(e)
+	}
+	return suspects
+}
--- /dev/null
+++ b/pkg/decide/quarantine/quarantine.go
@@ -0,0 +1,152 @@
+// Package quarantine decides which requests are refused because they crash
+// backend servers. All functions are pure.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+const (
+	// MaxEntries bounds the suspected requests: the requests in flight, about
+	// 15 each, of more than 60 backend servers that die within the TTL.
+	MaxEntries = 1024
+	// maxLives bounds the lives that are kept per request.
+	maxLives = 32
+)
+
+// Suspect is what is known about one request. Deaths and clearances are sets,
+// so that all nodes agree in whatever order they hear of them.
+type Suspect struct {
+	Summary string
+	Deaths  map[board.Life]bool
+	// Cleared are the lives that do not count any more, because the request
+	// completed elsewhere later or an operator lifted the quarantine.
+	Cleared map[board.Life]bool
+	// Until is when the entry ends: the TTL after the last death.
+	Until time.Time
+}
+
+// State maps digests to suspects. The functions below change it in place; only
+// its owner calls them.
+type State map[string]*Suspect
+
+// Died records that lives ended while the request ran on them; the entry lasts
+// until the given time at least. It reports whether the state changed.
+func (s State) Died(digest, summary string, lives []board.Life, until time.Time) bool {
+	suspect := s.get(digest)
+	if suspect.Summary == "" {
+		suspect.Summary = summary
+	}
+	suspect.extend(until)
+	return addLives(suspect.Deaths, lives)
+}
+
+// Clear takes back the given lives until the given time at least. It reports
+// whether the state changed.
+func (s State) Clear(digest string, lives []board.Life, until time.Time) bool {
+	suspect := s.get(digest)
+	suspect.extend(until)
+	return addLives(suspect.Cleared, lives)
+}
+
+func (s *Suspect) extend(until time.Time) {
+	if until.After(s.Until) {
+		s.Until = until
+	}
+}
+
+// get returns the entry of a digest. Above the limit the entry with the fewest
+// deaths is dropped, of these the one that ends first.
+func (s State) get(digest string) *Suspect {
+	if suspect := s[digest]; suspect != nil {
+		return suspect
+	}
+	if len(s) >= MaxEntries {
+		delete(s, s.leastNeeded())
+	}
+	suspect := &Suspect{Deaths: map[board.Life]bool{}, Cleared: map[board.Life]bool{}}
+	s[digest] = suspect
+	return suspect
+}
+
+func (s State) leastNeeded() string {
+	least := ""
+	for digest, suspect := range s {
+		if least == "" || compareNeed(digest, suspect, least, s[least]) < 0 {
+			least = digest
+		}
+	}
+	return least
+}
+
+func compareNeed(digestA string, a *Suspect, digestB string, b *Suspect) int {
+	return cmp.Or(
+		cmp.Compare(len(a.Counted()), len(b.Counted())),
+		a.Until.Compare(b.Until),
+		cmp.Compare(digestA, digestB),
+	)
+}
+
+func addLives(set map[board.Life]bool, lives []board.Life) bool {
+	changed := false
+	for _, life := range lives {
+		if !set[life] && len(set) < maxLives {
+			set[life] = true
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Counted returns the deaths that are not cleared, in a fixed order.
+func (s *Suspect) Counted() []board.Life {
+	var lives []board.Life
+	for life := range s.Deaths {
+		if !s.Cleared[life] {
+			lives = append(lives, life)
+		}
+	}
+	slices.SortFunc(lives, func(a, b board.Life) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.ServerIncarnation, b.ServerIncarnation))
+	})
+	return lives
+}
+
+// Expire drops the entries whose time has passed. It reports whether there
+// were any.
+func (s State) Expire(now time.Time) bool {
+	before := len(s)
+	for digest, suspect := range s {
+		if !now.Before(suspect.Until) {
+			delete(s, digest)
+		}
+	}
+	return len(s) != before
+}
+
+// Snapshot returns the section value: the requests with deaths that count. A
+// request is quarantined from the given number of distinct deaths on.
+func (s State) Snapshot(needed int) *board.Quarantine {
+	snapshot := &board.Quarantine{Entries: map[string]board.QuarantineEntry{}}
+	for digest, suspect := range s {
+		deaths := suspect.Counted()
+		if len(deaths) == 0 {
+			continue
+		}
+		snapshot.Entries[digest] = board.QuarantineEntry{
+			Digest: digest, Summary: suspect.Summary, Deaths: deaths,
+			Quarantined: len(deaths) >= needed, Until: suspect.Until,
+		}
+	}
+	return snapshot
+}
+
+// Elsewhere reports whether a completion on a life counts as proof that the
+// request is harmless: the request killed other lives, not this one.
+func Elsewhere(deaths []board.Life, completedOn board.Life) bool {
+	return len(deaths) > 0 && !slices.Contains(deaths, completedOn)
+}
--- /dev/null
+++ b/pkg/decide/quarantine/quarantine_test.go
@@ -0,0 +1,140 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func life(n int) board.Life {
+	return board.Life{Instance: board.InstanceID(fmt.Sprintf("i%d", n/2)), ServerIncarnation: uint64(n % 2)}
+}
+
+// step is one rumor about one request.
+type step struct {
+	cleared bool
+	lives   []board.Life
+}
+
+func apply(steps []step) *board.Quarantine {
+	s := State{}
+	for _, st := range steps {
+		if st.cleared {
+			s.Clear("d", st.lives, epoch.Add(time.Hour))
+		} else {
+			s.Died("d", "GET /s/a", st.lives, epoch.Add(time.Hour))
+		}
+	}
+	return s.Snapshot(2)
+}
+
+// Guards against nodes that disagree on a quarantine because rumors reached
+// them in another order or twice.
+func TestRumorsCommute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			lives := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) board.Life { return life(rapid.IntRange(0, 5).Draw(t, "life")) }), 1, 3)
+			return step{cleared: rapid.Bool().Draw(t, "cleared"), lives: lives.Draw(t, "lives")}
+		}), 1, 6).Draw(t, "steps")
+		shuffled := rapid.Permutation(append(steps[:len(steps):len(steps)], steps...)).Draw(t, "order")
+		require.Equal(t, apply(steps).Entries["d"].Deaths, apply(shuffled).Entries["d"].Deaths)
+		require.Equal(t, apply(steps).Refuses("d", epoch), apply(shuffled).Refuses("d", epoch))
+	})
+}
+
+// Guards against a quarantine after one death that was told twice, and against
+// a request that goes on crashing backend servers after two.
+func TestTwoDistinctDeathsQuarantine(t *testing.T) {
+	one := step{lives: []board.Life{life(0)}}
+	require.False(t, apply([]step{one, one}).Refuses("d", epoch))
+	sameInstanceRestarted := step{lives: []board.Life{life(1)}}
+	require.True(t, apply([]step{one, sameInstanceRestarted}).Refuses("d", epoch))
+	require.False(t, apply([]step{one, sameInstanceRestarted}).Refuses("d", epoch.Add(time.Hour)))
+	require.False(t, apply([]step{one, sameInstanceRestarted}).Refuses("other", epoch))
+}
+
+// Guards against an innocent request that stays refused, and against a cleared
+// request that may crash backend servers for ever.
+func TestClearanceCoversOnlyTheDeathsBefore(t *testing.T) {
+	s := State{}
+	until := epoch.Add(time.Hour)
+	s.Died("d", "", []board.Life{life(0), life(1)}, until)
+	require.True(t, s.Snapshot(2).Refuses("d", epoch))
+	s.Clear("d", []board.Life{life(0), life(1)}, until)
+	require.Empty(t, s.Snapshot(2).Entries)
+	require.False(t, s.Died("d", "", []board.Life{life(0)}, until), "an old rumor counts again")
+	require.Empty(t, s.Snapshot(2).Entries)
+	s.Died("d", "", []board.Life{life(2), life(3)}, until)
+	require.True(t, s.Snapshot(2).Refuses("d", epoch))
+
+	require.True(t, Elsewhere([]board.Life{life(0)}, life(1)))
+	require.False(t, Elsewhere([]board.Life{life(0)}, life(0)))
+	require.False(t, Elsewhere(nil, life(0)))
+}
+
+// Guards against memory that grows with the number of crashes, and against a
+// flood of suspects that pushes a quarantined request out.
+func TestStateIsBounded(t *testing.T) {
+	s := State{}
+	s.Died("poison", "", []board.Life{life(0), life(1)}, epoch.Add(time.Minute))
+	for i := range 2 * MaxEntries {
+		s.Died(fmt.Sprintf("d%d", i), "", []board.Life{life(2)}, epoch.Add(time.Hour))
+	}
+	require.Len(t, s, MaxEntries)
+	require.True(t, s.Snapshot(2).Refuses("poison", epoch))
+	var lives []board.Life
+	for i := range 1000 {
+		lives = append(lives, life(i))
+	}
+	s.Died("poison", "", lives, epoch)
+	require.Len(t, s["poison"].Deaths, maxLives)
+	require.True(t, s.Expire(epoch.Add(time.Hour)))
+	require.Empty(t, s)
+}
+
+// Guards against a death that goes unnoticed or is seen where there is none.
+func TestEnded(t *testing.T) {
+	up := board.Local{Announced: true, Service: "s", Incarnation: 1}
+	down, restarted, busier := up, up, up
+	down.Announced = false
+	restarted.Incarnation = 2
+	busier.ReportedInFlight = 4
+	for name, c := range map[string]struct {
+		old, next board.Local
+		ended     bool
+	}{
+		"found down":         {up, down, true},
+		"restarted at once":  {up, restarted, true},
+		"restarted later":    {down, restarted, true},
+		"heartbeat":          {up, busier, false},
+		"still down":         {down, down, false},
+		"back again":         {down, up, false},
+		"first announcement": {board.Local{}, up, false},
+	} {
+		incarnation, ended := Ended(&c.old, &c.next)
+		require.Equal(t, c.ended, ended, name)
+		require.True(t, !ended || incarnation == 1, name)
+	}
+}
+
+// Guards against innocent suspects: calls of another life, or lost long ago.
+func TestSuspectsOf(t *testing.T) {
+	execution := func(digest string, incarnation uint64) board.Execution {
+		return board.Execution{Digest: digest, ServerIncarnation: incarnation}
+	}
+	lost := []Lost{
+		{execution("recent", 1), epoch},
+		{execution("old", 1), epoch.Add(-SuspectWindow)},
+		{execution("other life", 2), epoch},
+	}
+	running := []board.Execution{execution("running", 1), execution("recent", 1), execution("next life", 2)}
+	suspects := SuspectsOf(1, lost, running, epoch.Add(1))
+	require.Equal(t, []board.Execution{execution("recent", 1), execution("running", 1)}, suspects)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,6 +20,7 @@
 	"mangostand.example/mangostand/pkg/control/configsync"
 	"mangostand.example/mangostand/pkg/control/load"
 	"mangostand.example/mangostand/pkg/control/membership"
+	"mangostand.example/mangostand/pkg/control/quarantine"
 	"mangostand.example/mangostand/pkg/control/routing"
 	"mangostand.example/mangostand/pkg/httpfront"
 	"mangostand.example/mangostand/pkg/localapi"
@@ -115,6 +116,7 @@
 		membership.New(n.board, options),
 		load.New(n.board),
 		routing.New(n.board, n.settings.FailureDomain),
+		quarantine.New(n.board, n.log),
 	}
 	if store != nil {
 		n.controllers = append(n.controllers, configsync.New(n.board, store, n.settings.Site, n.log))
--- /dev/null
+++ b/pkg/node/quarantine_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/cli"
+)
+
+// total counts the executions of all backend servers.
+func (c *cluster) total() int64 {
+	var total int64
+	for _, n := range c.nodes {
+		total += n.server.executions.Load()
+	}
+	return total
+}
+
+// quarantined reports whether every node refuses a request.
+func (c *cluster) quarantined() bool {
+	for _, n := range c.nodes {
+		found := false
+		for _, e := range n.node.board.Quarantine.Load().Entries {
+			found = found || e.Quarantined
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a request that crashes the backend servers of a service one
+// after the other, and against a quarantine that cannot be seen or lifted.
+func TestPoisonRequestStopsAtTheSecondDeath(t *testing.T) {
+	c := newCluster(t, 4)
+	status, _, header, err := c.call(c.nodes[0], "GET", "/work/poison")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Equal(t, "unknown", header.Get("Mangostand-Outcome"))
+	require.EqualValues(t, 2, c.total(), "one call with its repetition reached more than two backend servers")
+	took := c.wait("all nodes refuse the request", c.quarantined)
+	t.Logf("quarantined everywhere %s after the second death", took)
+	for _, n := range c.nodes {
+		status, _, header, err := c.call(n, "GET", "/work/poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnprocessableEntity, status)
+		require.Equal(t, "not-run", header.Get("Mangostand-Outcome"))
+	}
+	require.EqualValues(t, 2, c.total())
+
+	for _, n := range c.nodes {
+		n.server.harmless.Store(true)
+	}
+	var out bytes.Buffer
+	require.Equal(t, cli.ExitOK, cli.Run("test", []string{"quarantine", "list", "--node", c.nodes[1].ops}, &out, &out))
+	require.Contains(t, out.String(), "GET /work/poison")
+	require.Contains(t, out.String(), "quarantined")
+	digest := strings.Fields(strings.Split(out.String(), "\n")[1])[0]
+	require.Equal(t, cli.ExitFailure, cli.Run("test", []string{"quarantine", "lift", "--node", c.nodes[1].ops, "unknown"}, &out, &out))
+	require.Equal(t, cli.ExitOK, cli.Run("test", []string{"quarantine", "lift", "--node", c.nodes[2].ops, digest}, &out, &out))
+	c.wait("all nodes have lifted the quarantine", func() bool {
+		for _, n := range c.nodes {
+			if len(n.node.board.Quarantine.Load().Entries) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	status, body, _, err := c.call(c.nodes[0], "GET", "/work/poison")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Len(t, body, answerSize)
+}
+
+// Guards against an innocent request that stays suspected after it completed
+// on another backend server.
+func TestSuspectIsClearedByCompletion(t *testing.T) {
+	c := newCluster(t, 3)
+	victim := c.nodes[0]
+	for _, n := range c.nodes[1:] {
+		n.server.harmless.Store(true)
+	}
+	c.wait("a backend server dies under the request", func() bool {
+		status, _, _, err := c.call(victim, "GET", "/work/poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, "the call is repeated on another backend server")
+		return !victim.node.board.Local.Load().Announced
+	})
+	c.wait("the request is cleared everywhere", func() bool {
+		status, _, _, err := c.call(c.nodes[1], "GET", "/work/poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		for _, n := range c.nodes {
+			if len(n.node.board.Quarantine.Load().Entries) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a command that does not show the progress of a drain.
+func TestDrainCommandWaits(t *testing.T) {
+	c := newCluster(t, 2)
+	var out bytes.Buffer
+	require.Equal(t, cli.ExitOK, cli.Run("test", []string{"drain", "--node", c.nodes[1].ops, "--wait"}, &out, &out))
+	require.Contains(t, out.String(), "drained")
+	require.True(t, c.nodes[1].node.board.Local.Load().Draining)
+	require.Equal(t, cli.ExitFailure, cli.Run("test", []string{"drain", "--node", "http://127.0.0.1:1"}, &out, &out))
+	c.wait("the drain is known", func() bool {
+		m, _ := c.nodes[0].node.board.Members.Load().Get("node-1")
+		return m.State == board.MemberDraining
+	})
+}
