--- a/pkg/atmostonce/confirm.go
+++ b/pkg/atmostonce/confirm.go
@@ -17,7 +17,7 @@
 
 // AskMembers asks the members of an epoch whether they know a higher one. It
 // returns a higher epoch when there is one, and whether a majority of the
-// members, in the lives that the epoch names, had none. A member that has
+// members, in the incarnations that the epoch names, had none. A member that has
 // restarted has forgotten what it adopted and does not count. A random majority
 // is asked first and the others only when needed.
 func (k *Keeper) AskMembers(ctx context.Context, epoch *board.Epoch) (*board.Epoch, bool) {
--- a/pkg/atmostonce/fabric_test.go
+++ b/pkg/atmostonce/fabric_test.go
@@ -58,7 +58,7 @@
 	faults rowFaults
 }
 
-// node is one life of an instance.
+// node is one incarnation of an instance.
 type node struct {
 	fabric  *fabric
 	self    board.Member
--- a/pkg/atmostonce/home.go
+++ b/pkg/atmostonce/home.go
@@ -69,7 +69,7 @@
 		return stale(view, c.Epoch)
 	}
 	if !k.isHome(view, c.ID) {
-		// The epoch names an earlier life of this node, whose records are gone.
+		// The epoch names an earlier incarnation of this node, whose records are gone.
 		return refused(view, board.ReasonHomeUnavailable)
 	}
 	answer := refused(view, "")
@@ -331,8 +331,8 @@
 	return unknown(view, next.Reason)
 }
 
-// executorOf returns the address of the life of the instance that holds a
-// grant, false when that life has ended.
+// executorOf returns the address of the incarnation of the instance that holds a
+// grant, false when that incarnation has ended.
 func (k *Keeper) executorOf(record *board.KeyRecord) (board.EpochMember, bool) {
 	if record.Executor == k.Self {
 		return board.EpochMember{Instance: k.Self, Incarnation: k.Incarnation}, record.ExecutorIncarnation == k.Incarnation
--- a/pkg/atmostonce/keeper.go
+++ b/pkg/atmostonce/keeper.go
@@ -145,7 +145,7 @@
 	return view.Epoch
 }
 
-// isHome reports whether this life of the node is the home of a key.
+// isHome reports whether this incarnation of the node is the home of a key.
 func (k *Keeper) isHome(view *board.EpochView, id board.KeyID) bool {
 	home, ok := keyhome.Home(view.Epoch.Members, id)
 	return ok && home.Instance == k.Self && home.Incarnation == k.Incarnation
--- a/pkg/atmostonce/once_test.go
+++ b/pkg/atmostonce/once_test.go
@@ -247,7 +247,7 @@
 	})
 }
 
-// Guards against a grant made for an earlier life of an executor or by an
+// Guards against a grant made for an earlier incarnation of an executor or by an
 // earlier life of a home.
 func TestRestartWithANewIncarnation(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/pkg/atmostonce/random_test.go
+++ b/pkg/atmostonce/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	// One processor: the race detector of Go 1.26 crashes when two threads run
+	// timers of one synctest bubble at the same time, because they share one
+	// race context.
+	runtime.GOMAXPROCS(1)
 	for name, value := range map[string]string{"rapid.seed": scheduleSeed, "rapid.checks": scheduleChecks} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := f.Value.Set(value); err != nil {
--- a/pkg/board/admission.go
+++ b/pkg/board/admission.go
@@ -27,7 +27,7 @@
 	Shed bool
 	// InFlight counts the calls that ran at the end, this one included.
 	InFlight uint32
-	// ServerIncarnation is the life of the backend server that ran the call.
+	// ServerIncarnation is the incarnation of the backend server that ran the call.
 	ServerIncarnation uint64
 }
 
--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -18,7 +18,7 @@
 	LatencyMicros uint32 `cbor:"4,keyasint,omitempty" json:"latency_us"`
 	// Draining is set when the executor takes no new calls.
 	Draining bool `cbor:"5,keyasint,omitempty" json:"draining"`
-	// Sequence rises with each report of one life of the executor, so that an
+	// Sequence rises with each report of one incarnation of the executor, so that an
 	// entry can tell the newer of two reports that arrive in any order.
 	Sequence uint64 `cbor:"6,keyasint,omitempty" json:"sequence"`
 	// Reported is the backend server's own figure as it announced it last. It
@@ -32,15 +32,15 @@
 // path updates the atomics; the load controller owns the table of cells.
 type Cell struct {
 	Member Member
-	// Since is when this node first saw this life of the instance; zero means
+	// Since is when this node first saw this incarnation of the instance; zero means
 	// that its age is not known and that it does not start cold.
 	Since time.Time
-	// Figures is shared by all cells of one life of the instance, so that a
+	// Figures is shared by all cells of one incarnation of the instance, so that a
 	// changed record loses no call in flight.
 	*Figures
 }
 
-// Figures are the counters of one life of an instance.
+// Figures are the counters of one incarnation of an instance.
 type Figures struct {
 	sent  atomic.Uint64
 	ended atomic.Uint64
@@ -67,12 +67,12 @@
 // NewCell returns a cell for a member without a load report.
 func NewCell(m Member) *Cell { return &Cell{Member: m, Figures: &Figures{}} }
 
-// NewColdCell returns a cell for a member whose life began at since.
+// NewColdCell returns a cell for a member whose incarnation started at since.
 func NewColdCell(m Member, since time.Time) *Cell {
 	return &Cell{Member: m, Since: since, Figures: &Figures{}}
 }
 
-// WithMember returns a cell for a changed record of the same life. Both cells
+// WithMember returns a cell for a changed record of the same incarnation. Both cells
 // share their figures, so calls in flight on either count in both.
 func (c *Cell) WithMember(m Member) *Cell {
 	return &Cell{Member: m, Since: c.Since, Figures: c.Figures}
--- a/pkg/call/idempotent.go
+++ b/pkg/call/idempotent.go
@@ -19,8 +19,8 @@
 	record *board.RequestRecord
 	// tried lists the instances of earlier attempts.
 	tried []board.InstanceID
-	// doubt is the first attempt that may have run without an answer.
-	doubt *Result
+	// ambiguous is the first attempt that may have run without an answer.
+	ambiguous *Result
 }
 
 // serveIdempotent carries a call that may run more than once: it tries another
@@ -45,28 +45,28 @@
 		}
 		c.note(result)
 	}
-	return c.honest(result)
+	return c.withAmbiguity(result)
 }
 
 // note remembers an attempt that may have run.
 func (c *idempotentCall) note(result *Result) {
-	if c.doubt == nil && (result.Outcome == board.OutcomeUnknown || result.Outcome == board.OutcomeFailed) {
-		c.doubt = result
+	if c.ambiguous == nil && (result.Outcome == board.OutcomeUnknown || result.Outcome == board.OutcomeFailed) {
+		c.ambiguous = result
 	}
 }
 
-// honest keeps a call whose earlier attempt may have run from being reported
-// as not run.
-func (c *idempotentCall) honest(result *Result) *Result {
-	if result.Outcome != board.OutcomeNotRun || c.doubt == nil {
+// withAmbiguity keeps a call whose earlier attempt may have run from being
+// reported as not run.
+func (c *idempotentCall) withAmbiguity(result *Result) *Result {
+	if result.Outcome != board.OutcomeNotRun || c.ambiguous == nil {
 		return result
 	}
-	reason := c.doubt.Reason
+	reason := c.ambiguous.Reason
 	if reason == "" {
 		reason = board.ReasonResponseCut
 	}
 	unknown := Unknown(reason)
-	unknown.Instance, unknown.Attempts = c.doubt.Instance, result.Attempts
+	unknown.Instance, unknown.Attempts = c.ambiguous.Instance, result.Attempts
 	return unknown
 }
 
--- a/pkg/control/breaker/breaker.go
+++ b/pkg/control/breaker/breaker.go
@@ -33,7 +33,7 @@
 	histories map[board.InstanceID]*history
 }
 
-// history holds the readings of one life of an instance.
+// history holds the readings of one incarnation of an instance.
 type history struct {
 	figures *board.Figures
 	// readings is the window, oldest first.
@@ -87,7 +87,7 @@
 	c.traffic.BreakersNotClosed.Update(float64(len(next)))
 }
 
-// forget drops instances that are gone or that live a new life, whose breaker
+// forget drops instances that are gone or with a new incarnation, whose breaker
 // starts closed.
 func (c *Controller) forget(table *board.LoadTable, gates map[board.InstanceID]*board.BreakerGate) bool {
 	changed := false
--- a/pkg/control/epoch/transfer.go
+++ b/pkg/control/epoch/transfer.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// fetch asks one member until it has sent its records, its life has ended or
+// fetch asks one member until it has sent its records, its incarnation has ended or
 // the next epoch replaces this one.
 func (c *Controller) fetch(ctx context.Context, s *service, t *transfer, from board.EpochMember) {
 	pause := firstFetchPause
@@ -138,7 +138,7 @@
 	event.Str("service", view.Epoch.Service).Uint64("epoch", view.Epoch.Number).Msg("transfer of key records has ended")
 }
 
-// markEnded notes the lives of instances that the membership knows to be over:
+// markEnded notes the incarnations of instances that the membership knows to be over:
 // they left, or the instance runs with a higher incarnation.
 func (c *Controller) markEnded(t *transfer) {
 	members := c.board.Members.Load()
--- a/pkg/control/probe/probe.go
+++ b/pkg/control/probe/probe.go
@@ -97,7 +97,7 @@
 	}
 	active := map[string]bool{}
 	for service, n := range sent {
-		// The sum falls when an instance goes or starts a new life.
+		// The sum falls when an instance goes or starts a new incarnation.
 		if last := c.lastSent[service]; n > last {
 			active[service] = true
 			c.allowance = budget.Allowance(c.allowance, n-last)
--- a/pkg/decide/membership/detect.go
+++ b/pkg/decide/membership/detect.go
@@ -19,7 +19,7 @@
 	pauseLimit = 1500 * time.Millisecond
 )
 
-// Suspicion is the doubt of this node about a member it pings.
+// Suspicion is the state of a member that stopped answering this node's pings.
 type Suspicion struct {
 	// Incarnation and Sequence are those of the suspected record.
 	Incarnation uint64
--- a/pkg/decide/pick/hotcold/candidate.go
+++ b/pkg/decide/pick/hotcold/candidate.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// coldStartShare is the weight of an instance whose life has just begun.
+	// coldStartShare is the weight of an instance whose incarnation has just started.
 	coldStartShare = 0.1
 	// failurePenalty is the load that an instance counts as having when all of
 	// its recent calls failed. It exceeds the load of any busy instance, so that
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -29,12 +29,12 @@
 	return isStateRefusal(reason)
 }
 
-// isStateRefusal reports whether the reason is the state of one instance
-// rather than load.
+// isStateRefusal reports whether the reason is the state of one instance or the
+// epoch of the attempt rather than load.
 func isStateRefusal(reason board.Reason) bool {
 	switch reason {
 	case board.ReasonNoServer, board.ReasonDraining, board.ReasonNoBackend, board.ReasonUnreachable,
-		board.ReasonWrongIncarnation, board.ReasonStopping:
+		board.ReasonWrongIncarnation, board.ReasonStopping, board.ReasonStaleEpoch, board.ReasonSealed:
 		return true
 	}
 	return false
--- a/pkg/decide/retry/retry_test.go
+++ b/pkg/decide/retry/retry_test.go
@@ -28,4 +28,9 @@
 	require.True(t, NeedsToken(board.OutcomeFailed, ""))
 	require.True(t, NeedsToken(board.OutcomeUnknown, board.ReasonNoBackend))
 	require.False(t, NeedsToken(board.OutcomeNotRun, board.ReasonDraining))
+	// A call that meets an epoch change, as during a drain, is tried again.
+	for _, reason := range []board.Reason{board.ReasonStaleEpoch, board.ReasonSealed} {
+		require.True(t, Allowed(false, board.OutcomeNotRun, reason))
+		require.False(t, NeedsToken(board.OutcomeNotRun, reason))
+	}
 }
--- a/pkg/wire/probe.go
+++ b/pkg/wire/probe.go
@@ -13,7 +13,7 @@
 // ProbeAnswer is the answer to a Probe.
 type ProbeAnswer struct {
 	Instance board.InstanceID `cbor:"1,keyasint"`
-	// Incarnation is that of the executor's node; the answer of another life
+	// Incarnation is that of the executor's node; the answer of another incarnation
 	// than the one in the cell is dropped.
 	Incarnation uint64           `cbor:"2,keyasint"`
 	Load        board.LoadReport `cbor:"3,keyasint"`
