Speak the platform's store protocol with the one store client

Cause: the store client and its stand-in spoke a protocol of our own, so the product could not use the users' store. Change: the client moves to platform/ and speaks keys, ranges, watches, transactions and leases of the platform; the stand-in keeps a history and serves the same protocol through platform.HandleStore, with 410 after a compaction. The lease keeper holds timers and moves to pkg/lease.

--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -22,7 +22,7 @@
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/localapi"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 	"mangostand.example/mangostand/pkg/security"
 )
 
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -19,7 +19,7 @@
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/loadgen"
 	"mangostand.example/mangostand/pkg/node"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/settings"
 	"mangostand.example/mangostand/pkg/standin/store"
--- a/examples/quickstart/fleet.go
+++ b/examples/quickstart/fleet.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/platform"
 )
 
 // host is one instance: a backend server with its node.
@@ -221,7 +223,7 @@
 
 // applyConfig checks and applies the configuration of the site.
 func (f *fleet) applyConfig(ctx context.Context) error {
-	if err := waitHTTP(ctx, "http://"+f.store+"/v1/list"); err != nil {
+	if err := waitHTTP(ctx, "http://"+f.store+platform.StoreProbePath); err != nil {
 		return errors.Annotate(err, "store")
 	}
 	base := filepath.Join(f.options.examples, f.site.Name, "base.ini")
--- a/pkg/atmostonce/fabric_test.go
+++ b/pkg/atmostonce/fabric_test.go
@@ -23,8 +23,8 @@
 	"mangostand.example/mangostand/pkg/control/epoch"
 	"mangostand.example/mangostand/pkg/decide/keyhome"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 const (
--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -24,6 +24,9 @@
 	// Reported is the backend server's own figure as it announced it last. It
 	// may be late or false; only the twochoices policy uses it.
 	Reported uint32 `cbor:"7,keyasint,omitempty" json:"reported"`
+	// SlowdownPercent is how long work takes at the instance now, 100 as usual; 0
+	// when it is not known.
+	SlowdownPercent uint32 `cbor:"8,keyasint,omitempty" json:"slowdown_percent"`
 	// ReceivedAt is set by the entry that received the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- /dev/null
+++ b/pkg/board/mesh.go
@@ -0,0 +1,354 @@
+package board
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// Sizes of the inboxes of a mesh node, in events.
+const (
+	heartbeatInboxSize = 64
+	recordsInboxSize   = 256
+	tableInboxSize     = 64
+)
+
+// Mesh is the blackboard of a node that runs on the users' platform: calls have
+// no keys, routes come from the platform's store, and other nodes are found
+// there. docs/platform.md lists the writer and the readers of each section.
+type Mesh struct {
+	// Self identifies this node; it does not change.
+	Self Self
+	// Routes is written by control/routefeed.
+	Routes *Section[*dynconf.Table]
+	// Server is written by control/ownserver.
+	Server *Section[*Server]
+	// Fleet is written by control/directory.
+	Fleet *Section[*Fleet]
+	// Store is written by control/registration.
+	Store *Section[*StoreView]
+	// Stopping is written by control/shutdown.
+	Stopping *Section[*Stopping]
+
+	// Pulse holds the figures of the own backend server that change with each
+	// call.
+	Pulse *Pulse
+	// Works holds what calls of each rule cost.
+	Works *Works
+	// Budgets holds the additional attempts that are left for each service.
+	Budgets *AttemptBudgets
+
+	// Announcements carries what the backend server says to control/ownserver.
+	Announcements *Inbox[ServerEvent]
+	// Records carries the node records of other nodes to control/directory.
+	Records *Inbox[RecordsEvent]
+	// Tables carries the route tables of other nodes to control/routefeed.
+	Tables *Inbox[TableHint]
+}
+
+// Self identifies a node.
+type Self struct {
+	Instance      InstanceID
+	Region        string
+	FailureDomain string
+	// Service is the service of the backend server beside the node.
+	Service string
+	// PeerAddr is where other nodes reach this one.
+	PeerAddr string
+	// ServerAddr is where the node reaches its backend server.
+	ServerAddr string
+}
+
+// NewMesh returns a board with empty sections.
+func NewMesh(self Self) *Mesh {
+	return &Mesh{
+		Self:          self,
+		Routes:        NewSection("routes", dynconf.EmptyTable()),
+		Server:        NewSection("server", &Server{}),
+		Fleet:         NewSection("fleet", &Fleet{ByService: map[string][]*MeshCell{}, ByInstance: map[InstanceID]*MeshCell{}}),
+		Store:         NewSection("store", &StoreView{}),
+		Stopping:      NewSection("stopping", &Stopping{}),
+		Pulse:         &Pulse{},
+		Works:         &Works{},
+		Budgets:       &AttemptBudgets{},
+		Announcements: NewInbox[ServerEvent](heartbeatInboxSize),
+		Records:       NewInbox[RecordsEvent](recordsInboxSize),
+		Tables:        NewInbox[TableHint](tableInboxSize),
+	}
+}
+
+// Stopping says whether the node is on its way out.
+type Stopping struct {
+	// Active is set by the order to stop.
+	Active bool
+	// Since is when the order came.
+	Since time.Time
+}
+
+// StoreView is what this node knows about the platform's store.
+type StoreView struct {
+	// Reachable is false after a failed call until one succeeds.
+	Reachable bool
+	// Since is when Reachable changed last.
+	Since time.Time
+	// Listed holds the records of the newest complete listing.
+	Listed map[InstanceID]NodeRecord
+	// ListedAt is when that listing was asked for; zero means never.
+	ListedAt time.Time
+}
+
+// ServerState is the state of a backend server.
+type ServerState uint8
+
+// States of a backend server, from best to worst.
+const (
+	ServerUnknown ServerState = iota
+	ServerReady
+	ServerDraining
+	ServerGone
+)
+
+var serverStateNames = [...]string{"unknown", "ready", "draining", "gone"}
+
+// String returns the word used in logs.
+func (s ServerState) String() string {
+	if int(s) < len(serverStateNames) {
+		return serverStateNames[s]
+	}
+	return "invalid"
+}
+
+// Server is the backend server beside this node.
+type Server struct {
+	// ID names the backend server; it may be the same after a restart.
+	ID string
+	// Born is the start of its process in Unix milliseconds, 0 when not known.
+	Born int64
+	// Sequence is that of its newest announcement.
+	Sequence int64
+	State    ServerState
+	Service  string
+	Addr     string
+	Slots    int
+	// WarmUntil is when it reaches its full speed after a start.
+	WarmUntil time.Time
+	// DrainSince is when this node learned that it leaves.
+	DrainSince time.Time
+	// HeardAt is when it was heard last.
+	HeardAt time.Time
+	// Down is set while nothing listens at its address.
+	Down bool
+}
+
+// Takes reports whether the backend server takes new calls from other nodes.
+func (s *Server) Takes() bool { return s.State == ServerReady && !s.Down }
+
+// ServerEventKind is what a backend server says, or what was found out about it.
+type ServerEventKind uint8
+
+// Kinds of server events.
+const (
+	ServerHeartbeat ServerEventKind = iota
+	ServerLeaves
+	// ServerFound is a health answer of the backend server.
+	ServerFound
+	// ServerRefused says that nothing listens at its address.
+	ServerRefused
+	// ServerAnswered takes back ServerRefused.
+	ServerAnswered
+)
+
+// ServerEvent is one announcement of the own backend server.
+type ServerEvent struct {
+	Kind   ServerEventKind
+	Server Server
+	// Warmup is how long the backend server stays slow.
+	Warmup time.Duration
+	// Done receives true when the event is in force; nil when nobody waits.
+	Done chan bool
+}
+
+// NodeRecord is what a node tells others about itself and its backend server.
+type NodeRecord struct {
+	Instance InstanceID `cbor:"1,keyasint" json:"instance"`
+	// Incarnation rises with each start of the node, Sequence with each change
+	// in one incarnation.
+	Incarnation   uint64      `cbor:"2,keyasint" json:"incarnation"`
+	Sequence      uint64      `cbor:"3,keyasint" json:"sequence"`
+	PeerAddr      string      `cbor:"4,keyasint" json:"peer_addr"`
+	Region        string      `cbor:"5,keyasint" json:"region"`
+	FailureDomain string      `cbor:"6,keyasint" json:"failure_domain"`
+	Service       string      `cbor:"7,keyasint" json:"service"`
+	ServerID      string      `cbor:"8,keyasint" json:"server_id"`
+	Born          int64       `cbor:"9,keyasint" json:"born"`
+	Slots         int         `cbor:"10,keyasint" json:"slots"`
+	State         ServerState `cbor:"11,keyasint" json:"state"`
+	// Leaving is set when the node itself stops.
+	Leaving bool `cbor:"12,keyasint" json:"leaving"`
+}
+
+// Newer reports whether r replaces other.
+func (r NodeRecord) Newer(other NodeRecord) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	return r.Sequence > other.Sequence
+}
+
+// Takes reports whether the node's backend server takes new calls.
+func (r NodeRecord) Takes() bool {
+	return r.State == ServerReady && !r.Leaving && r.ServerID != ""
+}
+
+// RecordsEvent brings records from one source.
+type RecordsEvent struct {
+	Records []NodeRecord
+	// From is the node that sent them, "" for the store.
+	From InstanceID
+}
+
+// TableHint says that a node has a route table of the version.
+type TableHint struct {
+	From    string
+	Version uint64
+	// Document is the table itself when it was pulled.
+	Document []byte
+}
+
+// MeshCell is one node of the fleet with its figures.
+type MeshCell struct {
+	Record NodeRecord
+	*Figures
+	Reach *Reach
+	// Since is when this node first saw the backend server.
+	Since time.Time
+}
+
+// Reach is what this node knows about the way to another one.
+type Reach struct {
+	// heard is the time of the last answer, suspect the end of a suspicion, both
+	// in nanoseconds since the start of the process.
+	heard   atomic.Int64
+	suspect atomic.Int64
+	strikes atomic.Int32
+}
+
+var processStart = time.Now()
+
+func sinceStart(t time.Time) int64 { return int64(t.Sub(processStart)) }
+
+const (
+	// suspicionBase is the time for which a node is avoided after the first
+	// failed exchange; it doubles with each further one.
+	suspicionBase = 200 * time.Millisecond
+	// suspicionMost bounds it, so that a healed path is found within 2 s.
+	suspicionMost = 1600 * time.Millisecond
+)
+
+// Heard notes an answer of the node.
+func (r *Reach) Heard(now time.Time) {
+	r.heard.Store(sinceStart(now))
+	r.strikes.Store(0)
+	r.suspect.Store(0)
+}
+
+// Failed notes an exchange that got no answer.
+func (r *Reach) Failed(now time.Time) {
+	if r.Suspected(now) {
+		return
+	}
+	strikes := min(r.strikes.Add(1)-1, 3)
+	d := min(suspicionBase<<strikes, suspicionMost)
+	r.suspect.Store(sinceStart(now.Add(d)))
+}
+
+// Suspected reports whether the node is to be avoided.
+func (r *Reach) Suspected(now time.Time) bool { return sinceStart(now) < r.suspect.Load() }
+
+// Doubtful reports whether the last exchange with the node failed.
+func (r *Reach) Doubtful() bool { return r.strikes.Load() > 0 }
+
+// HeardSince reports whether the node answered after the time.
+func (r *Reach) HeardSince(t time.Time) bool {
+	heard := r.heard.Load()
+	return heard > 0 && heard >= sinceStart(t)
+}
+
+// Fleet is an immutable view of the nodes.
+type Fleet struct {
+	ByInstance map[InstanceID]*MeshCell
+	// ByService holds the cells whose backend server takes calls.
+	ByService map[string][]*MeshCell
+	// Size counts the nodes that are taken to be alive, this one included.
+	Size int
+	// Digest is equal for equal sets of records.
+	Digest uint64
+}
+
+// Pulse holds the newest load figures of the own backend server.
+type Pulse struct {
+	view atomic.Pointer[PulseView]
+}
+
+// PulseView is one load report of a backend server.
+type PulseView struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes relative to the usual time.
+	Slowdown float64
+	At       time.Time
+}
+
+// Set stores a report.
+func (p *Pulse) Set(v PulseView) { p.view.Store(&v) }
+
+// Load returns the newest report, or nil.
+func (p *Pulse) Load() *PulseView { return p.view.Load() }
+
+// Works holds moving averages of the work of calls by rule.
+type Works struct{ byRule sync.Map }
+
+// workWeight is the weight of a new sample in a moving average.
+const workWeight = 0.1
+
+// Work is the moving average of one rule.
+type Work struct {
+	// micros is the average time at usual speed, bytes that of the answers.
+	micros atomic.Int64
+	bytes  atomic.Int64
+}
+
+// Of returns the average of a rule.
+func (w *Works) Of(rule string) *Work {
+	if v, ok := w.byRule.Load(rule); ok {
+		return v.(*Work)
+	}
+	v, _ := w.byRule.LoadOrStore(rule, &Work{})
+	return v.(*Work)
+}
+
+func average(target *atomic.Int64, sample int64) {
+	for {
+		old := target.Load()
+		next := sample
+		if old > 0 {
+			next = old + int64(workWeight*float64(sample-old))
+		}
+		if target.CompareAndSwap(old, max(1, next)) {
+			return
+		}
+	}
+}
+
+// AddTime adds the time that a call took at usual speed.
+func (w *Work) AddTime(d time.Duration) { average(&w.micros, d.Microseconds()) }
+
+// AddBytes adds the size of an answer.
+func (w *Work) AddBytes(n int64) { average(&w.bytes, n) }
+
+// Time returns the average time, 0 when there is none yet.
+func (w *Work) Time() time.Duration { return time.Duration(w.micros.Load()) * time.Microsecond }
+
+// Bytes returns the average size of answers.
+func (w *Work) Bytes() int64 { return w.bytes.Load() }
--- a/pkg/cli/audit.go
+++ b/pkg/cli/audit.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/configstore"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 const (
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // configCommands adds "config check|render|apply|history|show".
--- a/pkg/cli/config_apply.go
+++ b/pkg/cli/config_apply.go
@@ -11,7 +11,7 @@
 
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // application is one run of "config apply".
--- a/pkg/configstore/apply.go
+++ b/pkg/configstore/apply.go
@@ -8,7 +8,7 @@
 
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // Results of Apply that its caller distinguishes.
--- a/pkg/configstore/apply_test.go
+++ b/pkg/configstore/apply_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/standin/store"
+	"mangostand.example/mangostand/platform"
 )
 
 // setUp returns a store with version 1 and what an operator read from it.
--- a/pkg/configstore/configstore.go
+++ b/pkg/configstore/configstore.go
@@ -13,7 +13,7 @@
 
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // Store is the part of the store client that this package needs.
--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -22,8 +22,8 @@
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 // Store is the part of the store client that the controller needs.
--- a/pkg/control/configsync/configsync_test.go
+++ b/pkg/control/configsync/configsync_test.go
@@ -17,9 +17,9 @@
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/standin/store"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 // boards answers pulls in process from the boards of other nodes.
--- a/pkg/control/configsync/machine_test.go
+++ b/pkg/control/configsync/machine_test.go
@@ -13,8 +13,8 @@
 
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/decide/configversion"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/standin/store"
+	"mangostand.example/mangostand/platform"
 )
 
 const machineNodes = 3
--- a/pkg/control/configsync/watch.go
+++ b/pkg/control/configsync/watch.go
@@ -10,7 +10,7 @@
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/configversion"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 const (
--- a/pkg/control/epoch/epoch.go
+++ b/pkg/control/epoch/epoch.go
@@ -14,8 +14,8 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/keyhome"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 const (
--- a/pkg/control/epoch/learn_test.go
+++ b/pkg/control/epoch/learn_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // noMajority is a key protocol whose peers do not answer.
--- a/pkg/control/epoch/propose.go
+++ b/pkg/control/epoch/propose.go
@@ -12,8 +12,8 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/keyhome"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 // propose starts a proposal for each service of this node whose members differ
--- a/pkg/control/membership/contact.go
+++ b/pkg/control/membership/contact.go
@@ -14,7 +14,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
 	decide "mangostand.example/mangostand/pkg/decide/membership"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 const (
--- a/pkg/control/membership/fake_test.go
+++ b/pkg/control/membership/fake_test.go
@@ -16,9 +16,9 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/standin/store"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 // testSeed fixes the random choices of all tests of this package.
--- /dev/null
+++ b/pkg/decide/fleet/fleet.go
@@ -0,0 +1,69 @@
+// Package fleet decides which nodes exist, from what they tell each other and
+// from the platform's store. All functions are pure.
+package fleet
+
+import (
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+const (
+	// ReturnTime is how long a node may take to be listed again after the store
+	// came back. The platform promises about two seconds.
+	ReturnTime = 2500 * time.Millisecond
+	// SilenceLimit is the time without an answer after which an unlisted node is
+	// taken to be gone: two renewals of a lease.
+	SilenceLimit = 3 * time.Second
+)
+
+// Evidence is what is known about one node at a moment.
+type Evidence struct {
+	// Listed is true when the newest listing of the store has the node.
+	Listed bool
+	// ListingFresh is true when that listing was asked for while the store had
+	// been reachable for ReturnTime, and after the node was first seen.
+	ListingFresh bool
+	// Heard is true when the node answered within SilenceLimit.
+	Heard bool
+	// Left is true when the node said that it leaves.
+	Left bool
+	// SeenFor is how long the node is known.
+	SeenFor time.Duration
+}
+
+// Alive reports whether a node is taken to exist. Contact goes before the
+// store: a node that answers exists whatever the store says. Without contact
+// the store decides, and while the store cannot tell, a known node is kept.
+func Alive(e Evidence) bool {
+	switch {
+	case e.Left:
+		return false
+	case e.Heard:
+		return true
+	case e.Listed:
+		return true
+	case !e.ListingFresh:
+		return true
+	}
+	return e.SeenFor < SilenceLimit
+}
+
+// Digest returns a number that is equal for equal sets of records.
+func Digest(records []board.NodeRecord) uint64 {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b board.NodeRecord) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	h := fnv.New64a()
+	for _, r := range sorted {
+		_, _ = h.Write([]byte(string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10) + "\n"))
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -0,0 +1,94 @@
+// Package earliest chooses the backend server at which a call is expected to
+// finish first. All functions are pure.
+package earliest
+
+import (
+	"time"
+
+	"mangostand.example/mangostand/pkg/decide/estimate"
+)
+
+// Candidate is one backend server as its caller's node knows it.
+type Candidate struct {
+	// Load is the newest known load; LoadAge is how old its speed is.
+	Load    estimate.Load
+	LoadAge time.Duration
+	// Refused is set when the candidate has just told its load in a refusal, so
+	// that its speed is exact.
+	Distance time.Duration
+	// Failing is the recent share of failed calls, 0 to 1.
+	Failing float64
+	// Cost is what the bytes of an answer cost on the way, as a time.
+	Cost time.Duration
+	// Excluded candidates are used only when there is no other.
+	Excluded bool
+}
+
+// failurePenalty is the time that a backend server which fails every call
+// counts as farther, relative to the usual time of the call: a failed call has
+// to be repeated whole, and its failure may come late.
+const failurePenalty = 4
+
+// Expected returns how long a call with the usual time is expected to take at
+// the candidate, with penalties.
+func Expected(c Candidate, usual time.Duration) time.Duration {
+	l := c.Load
+	l.Slowdown = estimate.Aged(l.Slowdown, c.LoadAge)
+	total := estimate.Finish(l, usual) + 2*c.Distance + c.Cost
+	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
+}
+
+// Choice is the chosen candidate.
+type Choice struct {
+	Index int
+	// Expected is its expected time, Next that of the best other candidate; 0
+	// when there is none.
+	Expected time.Duration
+	Next     time.Duration
+}
+
+// Choose returns the candidate with the least expected time. Candidates within
+// the tolerance of the best are equal, and the draw decides among them.
+func Choose(candidates []Candidate, usual, tolerance time.Duration, draw uint64) (Choice, bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	times := make([]time.Duration, len(candidates))
+	allowed := allowedCandidates(candidates)
+	best := time.Duration(-1)
+	for _, i := range allowed {
+		times[i] = Expected(candidates[i], usual)
+		if best < 0 || times[i] < best {
+			best = times[i]
+		}
+	}
+	var equal []int
+	for _, i := range allowed {
+		if times[i] <= best+tolerance {
+			equal = append(equal, i)
+		}
+	}
+	choice := Choice{Index: equal[draw%uint64(len(equal))]}
+	choice.Expected = times[choice.Index]
+	for _, i := range allowed {
+		if i != choice.Index && (choice.Next == 0 || times[i] < choice.Next) {
+			choice.Next = times[i]
+		}
+	}
+	return choice, true
+}
+
+// allowedCandidates leaves out the excluded ones unless all are.
+func allowedCandidates(candidates []Candidate) []int {
+	var allowed, all []int
+	for i := range candidates {
+		all = append(all, i)
+		if !candidates[i].Excluded {
+			allowed = append(allowed, i)
+		}
+	}
+	if len(allowed) == 0 {
+		return all
+	}
+	return allowed
+}
--- /dev/null
+++ b/pkg/decide/queueing/queueing.go
@@ -0,0 +1,104 @@
+// Package queueing decides which calls a backend server runs next and which are
+// refused because they can't be answered in time. All functions are pure.
+package queueing
+
+import (
+	"time"
+
+	"mangostand.example/mangostand/pkg/decide/estimate"
+)
+
+// Job is a call that asks for a slot.
+type Job struct {
+	// Rank orders jobs, 0 first.
+	Rank int
+	// Usual is its time at usual speed.
+	Usual time.Duration
+	// Objective is when its answer loses most of its value, Deadline when nobody
+	// waits for it any more. Both are points in time of the executor.
+	Objective time.Time
+	Deadline  time.Time
+	// Patience is the longest expected time that its sender accepts, because
+	// another backend server is expected to take that long; 0 accepts any.
+	Patience time.Duration
+}
+
+// Before reports whether a is served before b: by rank, then by objective.
+func Before(a, b Job) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.Objective.Before(b.Objective)
+}
+
+// Refusal says why a job is not taken.
+type Refusal uint8
+
+// Refusals.
+const (
+	// Accepted means that the job is taken.
+	Accepted Refusal = iota
+	// Slower means that another backend server is expected to be faster.
+	Slower
+	// TooLate means that the job can't be answered before its deadline.
+	TooLate
+	// Full means that the queue is full.
+	Full
+)
+
+// Verdict is the decision on a new job.
+type Verdict struct {
+	Refusal Refusal
+	// Expected is the expected time until its answer.
+	Expected time.Duration
+	// Wait is the expected time until a slot is free.
+	Wait time.Duration
+}
+
+// mostWaiting bounds the queue by the calls that wait per slot: more could not
+// be answered in any usual objective.
+const mostWaiting = 8
+
+// Judge decides on a new job. Load counts all running jobs and those waiting
+// jobs that are served before it.
+func Judge(job Job, load estimate.Load, now time.Time) Verdict {
+	v := Verdict{Expected: estimate.Finish(load, job.Usual), Wait: estimate.Wait(load)}
+	switch {
+	case load.Waiting >= mostWaiting*max(1, load.Slots):
+		v.Refusal = Full
+	case now.Add(v.Wait + leastWork(job)).After(job.Deadline):
+		v.Refusal = TooLate
+	case job.Patience > 0 && v.Expected > job.Patience:
+		v.Refusal = Slower
+	}
+	return v
+}
+
+// leastShare is the share of its usual time that a job takes at least. Works
+// vary by about a third around their mean.
+const leastShare = 0.6
+
+func leastWork(job Job) time.Duration {
+	return time.Duration(leastShare * float64(job.Usual))
+}
+
+// Expires returns when a waiting job can't be answered any more.
+func Expires(job Job) time.Time { return job.Deadline.Add(-leastWork(job)) }
+
+// Bounds of the advice when to come back. The least lets one call of a usual
+// service end; callers follow an advice up to a third of the time they have.
+const (
+	leastRetryAfter = 20 * time.Millisecond
+	mostRetryAfter  = 2 * time.Second
+)
+
+// RetryAfter returns when a refused caller should come back: when the queue
+// that refused it is expected to have room, but early enough that the answer
+// can still come in time.
+func RetryAfter(wait, left, usual time.Duration) time.Duration {
+	advice := max(wait, leastRetryAfter)
+	if latest := (left - usual) / 3; latest > leastRetryAfter {
+		advice = min(advice, latest)
+	}
+	return min(advice, mostRetryAfter)
+}
--- /dev/null
+++ b/pkg/h1/conn.go
@@ -0,0 +1,67 @@
+package h1
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+)
+
+// quiet reports whether an idle connection is open and has no unread bytes: a
+// server that has closed it or has sent something cannot be given a call.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	var buf [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && (peekErr == unix.EAGAIN || peekErr == unix.EWOULDBLOCK)
+}
+
+// setUserTimeout bounds the time that written bytes stay unacknowledged, so
+// that a connection that went silent fails instead of hanging.
+func setUserTimeout(nc net.Conn, timeout time.Duration) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok || timeout <= 0 {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	// A kernel without the option keeps its own, longer time.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+}
+
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// keepAliveOf returns the time for which a server keeps an idle connection.
+func keepAliveOf(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/h1/read.go
@@ -0,0 +1,85 @@
+package h1
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// errHeaderTooLarge ends the read of a header above the limit.
+const errHeaderTooLarge = errors.ConstError("header above the limit")
+
+// limitedReader fails after left bytes; -1 means no limit.
+type limitedReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read reads at most the bytes that are left.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left < 0 {
+		return l.r.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeaderTooLarge
+	}
+	if len(p) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	l.left -= n
+	return n, err
+}
+
+// statusOfReadError returns the status for a header that cannot be read, or 0
+// when the caller has gone.
+func statusOfReadError(err error) int {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, errHeaderTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return http.StatusRequestTimeout
+	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return 0
+	}
+	return http.StatusBadRequest
+}
+
+// readBody reads a whole body of at most limit bytes. A status says why the
+// body is refused.
+func readBody(r *http.Request, limit int) (body []byte, status int, err error) {
+	if r.ContentLength > int64(limit) {
+		return nil, http.StatusRequestEntityTooLarge, nil
+	}
+	if r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, 0, errors.Trace(err)
+		}
+		// The end of the body is read, so that the next request starts there.
+		_, err = io.Copy(io.Discard, r.Body)
+		return body, 0, errors.Trace(err)
+	}
+	body, err = io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	var netErr net.Error
+	switch {
+	case err != nil && (errors.As(err, &netErr) || errors.Is(err, io.ErrUnexpectedEOF)):
+		return nil, 0, errors.Trace(err)
+	case err != nil:
+		return nil, http.StatusBadRequest, nil
+	case len(body) > limit:
+		return nil, http.StatusRequestEntityTooLarge, nil
+	}
+	return body, 0, nil
+}
+
+func httpStatus(status int) string {
+	return strconv.Itoa(status) + " " + http.StatusText(status)
+}
--- a/pkg/platform/keeper.go
+++ b/pkg/lease/lease.go
@@ -1,4 +1,5 @@
-package platform
+// Package lease holds a lease of the platform's store and renews it.
+package lease
 
 import (
 	"context"
@@ -7,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/platform"
 )
 
 const (
@@ -25,7 +28,7 @@
 // notices on its own that the lease has lapsed. Any goroutine may ask it; Run
 // is called once.
 type Keeper struct {
-	client  *Client
+	client  *platform.Client
 	ttl     time.Duration
 	log     zerolog.Logger
 	held    atomic.Pointer[heldLease]
@@ -33,7 +36,7 @@
 }
 
 type heldLease struct {
-	lease Lease
+	lease platform.Lease
 	// trustedUntil is counted from before the call that granted or renewed the
 	// lease was sent, since the store counts from when it took the call.
 	trustedUntil time.Time
@@ -41,17 +44,17 @@
 
 // NewKeeper returns a keeper of a lease with a ttl, which should be several
 // times the store's time to answer.
-func NewKeeper(client *Client, ttl time.Duration, log zerolog.Logger) *Keeper {
+func NewKeeper(client *platform.Client, ttl time.Duration, log zerolog.Logger) *Keeper {
 	return &Keeper{client: client, ttl: ttl, log: log, changed: make(chan struct{}, 1)}
 }
 
 // Held returns the lease and whether it can be trusted now. A holder asks
 // immediately before it acts and sends the token along, since the lease may
 // lapse after the answer.
-func (k *Keeper) Held() (Lease, bool) {
+func (k *Keeper) Held() (platform.Lease, bool) {
 	held := k.held.Load()
 	if held == nil || !time.Now().Before(held.trustedUntil) {
-		return Lease{}, false
+		return platform.Lease{}, false
 	}
 	return held.lease, true
 }
@@ -88,7 +91,7 @@
 	switch {
 	case err == nil:
 		k.held.Store(&heldLease{lease: held.lease, trustedUntil: k.trustedUntil(sent)})
-	case errors.Is(err, ErrNotFound):
+	case errors.Is(err, platform.ErrNotFound):
 		k.log.Warn().Str("lease", held.lease.ID).Msg("lease has lapsed")
 		k.held.Store(nil)
 		k.notify()
--- a/pkg/node/cluster_test.go
+++ b/pkg/node/cluster_test.go
@@ -20,10 +20,10 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/settings"
 	"mangostand.example/mangostand/pkg/standin/store"
+	"mangostand.example/mangostand/platform"
 )
 
 // waitLimit bounds each wait; it is long, so that a busy machine passes.
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -6,7 +6,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control/configsync"
 	"mangostand.example/mangostand/pkg/decide/configversion"
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // configSync builds the controller of the configuration. A node without a
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -36,10 +36,10 @@
 	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/opsapi"
 	"mangostand.example/mangostand/pkg/peer"
-	"mangostand.example/mangostand/pkg/platform"
 	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/settings"
 	"mangostand.example/mangostand/pkg/wire"
+	"mangostand.example/mangostand/platform"
 )
 
 // Limits of the HTTP listeners.
--- a/pkg/standin/store/faults.go
+++ b/pkg/standin/store/faults.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // Rates of the platform's store in calls per second.
@@ -98,6 +98,7 @@
 	old, ok := s.snapshots[name]
 	if ok {
 		s.entries, s.revision = cloneEntries(old.entries), old.revision
+		s.history, s.compacted = nil, s.revision
 		s.notify()
 	}
 	return ok
@@ -199,9 +200,13 @@
 
 // addControls adds the interface for tests under /standin/.
 func (s *Store) addControls(mux *http.ServeMux) {
-	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults(), nil) })
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults()) })
 	mux.HandleFunc("PUT /standin/faults", s.handleFaults)
-	mux.HandleFunc("GET /standin/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Calls(), nil) })
+	mux.HandleFunc("GET /standin/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Calls()) })
+	mux.HandleFunc("POST /standin/compact", func(w http.ResponseWriter, _ *http.Request) {
+		s.Compact()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("POST /standin/snapshots/{name}", func(w http.ResponseWriter, r *http.Request) {
 		s.Snapshot(r.PathValue("name"))
 		w.WriteHeader(http.StatusNoContent)
@@ -218,7 +223,7 @@
 // handleFaults changes the faults that the body names and keeps the others.
 func (s *Store) handleFaults(w http.ResponseWriter, r *http.Request) {
 	faults := s.Faults()
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValueSize))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlSize))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&faults); err != nil {
 		http.Error(w, "malformed faults: "+err.Error(), http.StatusBadRequest)
@@ -229,5 +234,5 @@
 		return
 	}
 	s.SetFaults(faults)
-	reply(w, faults, nil)
+	reply(w, faults)
 }
--- a/pkg/standin/store/faults_test.go
+++ b/pkg/standin/store/faults_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/platform"
 )
 
 func send(t *testing.T, s *Store, method, path, body string) (int, string) {
@@ -38,10 +40,10 @@
 	require.Equal(t, http.StatusBadRequest, status)
 	status, _ = send(t, s, http.MethodPut, "/standin/faults", `{"outage":true}`)
 	require.Equal(t, http.StatusOK, status)
-	status, _ = send(t, s, http.MethodGet, "/v1/kv/k", "")
+	status, _ = send(t, s, http.MethodGet, platform.StoreProbePath, "")
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	_, calls := send(t, s, http.MethodGet, "/standin/calls", "")
-	require.JSONEq(t, `{"by_kind":{"get":1},"rejected":0,"waiting":0}`, calls)
+	require.JSONEq(t, `{"by_kind":{"list":1},"rejected":0,"waiting":0}`, calls)
 }
 
 // Guards against waiting watches that the rate of the store does not feel, and
@@ -52,10 +54,10 @@
 		s.SetFaults(Faults{ReadRate: 2, PauseExpiry: true})
 		lease := s.Grant(time.Second)
 		for range 4 {
-			go func() { _, _ = s.Wait("missing", 0, 10*time.Second, nil) }()
+			go func() { _, _ = s.Changes("missing", 0, 10*time.Second, nil) }()
 		}
 		time.Sleep(5 * time.Second)
-		status, _ := send(t, s, http.MethodGet, "/v1/list", "")
+		status, _ := send(t, s, http.MethodGet, platform.StoreProbePath, "")
 		require.Equal(t, http.StatusTooManyRequests, status)
 		require.Equal(t, 4, s.Calls().Waiting)
 		require.NoError(t, s.Renew(lease.ID))
--- a/pkg/standin/store/store.go
+++ b/pkg/standin/store/store.go
@@ -9,18 +9,17 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
-	"mangostand.example/mangostand/pkg/platform"
+	"mangostand.example/mangostand/platform"
 )
 
 // Errors of the stand-in.
 const (
-	errNotFound = errors.ConstError("not found")
-	errConflict = errors.ConstError("conflict")
+	errNotFound = platform.ErrNotFound
+	errConflict = platform.ErrConflict
 	// errUnavailable ends the watches that wait when an outage starts.
-	errUnavailable = errors.ConstError("unavailable")
+	errUnavailable = platform.ErrUnavailable
 )
 
 // Store holds the keys and leases. Any goroutine may use it.
@@ -33,6 +32,9 @@
 	leases   map[string]*lease
 	tokens   uint64
 	changed  chan struct{}
+	// history holds the newest changes; those up to compacted are dropped.
+	history   []platform.Event
+	compacted uint64
 
 	faults        Faults
 	writes, reads *rate.Limiter
@@ -87,47 +89,83 @@
 
 // CompareAndSwap writes a key whose revision is expect, 0 for a new key.
 func (s *Store) CompareAndSwap(key string, expect uint64, value []byte, leaseID string) (uint64, error) {
+	return s.Commit(map[string]uint64{key: expect}, []platform.Entry{{Key: key, Value: value, Lease: leaseID}}, nil)
+}
+
+// Delete removes a key whose revision is expect.
+func (s *Store) Delete(key string, expect uint64) error {
+	_, err := s.Commit(map[string]uint64{key: expect}, nil, []string{key})
+	return err
+}
+
+// Commit writes and deletes keys if each key of expected has its revision, 0
+// for a missing key.
+func (s *Store) Commit(expected map[string]uint64, writes []platform.Entry, remove []string) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if s.entries[key].Revision != expect {
-		return 0, errConflict
+	for key, revision := range expected {
+		if s.entries[key].Revision != revision {
+			return 0, errConflict
+		}
+	}
+	for _, entry := range writes {
+		if entry.Lease != "" && s.leases[entry.Lease] == nil {
+			return 0, errNotFound
+		}
 	}
-	if leaseID != "" && s.leases[leaseID] == nil {
-		return 0, errNotFound
+	for _, entry := range writes {
+		s.revision++
+		entry.Revision = s.revision
+		s.entries[entry.Key] = entry
+		s.record(platform.Event{Entry: entry})
+	}
+	for _, key := range remove {
+		s.remove(key)
 	}
-	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision, Lease: leaseID}
 	s.notify()
 	return s.revision, nil
 }
 
-// Delete removes a key whose revision is expect.
-func (s *Store) Delete(key string, expect uint64) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	entry, ok := s.entries[key]
-	if !ok {
-		return errNotFound
-	}
-	if entry.Revision != expect {
-		return errConflict
+// remove deletes a key. The caller holds mu.
+func (s *Store) remove(key string) {
+	if _, ok := s.entries[key]; !ok {
+		return
 	}
 	s.revision++
 	delete(s.entries, key)
+	s.record(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// historyLength is the number of changes that are kept for watches.
+const historyLength = 1000
+
+func (s *Store) record(event platform.Event) {
+	s.history = append(s.history, event)
+	if extra := len(s.history) - historyLength; extra > 0 {
+		s.compacted = s.history[extra-1].Revision
+		s.history = s.history[extra:]
+	}
+}
+
+// Compact drops the history, as a store does that restarts or runs short.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
 	s.notify()
-	return nil
 }
 
-// watchTick is how often a waiting watch counts as a read and leases are
-// checked.
-const watchTick = time.Second
+// Revision returns the number of the newest change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
 
-// Wait returns the entry of a key as soon as its revision is above after, or
-// the current one when the time is up. A key that existed and was deleted is
-// reported at once.
-func (s *Store) Wait(key string, after uint64, wait time.Duration, done <-chan struct{}) (platform.Entry, error) {
+// Changes returns the changes of keys with the prefix after a revision as soon
+// as there is one, or none when the time is up.
+func (s *Store) Changes(prefix string, after uint64, wait time.Duration, done <-chan struct{}) ([]platform.Event, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	ticker := time.NewTicker(watchTick)
@@ -135,25 +173,46 @@
 	s.addWaiting(1)
 	defer s.addWaiting(-1)
 	for {
-		entry, changed, err := s.look(key)
-		if err != nil && (err != errNotFound || after > 0) {
-			return platform.Entry{}, err
-		}
-		if err == nil && entry.Revision > after {
-			return entry, nil
+		events, changed, err := s.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, err
 		}
 		select {
 		case <-changed:
 		case <-ticker.C:
 			s.chargeWatch()
 		case <-timer.C:
-			return s.Get(key)
+			return nil, nil
 		case <-done:
-			return s.Get(key)
+			return nil, nil
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after uint64) ([]platform.Event, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return nil, nil, errUnavailable
+	}
+	s.expire()
+	// A revision of the future belongs to data that were lost.
+	if after < s.compacted || after > s.revision {
+		return nil, nil, platform.ErrCompacted
+	}
+	var events []platform.Event
+	for _, event := range s.history {
+		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+			events = append(events, event)
 		}
 	}
+	return events, s.changed, nil
 }
 
+// watchTick is how often a waiting watch counts as a read and leases are
+// checked.
+const watchTick = time.Second
+
 func (s *Store) addWaiting(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,28 +227,13 @@
 	s.reads.ReserveN(s.now(), 1)
 }
 
-// look returns the entry of a key and the channel of the next change.
-func (s *Store) look(key string) (platform.Entry, <-chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.Outage {
-		return platform.Entry{}, nil, errUnavailable
-	}
-	s.expire()
-	entry, ok := s.entries[key]
-	if !ok {
-		return entry, s.changed, errNotFound
-	}
-	return entry, s.changed, nil
-}
-
 // Grant creates a lease.
 func (s *Store) Grant(ttl time.Duration) platform.Lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	s.tokens++
-	id := "lease-" + strconv.FormatUint(s.tokens, 10)
+	id := strconv.FormatUint(s.tokens, 10)
 	s.leases[id] = &lease{ttl: ttl, expires: s.now().Add(ttl)}
 	return platform.Lease{ID: id, Token: s.tokens}
 }
@@ -236,8 +280,7 @@
 	delete(s.leases, id)
 	for key, entry := range s.entries {
 		if entry.Lease == id {
-			s.revision++
-			delete(s.entries, key)
+			s.remove(key)
 		}
 	}
 	s.notify()
--- a/test/processes/fleet_test.go
+++ b/test/processes/fleet_test.go
@@ -30,6 +30,8 @@
 	"mangostand.example/mangostand/pkg/opsapi"
 	"mangostand.example/mangostand/pkg/standin/backendserver"
 	"mangostand.example/mangostand/pkg/standin/executionlog"
+
+	"mangostand.example/mangostand/platform"
 )
 
 const (
@@ -122,7 +124,7 @@
 	f.platform = append(f.platform, f.spawn("standin", "store", "--addr", f.store),
 		f.spawn("standin", "execution-log", "--addr", f.logs),
 		f.spawn("standin", "relay", "--addr", f.relay, "--config", filepath.Join(f.dir, "relay.ini")))
-	f.eventually("the store answers", func() bool { return get("http://"+f.store+"/v1/list", nil) == nil })
+	f.eventually("the store answers", func() bool { return get("http://"+f.store+platform.StoreProbePath, nil) == nil })
 	for _, h := range f.hosts {
 		f.command("keys", "cert", "--dir", f.dir, "--name", h.name, "--ip", h.ip, "--node")
 		f.startNode(h)
