--- a/cmd/mangostandd/main.go
+++ b/cmd/mangostandd/main.go
@@ -14,6 +14,7 @@
 	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/node"
 	"mangostand.example/mangostand/pkg/settings"
+	"mangostand.example/mangostand/platform"
 )
 
 // version is set at build time.
@@ -32,7 +33,15 @@
 	flaggy.SetVersion(version)
 	flaggy.DefaultParser.ShowCompletion = false
 	flaggy.String(&file, "s", "settings", "settings file of the node (INI)")
+	platformFile := ""
+	onPlatform := flaggy.NewSubcommand("platform")
+	onPlatform.Description = "run on the users' platform"
+	onPlatform.String(&platformFile, "s", "settings", "settings file (INI), default the path in "+platform.SettingsVariable)
+	flaggy.AttachSubcommand(onPlatform, 1)
 	flaggy.Parse()
+	if onPlatform.Used {
+		os.Exit(runPlatform(platformFile))
+	}
 	os.Exit(run(file))
 }
 
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -228,47 +228,28 @@
 
 // Reach is what this node knows about the way to another one.
 type Reach struct {
-	// heard is the time of the last answer, suspect the end of a suspicion, both
-	// in nanoseconds since the start of the process.
-	heard   atomic.Int64
-	suspect atomic.Int64
-	strikes atomic.Int32
+	// heard is the time of the last answer in nanoseconds since the start of
+	// the process, failures the exchanges without an answer since then.
+	heard    atomic.Int64
+	failures atomic.Int32
 }
 
 var processStart = time.Now()
 
 func sinceStart(t time.Time) int64 { return int64(t.Sub(processStart)) }
 
-const (
-	// suspicionBase is the time for which a node is avoided after the first
-	// failed exchange; it doubles with each further one.
-	suspicionBase = 200 * time.Millisecond
-	// suspicionMost bounds it, so that a healed path is found within 2 s.
-	suspicionMost = 1600 * time.Millisecond
-)
-
 // Heard notes an answer of the node.
 func (r *Reach) Heard(now time.Time) {
 	r.heard.Store(sinceStart(now))
-	r.strikes.Store(0)
-	r.suspect.Store(0)
+	r.failures.Store(0)
 }
 
 // Failed notes an exchange that got no answer.
-func (r *Reach) Failed(now time.Time) {
-	if r.Suspected(now) {
-		return
-	}
-	strikes := min(r.strikes.Add(1)-1, 3)
-	d := min(suspicionBase<<strikes, suspicionMost)
-	r.suspect.Store(sinceStart(now.Add(d)))
-}
-
-// Suspected reports whether the node is to be avoided.
-func (r *Reach) Suspected(now time.Time) bool { return sinceStart(now) < r.suspect.Load() }
+func (r *Reach) Failed() { r.failures.Add(1) }
 
-// Doubtful reports whether the last exchange with the node failed.
-func (r *Reach) Doubtful() bool { return r.strikes.Load() > 0 }
+// Suspected reports whether the newest exchange with the node failed. The
+// directory asks such a node again until it answers.
+func (r *Reach) Suspected() bool { return r.failures.Load() > 0 }
 
 // HeardSince reports whether the node answered after the time.
 func (r *Reach) HeardSince(t time.Time) bool {
--- a/pkg/board/reason.go
+++ b/pkg/board/reason.go
@@ -44,3 +44,23 @@
 	ReasonResponseCut      Reason = "response-incomplete"
 	ReasonCanceled         Reason = "canceled-by-caller"
 )
+
+// Reasons of calls on the platform's path.
+const (
+	// ReasonNoConfig: the node knows no configuration yet.
+	ReasonNoConfig Reason = "no-configuration"
+	// ReasonSlower: another backend server is expected to answer sooner.
+	ReasonSlower Reason = "slower-than-alternative"
+	// ReasonRejected: the backend server says that it did not run the call.
+	ReasonRejected Reason = "rejected-by-server"
+	// ReasonOtherServer: another backend server has the address.
+	ReasonOtherServer Reason = "address-of-other-server"
+	// ReasonSilent: the executor did not take the call in time.
+	ReasonSilent Reason = "executor-silent"
+	// ReasonServerError: the backend server answered with a failure of its own.
+	ReasonServerError Reason = "server-error"
+	// ReasonMalformedAnswer: what the backend server sent is no whole answer.
+	ReasonMalformedAnswer Reason = "malformed-answer"
+	// ReasonBodyMissing: the entry did not follow with the body.
+	ReasonBodyMissing Reason = "body-missing"
+)
--- /dev/null
+++ b/pkg/control/directory/directory.go
@@ -0,0 +1,378 @@
+// Package directory knows the nodes of the fleet. It merges what nodes tell
+// each other with the listings of the platform's store, spreads changes, and is
+// the writer of the section Fleet.
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/fleet"
+)
+
+const (
+	// tick spaces the exchanges with random nodes and the questions to nodes
+	// that did not answer.
+	tick = 250 * time.Millisecond
+	// randomExchanges is the number of nodes asked in each tick.
+	randomExchanges = 1
+	// doubtfulExchanges bounds the questions to silent nodes in each tick.
+	doubtfulExchanges = 6
+	// fanout is the number of nodes that a change is passed on to at once.
+	fanout = 4
+	// exchangeTimeout bounds an exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// leftMemory is how long a node that left is remembered, so that older
+	// records do not bring it back.
+	leftMemory = time.Minute
+)
+
+// Message is what two nodes tell each other.
+type Message struct {
+	From     board.InstanceID   `cbor:"1,keyasint"`
+	PeerAddr string             `cbor:"2,keyasint"`
+	Records  []board.NodeRecord `cbor:"3,keyasint"`
+	// Digest is that of all records of the sender.
+	Digest uint64 `cbor:"4,keyasint"`
+	// ConfigVersion is the version of the sender's routes.
+	ConfigVersion uint64 `cbor:"5,keyasint"`
+	// Load is the sender's load.
+	Load board.LoadReport `cbor:"6,keyasint"`
+}
+
+// Exchanger sends a message to a node and returns its answer.
+type Exchanger func(ctx context.Context, addr string, m *Message) (*Message, error)
+
+// Controller keeps the records.
+type Controller struct {
+	board    *board.Mesh
+	exchange Exchanger
+	load     func() board.LoadReport
+	log      zerolog.Logger
+	writer   *board.Writer[*board.Fleet]
+
+	own    board.NodeRecord
+	others map[board.InstanceID]*entry
+	// busy holds the nodes with an exchange under way.
+	done chan board.InstanceID
+	busy map[board.InstanceID]bool
+}
+
+// entry is one other node.
+type entry struct {
+	cell    *board.MeshCell
+	seen    time.Time
+	alive   bool
+	aliveAt time.Time
+}
+
+// New claims the section. The incarnation rises with each start of the node.
+func New(b *board.Mesh, incarnation uint64, exchange Exchanger, load func() board.LoadReport, log zerolog.Logger) *Controller {
+	c := &Controller{
+		board: b, exchange: exchange, load: load, log: log, writer: b.Fleet.Claim("directory"),
+		own: board.NodeRecord{
+			Instance: b.Self.Instance, Incarnation: incarnation, Sequence: 1, PeerAddr: b.Self.PeerAddr,
+			Region: b.Self.Region, FailureDomain: b.Self.FailureDomain, Service: b.Self.Service,
+		},
+		others: map[board.InstanceID]*entry{},
+		done:   make(chan board.InstanceID, exchangeQueue), busy: map[board.InstanceID]bool{},
+	}
+	c.publish(time.Now())
+	return c
+}
+
+// exchangeQueue holds the ends of exchanges until the controller takes them.
+const exchangeQueue = 64
+
+// Name returns the name of the controller.
+func (c *Controller) Name() string { return "directory" }
+
+// Run keeps the records until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	server := c.board.Server.Subscribe()
+	stopping := c.board.Stopping.Subscribe()
+	store := c.board.Store.Subscribe()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.board.Records.Events():
+			c.merge(ctx, event, time.Now())
+		case <-server:
+			c.refreshOwn(ctx, time.Now())
+		case <-stopping:
+			c.refreshOwn(ctx, time.Now())
+		case <-store:
+			c.takeListing(ctx, time.Now())
+		case id := <-c.done:
+			delete(c.busy, id)
+		case now := <-ticker.C:
+			c.refreshOwn(ctx, now)
+			c.review(now)
+			c.askOthers(ctx)
+		}
+	}
+}
+
+// refreshOwn raises the own record when the backend server or the node changed.
+func (c *Controller) refreshOwn(ctx context.Context, now time.Time) {
+	next := c.own
+	server := c.board.Server.Load()
+	next.ServerID, next.Born, next.Slots, next.State = server.ID, server.Born, server.Slots, server.State
+	if server.Service != "" {
+		next.Service = server.Service
+	}
+	if server.Down {
+		next.State = board.ServerUnknown
+	}
+	next.Leaving = c.board.Stopping.Load().Active
+	if next == c.own {
+		return
+	}
+	next.Sequence++
+	c.own = next
+	c.log.Info().Str("event", "own_record").Uint64("sequence", next.Sequence).Str("server", next.ServerID).
+		Str("state", next.State.String()).Bool("leaving", next.Leaving).Send()
+	c.publish(now)
+	c.spread(ctx, []board.NodeRecord{next}, "")
+}
+
+// merge takes records of another node or of the store and passes on the newer
+// ones.
+func (c *Controller) merge(ctx context.Context, event board.RecordsEvent, now time.Time) {
+	var news []board.NodeRecord
+	for _, record := range event.Records {
+		if c.mergeOne(record, now) {
+			news = append(news, record)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	c.publish(now)
+	if event.From != "" {
+		c.spread(ctx, news, event.From)
+	}
+}
+
+// mergeOne takes a record and reports whether it is news.
+func (c *Controller) mergeOne(record board.NodeRecord, now time.Time) bool {
+	if record.Instance == c.own.Instance {
+		return c.refute(record)
+	}
+	known := c.others[record.Instance]
+	if known != nil && !record.Newer(known.cell.Record) {
+		return false
+	}
+	next := &entry{seen: now, alive: !record.Leaving, aliveAt: now}
+	cell := &board.MeshCell{Record: record, Figures: &board.Figures{}, Reach: &board.Reach{}, Since: now}
+	if known != nil {
+		next.seen = known.seen
+		cell.Reach = known.cell.Reach
+		if known.cell.Record.ServerID == record.ServerID && known.cell.Record.Born == record.Born {
+			cell.Figures, cell.Since = known.cell.Figures, known.cell.Since
+		}
+		if record.Incarnation != known.cell.Record.Incarnation || record.PeerAddr != known.cell.Record.PeerAddr {
+			cell.Reach = &board.Reach{}
+		}
+	}
+	next.cell = cell
+	c.others[record.Instance] = next
+	c.log.Info().Str("event", "node_record").Str("node", string(record.Instance)).Uint64("incarnation", record.Incarnation).
+		Uint64("sequence", record.Sequence).Str("service", record.Service).Str("server", record.ServerID).
+		Str("state", record.State.String()).Bool("leaving", record.Leaving).Send()
+	return true
+}
+
+// refute raises the own incarnation above a record of an earlier life, which a
+// clock that went back may have left.
+func (c *Controller) refute(record board.NodeRecord) bool {
+	if record == c.own || !record.Newer(c.own) {
+		return false
+	}
+	c.own.Incarnation = record.Incarnation + 1
+	c.own.Sequence = 1
+	c.log.Warn().Str("event", "own_record_refuted").Uint64("incarnation", c.own.Incarnation).Send()
+	return true
+}
+
+// takeListing merges the newest listing of the store.
+func (c *Controller) takeListing(ctx context.Context, now time.Time) {
+	view := c.board.Store.Load()
+	records := make([]board.NodeRecord, 0, len(view.Listed))
+	for _, record := range view.Listed {
+		records = append(records, record)
+	}
+	c.merge(ctx, board.RecordsEvent{Records: records}, now)
+}
+
+// review decides which nodes are alive.
+func (c *Controller) review(now time.Time) {
+	view := c.board.Store.Load()
+	settled := view.Reachable && !view.ListedAt.IsZero() && view.ListedAt.Sub(view.Since) >= fleet.ReturnTime
+	changed := false
+	for id, e := range c.others {
+		_, listed := view.Listed[id]
+		alive := fleet.Alive(fleet.Evidence{
+			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
+			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
+			Left:  e.cell.Record.Leaving, SeenFor: now.Sub(e.seen),
+		})
+		if alive {
+			e.aliveAt = now
+		}
+		if alive != e.alive {
+			e.alive = alive
+			changed = true
+			c.log.Info().Str("event", "node_alive").Str("node", string(id)).Bool("alive", alive).Bool("listed", listed).
+				Bool("listing_settled", settled).Time("listed_at", view.ListedAt).Send()
+		}
+		if !alive && now.Sub(e.aliveAt) > leftMemory {
+			delete(c.others, id)
+		}
+	}
+	if changed {
+		c.publish(now)
+	}
+}
+
+// publish makes a new view of the fleet.
+func (c *Controller) publish(now time.Time) {
+	next := &board.Fleet{
+		ByInstance: map[board.InstanceID]*board.MeshCell{}, ByService: map[string][]*board.MeshCell{}, Size: 1,
+	}
+	ownCell := c.writer.Load().ByInstance[c.own.Instance]
+	if ownCell == nil || ownCell.Record.ServerID != c.own.ServerID || ownCell.Record.Born != c.own.Born {
+		ownCell = &board.MeshCell{Figures: &board.Figures{}, Reach: &board.Reach{}, Since: now}
+	}
+	own := &board.MeshCell{Record: c.own, Figures: ownCell.Figures, Reach: ownCell.Reach, Since: ownCell.Since}
+	records := []board.NodeRecord{c.own}
+	add(next, own)
+	for _, e := range c.others {
+		if !e.alive {
+			continue
+		}
+		records = append(records, e.cell.Record)
+		next.Size++
+		add(next, e.cell)
+	}
+	next.Digest = fleet.Digest(records)
+	c.writer.Publish(next)
+}
+
+func add(view *board.Fleet, cell *board.MeshCell) {
+	view.ByInstance[cell.Record.Instance] = cell
+	if cell.Record.Takes() {
+		view.ByService[cell.Record.Service] = append(view.ByService[cell.Record.Service], cell)
+	}
+}
+
+// askOthers exchanges with random nodes and with those that did not answer.
+func (c *Controller) askOthers(ctx context.Context) {
+	var ids, doubtful []board.InstanceID
+	for id, e := range c.others {
+		if e.cell.Record.Leaving {
+			continue
+		}
+		if e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
+			doubtful = append(doubtful, id)
+		}
+		ids = append(ids, id)
+	}
+	shuffle(ids)
+	shuffle(doubtful)
+	targets := append(ids[:min(len(ids), randomExchanges)], doubtful[:min(len(doubtful), doubtfulExchanges)]...)
+	for _, id := range targets {
+		c.ask(ctx, c.others[id], []board.NodeRecord{c.own})
+	}
+}
+
+func shuffle(ids []board.InstanceID) {
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
+
+// spread passes news on to some nodes at once.
+func (c *Controller) spread(ctx context.Context, news []board.NodeRecord, except board.InstanceID) {
+	var ids []board.InstanceID
+	for id, e := range c.others {
+		if id != except && e.alive && !e.cell.Record.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	shuffle(ids)
+	for _, id := range ids[:min(len(ids), fanout)] {
+		c.ask(ctx, c.others[id], news)
+	}
+}
+
+// ask starts an exchange with a node. Its answer comes back through the inbox.
+func (c *Controller) ask(ctx context.Context, e *entry, records []board.NodeRecord) {
+	id := e.cell.Record.Instance
+	if c.busy[id] {
+		return
+	}
+	c.busy[id] = true
+	message := &Message{
+		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digest: c.writer.Load().Digest,
+		ConfigVersion: c.board.Routes.Load().Version, Load: c.load(),
+	}
+	go c.run(ctx, e.cell, message)
+}
+
+func (c *Controller) run(ctx context.Context, cell *board.MeshCell, message *Message) {
+	defer func() {
+		select {
+		case c.done <- cell.Record.Instance:
+		case <-ctx.Done():
+		}
+	}()
+	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := c.exchange(call, cell.Record.PeerAddr, message)
+	if err != nil {
+		if ctx.Err() == nil {
+			cell.Reach.Failed()
+			c.log.Debug().Err(err).Str("event", "exchange_failed").Str("node", string(cell.Record.Instance)).Send()
+		}
+		return
+	}
+	cell.Reach.Heard(time.Now())
+	Take(c.board, answer)
+}
+
+// Take posts what a message says to the controllers that it concerns.
+func Take(b *board.Mesh, m *Message) {
+	if len(m.Records) > 0 {
+		b.Records.Post(board.RecordsEvent{Records: m.Records, From: m.From})
+	}
+	if m.ConfigVersion > b.Routes.Load().Version {
+		b.Tables.Post(board.TableHint{From: m.PeerAddr, Version: m.ConfigVersion})
+	}
+	if cell := b.Fleet.Load().ByInstance[m.From]; cell != nil {
+		m.Load.ReceivedAt = time.Now()
+		cell.Report(m.Load)
+	}
+}
+
+// Answer takes a message of another node and returns the answer: the own record
+// alone when both sides know the same, else all records.
+func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
+	Take(b, m)
+	view := b.Fleet.Load()
+	answer := &Message{
+		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digest: view.Digest,
+		ConfigVersion: b.Routes.Load().Version, Load: load,
+	}
+	if m.Digest != view.Digest {
+		for _, cell := range view.ByInstance {
+			answer.Records = append(answer.Records, cell.Record)
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/pkg/control/pulse/pulse.go
@@ -0,0 +1,125 @@
+// Package pulse asks the backend server beside this node for its load while
+// calls run and no answer has told it lately, and finds a backend server that
+// was running before the node. It writes no section; the load goes to the
+// board's Pulse, the findings to the inbox of announcements.
+package pulse
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/h1"
+	"mangostand.example/mangostand/pkg/mesh"
+)
+
+const (
+	// interval spaces the looks at the age of the load.
+	interval = 25 * time.Millisecond
+	// freshFor is the age up to which a load needs no question. Hosts change
+	// their speed about every 500 ms.
+	freshFor = 100 * time.Millisecond
+	// quietAfter is the time without calls after which no question is asked.
+	quietAfter = time.Second
+	// probeTimeout bounds a question.
+	probeTimeout = 500 * time.Millisecond
+	// findInterval spaces the questions while no backend server is known.
+	findInterval = 250 * time.Millisecond
+)
+
+// Controller asks the backend server.
+type Controller struct {
+	Board   *board.Mesh
+	Servers *h1.Pool
+	Codec   mesh.Codec
+	// InFlight returns the calls that run or wait.
+	InFlight func() int
+	Log      zerolog.Logger
+
+	busyAt  time.Time
+	askedAt time.Time
+}
+
+// Name returns the name of the controller.
+func (c *Controller) Name() string { return "pulse" }
+
+// Run asks until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	control.Every(ctx, interval, func(now time.Time) { c.step(ctx, now) })
+}
+
+func (c *Controller) step(ctx context.Context, now time.Time) {
+	server := c.Board.Server.Load()
+	if c.InFlight() > 0 {
+		c.busyAt = now
+	}
+	switch {
+	case server.ID == "" || server.Down:
+		if now.Sub(c.askedAt) >= findInterval {
+			c.ask(ctx, now, c.Board.Self.ServerAddr)
+		}
+	case server.State == board.ServerReady && now.Sub(c.busyAt) < quietAfter && c.stale(now):
+		c.ask(ctx, now, server.Addr)
+	}
+}
+
+func (c *Controller) stale(now time.Time) bool {
+	pulse := c.Board.Pulse.Load()
+	return (pulse == nil || now.Sub(pulse.At) >= freshFor) && now.Sub(c.askedAt) >= freshFor
+}
+
+// healthPath returns the health path of the own service, "" when not known.
+func (c *Controller) healthPath() string {
+	cluster := c.Board.Routes.Load().Clusters[c.Board.Self.Service]
+	if cluster == nil {
+		return ""
+	}
+	return cluster.HealthPath
+}
+
+func (c *Controller) ask(ctx context.Context, now time.Time, addr string) {
+	path := c.healthPath()
+	if path == "" || addr == "" {
+		return
+	}
+	c.askedAt = now
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	got, err := c.Servers.Do(ctx, addr, &h1.Call{
+		Method: http.MethodGet, Target: path, Host: addr, Header: http.Header{}, MaxIdle: c.Servers.IdleTimeout,
+	})
+	if err != nil {
+		c.Log.Debug().Err(err).Str("event", "health_failed").Str("addr", addr).Send()
+		return
+	}
+	_ = got.Body.Close()
+	reading := c.Codec.Reading(got.Status, got.Header)
+	if reading.Load != nil {
+		reading.Load.At = time.Now()
+		c.Board.Pulse.Set(*reading.Load)
+	}
+	c.found(got.Status, reading, addr)
+}
+
+// found announces a healthy backend server that is not known yet, or that
+// answers again.
+func (c *Controller) found(status int, reading mesh.Reading, addr string) {
+	server := c.Board.Server.Load()
+	if status != http.StatusOK || reading.ServerID == "" {
+		return
+	}
+	if server.ID == reading.ServerID && server.Down {
+		c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerAnswered, Server: *server})
+		return
+	}
+	if server.ID != "" || reading.Load == nil || reading.Load.Slots <= 0 {
+		return
+	}
+	c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerFound, Server: board.Server{
+		ID: reading.ServerID, Service: c.Board.Self.Service, Addr: addr, Slots: reading.Load.Slots, State: board.ServerReady,
+	}})
+}
--- /dev/null
+++ b/pkg/control/registration/registration.go
@@ -0,0 +1,221 @@
+// Package registration writes this node's record to the platform's store under
+// a lease and reads the records of the others. It is the writer of the section
+// Store.
+package registration
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/platform"
+)
+
+const (
+	// prefix holds the records of all nodes.
+	prefix = "nodes/"
+	// ttl is the life of a record without renewal: three renewals.
+	ttl = 5 * time.Second
+	// renewEvery spaces renewals.
+	renewEvery = 1600 * time.Millisecond
+	// retryEvery spaces calls while the store does not answer. Refused calls
+	// are paid for as well.
+	retryEvery = 600 * time.Millisecond
+	// listEvery spaces the listings, which may be old.
+	listEvery = 3 * time.Second
+	// tick is the resolution of the above.
+	tick = 100 * time.Millisecond
+)
+
+// startListings are the ages of the node at which it reads a listing that is
+// not old: all nodes of a site may start together.
+var startListings = []time.Duration{0, 400 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
+
+// Store is what the controller needs of the store.
+type Store interface {
+	Put(ctx context.Context, key string, value []byte, lease string) (uint64, error)
+	List(ctx context.Context, prefix string) ([]platform.Entry, error)
+	ListStale(ctx context.Context, prefix string) ([]platform.Entry, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (platform.Lease, error)
+	RenewLease(ctx context.Context, id string) error
+	RevokeLease(ctx context.Context, id string) error
+}
+
+// Controller keeps the record in the store.
+type Controller struct {
+	board  *board.Mesh
+	store  Store
+	log    zerolog.Logger
+	writer *board.Writer[*board.StoreView]
+
+	started time.Time
+	lease   string
+	// written is the record that the store holds under the lease.
+	written   board.NodeRecord
+	renewedAt time.Time
+	failedAt  time.Time
+	listedAt  time.Time
+	listings  int
+	// settled is set after a listing that was read ReturnTime after the store
+	// came back.
+	settledAt time.Time
+}
+
+// New claims the section.
+func New(b *board.Mesh, store Store, log zerolog.Logger) *Controller {
+	return &Controller{board: b, store: store, log: log, writer: b.Store.Claim("registration"), started: time.Now()}
+}
+
+// Name returns the name of the controller.
+func (c *Controller) Name() string { return "registration" }
+
+// Run registers the node until ctx ends, then withdraws it.
+func (c *Controller) Run(ctx context.Context) {
+	control.Every(ctx, tick, func(now time.Time) { c.step(ctx, now) })
+	c.withdraw()
+}
+
+// step makes at most one kind of call, the most urgent one.
+func (c *Controller) step(ctx context.Context, now time.Time) {
+	if now.Sub(c.failedAt) < retryEvery {
+		return
+	}
+	own, known := c.board.Fleet.Load().ByInstance[c.board.Self.Instance]
+	switch {
+	case !known:
+	case c.lease == "":
+		c.grant(ctx, now)
+	case c.written != own.Record:
+		c.write(ctx, own.Record)
+	case now.Sub(c.renewedAt) >= renewEvery:
+		c.renew(ctx, now)
+	case c.listingDue(now):
+		c.list(ctx, now)
+	}
+}
+
+func (c *Controller) listingDue(now time.Time) bool {
+	if c.listings < len(startListings) && now.Sub(c.started) >= startListings[c.listings] {
+		return true
+	}
+	return now.Sub(c.listedAt) >= listEvery
+}
+
+// note records whether a call of the store succeeded.
+func (c *Controller) note(call string, err error) bool {
+	now := time.Now()
+	reached := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
+	if !reached {
+		c.failedAt = now
+	}
+	view := *c.writer.Load()
+	if view.Reachable != reached || view.Since.IsZero() {
+		view.Reachable, view.Since = reached, now
+		c.writer.Publish(&view)
+		c.log.Warn().Err(err).Str("event", "store").Str("call", call).Bool("reachable", reached).Send()
+	}
+	return err == nil
+}
+
+func (c *Controller) grant(ctx context.Context, now time.Time) {
+	lease, err := c.store.GrantLease(ctx, ttl)
+	if c.note("grant", err) {
+		c.lease, c.renewedAt, c.written = lease.ID, now, board.NodeRecord{}
+	}
+}
+
+func (c *Controller) write(ctx context.Context, record board.NodeRecord) {
+	data, err := cbor.Marshal(record)
+	if err != nil {
+		c.log.Error().Err(err).Str("event", "record_not_encoded").Send()
+		return
+	}
+	_, err = c.store.Put(ctx, prefix+string(record.Instance), data, c.lease)
+	if errors.Is(err, platform.ErrNotFound) {
+		c.lost()
+		return
+	}
+	if c.note("write", err) {
+		c.written = record
+	}
+}
+
+func (c *Controller) renew(ctx context.Context, now time.Time) {
+	err := c.store.RenewLease(ctx, c.lease)
+	if errors.Is(err, platform.ErrNotFound) {
+		c.lost()
+		return
+	}
+	if c.note("renew", err) {
+		c.renewedAt = now
+	}
+}
+
+// lost forgets a lease that has ended; the next step asks for another one.
+func (c *Controller) lost() {
+	c.log.Warn().Str("event", "lease_lost").Str("lease", c.lease).Send()
+	c.lease = ""
+}
+
+// list reads the records of all nodes.
+func (c *Controller) list(ctx context.Context, now time.Time) {
+	read := c.store.ListStale
+	view := c.writer.Load()
+	fresh := c.listings < len(startListings) || c.settledAt.Before(view.Since)
+	if fresh {
+		read = c.store.List
+	}
+	entries, err := read(ctx, prefix)
+	if !c.note("list", err) {
+		return
+	}
+	c.listedAt = now
+	if fresh {
+		c.listings++
+		c.settledAt = now
+	}
+	next := *c.writer.Load()
+	next.Listed = map[board.InstanceID]board.NodeRecord{}
+	next.ListedAt = now
+	for _, entry := range entries {
+		record, err := DecodeRecord(entry.Value)
+		if err != nil {
+			c.log.Warn().Err(err).Str("event", "record_refused").Str("key", entry.Key).Msg("record of a node not understood")
+			continue
+		}
+		next.Listed[record.Instance] = record
+	}
+	c.writer.Publish(&next)
+}
+
+// DecodeRecord reads the record of a node.
+func DecodeRecord(data []byte) (board.NodeRecord, error) {
+	var record board.NodeRecord
+	if err := cbor.Unmarshal(data, &record); err != nil {
+		return record, errors.Trace(err)
+	}
+	if record.Instance == "" || record.PeerAddr == "" {
+		return record, errors.New("record without instance or address")
+	}
+	return record, nil
+}
+
+// withdrawTimeout bounds the withdrawal of a node that stops; a record that
+// stays ends with its lease.
+const withdrawTimeout = 300 * time.Millisecond
+
+func (c *Controller) withdraw() {
+	if c.lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := c.store.RevokeLease(ctx, c.lease); err != nil {
+		c.log.Info().Err(err).Str("event", "lease_not_revoked").Str("lease", c.lease).Send()
+	}
+}
--- /dev/null
+++ b/pkg/control/routefeed/routefeed.go
@@ -0,0 +1,163 @@
+// Package routefeed keeps the newest configuration in force: it watches the
+// platform's store and takes newer versions from other nodes. It is the writer
+// of the section Routes. Versions only rise.
+package routefeed
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/platform"
+)
+
+const (
+	// watchWait is the longest wait of one watch. Each watch is paid for, and
+	// the platform allows 30 s.
+	watchWait = 20 * time.Second
+	// retryEvery spaces calls while the store does not answer.
+	retryEvery = 600 * time.Millisecond
+	// watchGap spaces watches when versions come in quick succession.
+	watchGap = 150 * time.Millisecond
+)
+
+// Store is what the controller needs of the store.
+type Store interface {
+	GetAsOf(ctx context.Context, key string) (platform.Entry, uint64, error)
+	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error)
+}
+
+// Puller reads the table of another node.
+type Puller func(ctx context.Context, addr string) ([]byte, error)
+
+// Controller keeps the routes.
+type Controller struct {
+	board  *board.Mesh
+	store  Store
+	pull   Puller
+	log    zerolog.Logger
+	writer *board.Writer[*dynconf.Table]
+	// documents carries what the watch has read to the writer.
+	documents chan source
+}
+
+type source struct {
+	document []byte
+	from     string
+}
+
+// documentQueue holds the documents of a quick succession of versions.
+const documentQueue = 16
+
+// New claims the section.
+func New(b *board.Mesh, store Store, pull Puller, log zerolog.Logger) *Controller {
+	return &Controller{
+		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"),
+		documents: make(chan source, documentQueue),
+	}
+}
+
+// Name returns the name of the controller.
+func (c *Controller) Name() string { return "routefeed" }
+
+// Run keeps the routes until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	go c.watch(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-c.documents:
+			c.take(s.document, s.from)
+		case hint := <-c.board.Tables.Events():
+			c.follow(ctx, hint)
+		}
+	}
+}
+
+// take puts a document in force when it is newer than the one in force.
+func (c *Controller) take(document []byte, from string) {
+	table, err := platform.DecodeTable(document)
+	if err != nil {
+		c.log.Error().Err(err).Str("event", "config_refused").Str("from", from).Msg("configuration not understood, the one in force stays")
+		return
+	}
+	current := c.writer.Load().Version
+	if table.Version <= current {
+		return
+	}
+	c.writer.Publish(table)
+	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", from).Send()
+}
+
+// pullTimeout bounds a pull from another node.
+const pullTimeout = 500 * time.Millisecond
+
+// follow pulls a newer table from the node that has it.
+func (c *Controller) follow(ctx context.Context, hint board.TableHint) {
+	if hint.Version <= c.writer.Load().Version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	document, err := c.pull(ctx, hint.From)
+	if err != nil {
+		c.log.Info().Err(err).Str("event", "config_pull_failed").Str("from", hint.From).Uint64("version", hint.Version).Send()
+		return
+	}
+	c.take(document, hint.From)
+}
+
+// watch reads the configuration and follows its changes.
+func (c *Controller) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, asOf, err := c.store.GetAsOf(ctx, platform.ConfigKey)
+		if err != nil {
+			control.Sleep(ctx, retryEvery)
+			continue
+		}
+		if entry.Revision > 0 {
+			c.offer(ctx, entry.Value)
+		}
+		c.followWatch(ctx, asOf)
+		control.Sleep(ctx, watchGap)
+	}
+}
+
+// followWatch follows the changes after a revision until the watch breaks.
+func (c *Controller) followWatch(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, watchWait)
+		if errors.Is(err, platform.ErrCompacted) {
+			c.log.Info().Str("event", "watch_compacted").Uint64("after", after).Send()
+			return
+		}
+		if err != nil {
+			c.log.Info().Err(err).Str("event", "watch_broken").Uint64("after", after).Send()
+			control.Sleep(ctx, retryEvery)
+			return
+		}
+		for i := len(events) - 1; i >= 0; i-- {
+			if events[i].Key == platform.ConfigKey && !events[i].Deleted {
+				c.offer(ctx, events[i].Value)
+				break
+			}
+		}
+		after = next
+		if len(events) > 0 {
+			control.Sleep(ctx, watchGap)
+		}
+	}
+}
+
+func (c *Controller) offer(ctx context.Context, document []byte) {
+	select {
+	case c.documents <- source{document: document, from: "store"}:
+	case <-ctx.Done():
+	}
+}
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -102,3 +102,21 @@
 	}
 	return min(advice, mostRetryAfter)
 }
+
+// Next returns the index of the job that gets a free slot: the first by rank
+// and objective among those that can still meet their objective, else the
+// first of all. An answer after its objective has lost most of its value, so
+// it must not keep another one from being in time.
+func Next(jobs []Job, now time.Time) int {
+	best, bestLate := 0, true
+	for i, job := range jobs {
+		late := now.Add(leastWork(job)).After(job.Objective)
+		switch {
+		case i == 0, bestLate && !late:
+			best, bestLate = i, late
+		case late == bestLate && Before(job, jobs[best]):
+			best = i
+		}
+	}
+	return best
+}
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -83,7 +83,7 @@
 		server: s, nc: nc, ctx: ctx, cancel: cancel,
 		slots: make(chan *slot, maxPipelined),
 	}
-	c.input = &limitedReader{r: nc}
+	c.input = &limitedReader{r: nc, left: -1}
 	c.br = bufio.NewReaderSize(c.input, readBufferSize)
 	s.mu.Lock()
 	if s.conns == nil {
--- /dev/null
+++ b/pkg/mesh/executor.go
@@ -0,0 +1,387 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/queueing"
+	"mangostand.example/mangostand/pkg/h1"
+	"mangostand.example/mangostand/pkg/metrics"
+)
+
+const (
+	// unsafeMaxIdle is the longest idle time of a connection that carries a call
+	// which may run once only. A server may drop idle connections without
+	// notice, and such a call can't be repeated after a reset.
+	unsafeMaxIdle = time.Second
+	// wholeAnswer is the size in bytes up to which an answer is read whole
+	// before it is passed on, so that a broken one is not passed on at all.
+	wholeAnswer = 1 << 20
+	// bodyWait bounds the wait for the body of a call that was admitted.
+	bodyWait = 500 * time.Millisecond
+	// drainMargin is left before the end of the drain time: a leaving backend
+	// server gets no call from the queue any more.
+	drainMargin = 500 * time.Millisecond
+	// coldSlowdown is how long work takes on a backend server that has just
+	// started, relative to the usual time.
+	coldSlowdown = 2
+	// defaultWork is assumed for a rule without samples, as a share of its
+	// objective.
+	defaultWork = 3
+)
+
+// Executor runs calls on the backend server beside this node.
+type Executor struct {
+	Board   *board.Mesh
+	Servers *h1.Pool
+	Codec   Codec
+	Log     zerolog.Logger
+	Metrics *metrics.Mesh
+	// DrainTime is how long a leaving backend server may still get calls.
+	DrainTime time.Duration
+
+	gate    gate
+	mean    board.Work
+	reports atomic.Uint64
+}
+
+// take is told that a call was admitted. It returns the body of a call whose
+// sender holds it back until then.
+type take func() ([]byte, error)
+
+// InFlight returns the calls that run or wait.
+func (x *Executor) InFlight() int { return int(x.gate.running.Load() + x.gate.waiting.Load()) }
+
+// Load returns a report for other nodes.
+func (x *Executor) Load() board.LoadReport {
+	server := x.Board.Server.Load()
+	return board.LoadReport{
+		InFlight: uint32(x.gate.running.Load()), Queued: uint32(x.gate.waiting.Load()),
+		Limit: uint32(max(1, server.Slots)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
+		Draining: !server.Takes() || x.Board.Stopping.Load().Active, Sequence: x.reports.Add(1),
+		SlowdownPercent: uint32(100 * x.slowdown(server, time.Now())),
+	}
+}
+
+// slowdown returns how long work takes now relative to the usual time.
+func (x *Executor) slowdown(server *board.Server, now time.Time) float64 {
+	s := estimate.UsualSlowdown
+	if pulse := x.Board.Pulse.Load(); pulse != nil {
+		s = estimate.Aged(pulse.Slowdown, now.Sub(pulse.At))
+	}
+	if now.Before(server.WarmUntil) {
+		s *= coldSlowdown
+	}
+	return s
+}
+
+// usual returns the usual time of a call.
+func (x *Executor) usual(c *Call) time.Duration {
+	if d := x.Board.Works.Of(c.Rule).Time(); d > 0 {
+		return d
+	}
+	return c.Objective.Sub(c.Received) / defaultWork
+}
+
+// Serve checks a call, admits it and runs it. The answer carries the load.
+func (x *Executor) Serve(ctx context.Context, c *Call, serverID string, patience time.Duration, admitted take) *Answer {
+	server := x.Board.Server.Load()
+	started := time.Now()
+	answer := x.serve(ctx, c, server, serverID, patience, admitted)
+	load := x.Load()
+	answer.Load = &load
+	answer.Work = x.Board.Works.Of(c.Rule).Time()
+	x.Metrics.Executed(answer.Outcome.String(), string(answer.Reason), time.Since(started))
+	x.logServed(c, answer, started)
+	return answer
+}
+
+func (x *Executor) logServed(c *Call, a *Answer, started time.Time) {
+	x.Log.Info().Str("event", "executed").Str("id", c.ID).Str("rule", c.Rule).Str("outcome", a.Outcome.String()).
+		Str("reason", string(a.Reason)).Int("status", a.Status).Dur("took", time.Since(started)).
+		Uint32("running", a.Load.InFlight).Uint32("queued", a.Load.Queued).Uint32("slots", a.Load.Limit).
+		Uint32("slowdown_percent", a.Load.SlowdownPercent).Dur("load_age", x.pulseAge()).
+		Dur("left", time.Until(c.Deadline)).Send()
+}
+
+func (x *Executor) pulseAge() time.Duration {
+	if pulse := x.Board.Pulse.Load(); pulse != nil {
+		return time.Since(pulse.At)
+	}
+	return -1
+}
+
+func (x *Executor) serve(ctx context.Context, c *Call, server *board.Server, serverID string, patience time.Duration, admitted take) *Answer {
+	if reason := refusal(server, c, serverID); reason != "" {
+		return notSent(reason)
+	}
+	job := queueing.Job{
+		Rank: c.Rank, Usual: x.usual(c), Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
+	}
+	now := time.Now()
+	load := x.gate.load(job, estimate.Load{Slots: server.Slots, Slowdown: x.slowdown(server, now), Mean: x.meanOr(job.Usual)})
+	verdict := queueing.Judge(job, load, now)
+	if verdict.Refusal != queueing.Accepted {
+		answer := notSent(reasonOf(verdict.Refusal))
+		answer.Wait = verdict.Wait
+		return answer
+	}
+	body, err := admitted()
+	if err != nil {
+		return notSent(board.ReasonBodyMissing)
+	}
+	if body != nil {
+		c.Body = body
+	}
+	if reason := x.acquire(ctx, job, server.Slots); reason != "" {
+		return notSent(reason)
+	}
+	return x.run(ctx, c, server)
+}
+
+func (x *Executor) meanOr(usual time.Duration) time.Duration {
+	if mean := x.mean.Time(); mean > 0 {
+		return mean
+	}
+	return usual
+}
+
+func reasonOf(r queueing.Refusal) board.Reason {
+	switch r {
+	case queueing.Slower:
+		return board.ReasonSlower
+	case queueing.TooLate:
+		return board.ReasonDeadlineNotRun
+	}
+	return board.ReasonOverloaded
+}
+
+// refusal returns the reason to refuse a call before the backend server is
+// touched, or "".
+func refusal(server *board.Server, c *Call, serverID string) board.Reason {
+	switch {
+	case server.ID == "" || server.Down:
+		return board.ReasonNoBackend
+	case server.State >= board.ServerDraining:
+		return board.ReasonDraining
+	case server.Service != c.Service:
+		return board.ReasonNoServer
+	case serverID != "" && serverID != server.ID:
+		return board.ReasonWrongIncarnation
+	}
+	return ""
+}
+
+// acquire takes a slot for a call or returns the reason for a refusal.
+func (x *Executor) acquire(ctx context.Context, job queueing.Job, slots int) board.Reason {
+	if x.gate.waiting.Load() == 0 && x.gate.tryRun(slots) {
+		return ""
+	}
+	reason := x.gate.wait(ctx, x.gate.enter(job, slots))
+	if reason != "" {
+		return reason
+	}
+	if ctx.Err() != nil {
+		x.gate.release(slots)
+		return board.ReasonCanceled
+	}
+	return ""
+}
+
+// run sends a call that holds a slot to the backend server.
+func (x *Executor) run(ctx context.Context, c *Call, admittedTo *board.Server) *Answer {
+	slots := admittedTo.Slots
+	server := x.Board.Server.Load()
+	now := time.Now()
+	switch {
+	case server.ID != admittedTo.ID || server.Born != admittedTo.Born:
+		x.gate.release(slots)
+		return notSent(board.ReasonWrongIncarnation)
+	case server.State >= board.ServerDraining && now.Sub(server.DrainSince) > x.DrainTime-drainMargin:
+		x.gate.release(slots)
+		return notSent(board.ReasonDraining)
+	}
+	before := x.slowdown(server, now)
+	answer := x.send(ctx, c, server)
+	if answer.whole || answer.Body == nil {
+		x.gate.release(slots)
+	} else {
+		answer.Body = onClose(answer.Body, func() { x.gate.release(slots) })
+	}
+	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
+		usual := time.Duration(float64(time.Since(now)) / ((before + x.slowdown(server, time.Now())) / 2))
+		x.mean.AddTime(usual)
+		x.Board.Works.Of(c.Rule).AddTime(usual)
+	}
+	return answer
+}
+
+// send makes one request to the backend server.
+func (x *Executor) send(ctx context.Context, c *Call, server *board.Server) *Answer {
+	header := c.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	x.Codec.Outgoing(header, Outgoing{ID: c.ID, ServerID: server.ID, CallerService: c.CallerService, Left: time.Until(c.Deadline)})
+	maxIdle := x.Servers.IdleTimeout
+	if !c.Idempotent {
+		maxIdle = unsafeMaxIdle
+	}
+	got, err := x.Servers.Do(ctx, server.Addr, &h1.Call{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, MaxIdle: maxIdle,
+		Mine: func(h http.Header) bool { return x.Codec.Mine(h, c.ID) },
+	})
+	if err != nil {
+		return x.sendFailed(ctx, err, server)
+	}
+	return x.read(ctx, c, got)
+}
+
+// sendFailed classifies a send without an answer.
+func (x *Executor) sendFailed(ctx context.Context, err error, server *board.Server) *Answer {
+	var failed *h1.Error
+	if !errors.As(err, &failed) {
+		return unknown(board.ReasonConnectionLost)
+	}
+	if failed.Refused {
+		x.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerRefused, Server: *server})
+	}
+	if !failed.Sent {
+		if ctx.Err() != nil {
+			return notSent(board.ReasonCanceled)
+		}
+		return notSent(board.ReasonNoBackend)
+	}
+	if ctx.Err() != nil {
+		return unknown(board.ReasonCanceled)
+	}
+	return unknown(board.ReasonConnectionLost)
+}
+
+// read takes the backend server's answer.
+func (x *Executor) read(ctx context.Context, c *Call, got *h1.Answer) *Answer {
+	reading := x.Codec.Reading(got.Status, got.Header)
+	if reading.Load != nil {
+		reading.Load.At = time.Now()
+		x.Board.Pulse.Set(*reading.Load)
+	}
+	if reading.NotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(got.Body, wholeAnswer))
+		_ = got.Body.Close()
+		reason := board.ReasonRejected
+		if reading.Other {
+			reason = board.ReasonOtherServer
+		}
+		return &Answer{Outcome: Rejected, Reason: reason}
+	}
+	answer := &Answer{Outcome: Answered, Status: got.Status, Header: got.Header, Body: got.Body, Length: got.Length}
+	if answer.Length > wholeAnswer {
+		return answer
+	}
+	return x.readWhole(ctx, c, answer)
+}
+
+// readWhole reads the body, so that an incomplete one is told as such.
+func (x *Executor) readWhole(ctx context.Context, c *Call, answer *Answer) *Answer {
+	var buf bytes.Buffer
+	if answer.Length > 0 {
+		buf.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buf, io.LimitReader(answer.Body, wholeAnswer+1))
+	if err != nil {
+		answer.close()
+		if ctx.Err() != nil {
+			return unknown(board.ReasonCanceled)
+		}
+		return unknown(board.ReasonMalformedAnswer)
+	}
+	if n > wholeAnswer {
+		answer.Body = &rest{Reader: io.MultiReader(&buf, answer.Body), Closer: answer.Body}
+		return answer
+	}
+	_ = answer.Body.Close()
+	answer.Body, answer.Length, answer.whole = io.NopCloser(&buf), n, true
+	x.Board.Works.Of(c.Rule).AddBytes(n)
+	return answer
+}
+
+// rest is a body whose first part was read ahead.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// HandleHop answers a call of another node.
+func (x *Executor) HandleHop(ctx context.Context, r *h1.Request) *h1.Response {
+	var h hop
+	if err := decodeHop(r.Header.Get(headerHop), &h); err != nil {
+		x.Log.Warn().Err(err).Str("event", "hop_refused").Msg("call of another node not understood")
+		return &h1.Response{Status: http.StatusBadRequest}
+	}
+	r.Header.Del(headerHop)
+	c := h.call(r.Received)
+	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
+	h1.RemoveHopHeaders(c.Header)
+	answer := x.Serve(ctx, c, h.ServerID, time.Duration(h.PatienceMicros)*time.Microsecond, func() ([]byte, error) {
+		if !r.Held() {
+			return nil, r.Interim(http.StatusProcessing)
+		}
+		if err := r.Interim(http.StatusContinue); err != nil {
+			return nil, err
+		}
+		return r.AwaitBody(ctx, bodyWait)
+	})
+	response := &h1.Response{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: answer.Length}
+	if answer.Outcome != Answered {
+		response.Status = http.StatusServiceUnavailable
+	}
+	if response.Header == nil {
+		response.Header = http.Header{}
+	}
+	response.Header.Set(headerHop, encodeHop(hopAnswer{
+		Outcome: answer.Outcome, Reason: answer.Reason, Load: *answer.Load,
+		WorkMicros: answer.Work.Microseconds(), WaitMicros: answer.Wait.Microseconds(),
+	}))
+	return response
+}
+
+// IsHop reports whether a request of another node carries a call.
+func IsHop(r *h1.Request) bool { return r.Header.Get(headerHop) != "" }
+
+// ServerLeft refuses the calls that wait for a backend server that has gone.
+func (x *Executor) ServerLeft() { x.gate.refuseAll(board.ReasonDraining) }
+
+// closer runs done once when a body is closed.
+type closer struct {
+	io.ReadCloser
+	done atomic.Pointer[func()]
+}
+
+// Close closes the body and runs what was to follow.
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	if done := c.done.Swap(nil); done != nil {
+		(*done)()
+	}
+	return err
+}
+
+// onClose runs done when the body is closed, or at once when there is none.
+func onClose(body io.ReadCloser, done func()) io.ReadCloser {
+	if body == nil {
+		done()
+		return nil
+	}
+	c := &closer{ReadCloser: body}
+	c.done.Store(&done)
+	return c
+}
--- /dev/null
+++ b/pkg/mesh/passage.go
@@ -0,0 +1,333 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/pick/earliest"
+	"mangostand.example/mangostand/pkg/h1"
+)
+
+const (
+	// maxOffers bounds the executors that are asked for one call. An executor
+	// that refuses tells its load, so the third choice is made on fresh figures.
+	maxOffers = 5
+	// offersWithPatience is the number of first offers that an executor refuses
+	// when it expects to be slower than the next best one.
+	offersWithPatience = 3
+	// patienceMargin is the gain below which another offer is not worth its way.
+	patienceMargin = 15 * time.Millisecond
+	// acceptTimeout bounds the wait for an executor to take a call: many times
+	// the way between failure domains and the pause of a busy host.
+	acceptTimeout = 250 * time.Millisecond
+	// sameDomainWay and otherDomainWay are the times of one way between nodes.
+	sameDomainWay  = 200 * time.Microsecond
+	otherDomainWay = 1100 * time.Microsecond
+	// byteCost is the time that an answer's byte across failure domains counts
+	// as: traffic between them is paid for, and a bundle of 90 kB is worth
+	// about 100 ms.
+	byteCost = 1100 * time.Nanosecond
+	// placeTolerance is the difference in expected time below which executors
+	// are equal: figures are never exact to this.
+	placeTolerance = 2 * time.Millisecond
+	// peerMaxIdle is the longest idle time of a reused connection to a node.
+	peerMaxIdle = 20 * time.Second
+)
+
+// passage is the way of one call: the executors it was offered to and what
+// came of it. It belongs to one goroutine.
+type passage struct {
+	entry *Entry
+	call  *Call
+
+	// excluded are executors that will not be asked again.
+	excluded []board.InstanceID
+	offers   int
+	// sent counts the sends that may have reached a backend server.
+	sent     int
+	last     board.InstanceID
+	expected time.Duration
+	loadAge  time.Duration
+	// failed is the newest answer of a backend server that failed the call.
+	failed *Answer
+	// doubtful is the newest send whose outcome is unknown.
+	doubtful *Answer
+}
+
+// carry offers the call to executors until one answers or nothing is left to
+// try.
+func (p *passage) carry(ctx context.Context) *Answer {
+	last := notSent(board.ReasonNoServer)
+	paid := true
+	for p.offers < maxOffers && ctx.Err() == nil {
+		cell, patience := p.choose()
+		if cell == nil {
+			break
+		}
+		if p.sent > 0 && !paid {
+			if !p.mayRepeat() {
+				break
+			}
+			paid = true
+		}
+		answer := p.offer(ctx, cell, patience)
+		if answer.Outcome != NotSent {
+			p.sent++
+			paid = false
+		}
+		if p.settles(answer, cell) {
+			p.failed.close()
+			return answer
+		}
+		last = answer
+	}
+	return p.conclude(ctx, last)
+}
+
+// settles notes the outcome of an offer and reports whether it is final.
+func (p *passage) settles(a *Answer, cell *board.MeshCell) bool {
+	if a.Reason != board.ReasonSlower {
+		p.excluded = append(p.excluded, cell.Record.Instance)
+	}
+	switch a.Outcome {
+	case Answered:
+		if a.Status < http.StatusInternalServerError || !p.call.Idempotent {
+			return true
+		}
+		p.failed.close()
+		p.failed = a
+	case Unknown:
+		p.doubtful = a
+		return !p.call.Idempotent
+	}
+	return false
+}
+
+// mayRepeat takes an additional attempt from the budgets of the call and of
+// its service.
+func (p *passage) mayRepeat() bool {
+	c := p.call
+	if p.sent >= c.MaxAttempts {
+		return false
+	}
+	if !p.entry.Board.Budgets.Of(c.Service).Take(p.entry.Attempts, time.Now()) {
+		p.entry.Log.Info().Str("event", "repeat_refused").Str("id", c.ID).Str("service", c.Service).Int("sent", p.sent).Send()
+		return false
+	}
+	return true
+}
+
+// conclude returns what the caller is told when no offer was final: a failure
+// of a backend server, else that the call may have run, else the refusal.
+func (p *passage) conclude(ctx context.Context, last *Answer) *Answer {
+	switch {
+	case p.failed != nil:
+		return p.failed
+	case p.doubtful != nil:
+		return p.doubtful
+	case ctx.Err() != nil && last.Outcome == NotSent:
+		return &Answer{Outcome: NotSent, Reason: board.ReasonDeadlineNotRun, Wait: last.Wait, Work: last.Work}
+	}
+	return last
+}
+
+// choose returns the executor to ask and how long the call may be expected to
+// take there before it asks another one.
+func (p *passage) choose() (*board.MeshCell, time.Duration) {
+	cells := p.cells()
+	if len(cells) == 0 {
+		return nil, 0
+	}
+	now := time.Now()
+	usual := p.usual()
+	candidates := make([]earliest.Candidate, len(cells))
+	for i, cell := range cells {
+		candidates[i] = p.candidate(cell, now)
+	}
+	choice, _ := earliest.Choose(candidates, usual, placeTolerance, rand.Uint64())
+	cell := cells[choice.Index]
+	p.expected, p.loadAge = choice.Expected, candidates[choice.Index].LoadAge
+	if p.offers >= offersWithPatience || choice.Next == 0 {
+		return cell, 0
+	}
+	return cell, max(choice.Next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
+}
+
+// cells returns the executors that may be asked.
+func (p *passage) cells() []*board.MeshCell {
+	var sound, suspected []*board.MeshCell
+	for _, cell := range p.entry.Board.Fleet.Load().ByService[p.call.Service] {
+		switch {
+		case p.isExcluded(cell.Record.Instance):
+		case cell.Reach.Suspected():
+			suspected = append(suspected, cell)
+		default:
+			sound = append(sound, cell)
+		}
+	}
+	if len(sound) == 0 {
+		return suspected
+	}
+	return sound
+}
+
+func (p *passage) isExcluded(id board.InstanceID) bool {
+	for _, other := range p.excluded {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// usual returns the usual time of the call.
+func (p *passage) usual() time.Duration {
+	if d := p.entry.Board.Works.Of(p.call.Rule).Time(); d > 0 {
+		return d
+	}
+	return p.call.Objective.Sub(p.call.Received) / defaultWork
+}
+
+func (p *passage) candidate(cell *board.MeshCell, now time.Time) earliest.Candidate {
+	self := p.entry.Board.Self
+	c := earliest.Candidate{
+		Load:     estimate.Load{Running: int(cell.EstimatedInFlight()), Slots: cell.Record.Slots, Mean: p.usual()},
+		Failing:  cell.FailureShare(now),
+		Distance: sameDomainWay,
+	}
+	if cell.Record.Instance == self.Instance {
+		c.Distance = 0
+	} else if cell.Record.FailureDomain != self.FailureDomain {
+		c.Distance = otherDomainWay
+		c.Cost = time.Duration(p.entry.Board.Works.Of(p.call.Rule).Bytes()) * byteCost
+	}
+	c.LoadAge = -1
+	report := cell.LastReport()
+	if report == nil {
+		return c
+	}
+	c.LoadAge = now.Sub(report.ReceivedAt)
+	c.Load.Slowdown = float64(report.SlowdownPercent) / 100
+	if report.LatencyMicros > 0 {
+		c.Load.Mean = time.Duration(report.LatencyMicros) * time.Microsecond
+	}
+	return c
+}
+
+// offer asks an executor to run the call and takes its answer.
+func (p *passage) offer(ctx context.Context, cell *board.MeshCell, patience time.Duration) *Answer {
+	p.offers++
+	p.last = cell.Record.Instance
+	cell.Started()
+	var answer *Answer
+	if cell.Record.Instance == p.entry.Board.Self.Instance {
+		answer = p.entry.Local.Serve(ctx, p.copyOfCall(), cell.Record.ServerID, patience, func() ([]byte, error) { return nil, nil })
+	} else {
+		answer = p.send(ctx, cell, patience)
+	}
+	answer.Body = onClose(answer.Body, cell.Finished)
+	p.learn(cell, answer)
+	return answer
+}
+
+// copyOfCall returns the call with headers of its own, which the executor
+// changes.
+func (p *passage) copyOfCall() *Call {
+	c := *p.call
+	c.Header = p.call.Header.Clone()
+	return &c
+}
+
+// learn notes what an answer says about the executor.
+func (p *passage) learn(cell *board.MeshCell, a *Answer) {
+	now := time.Now()
+	if a.Load != nil {
+		a.Load.ReceivedAt = now
+		cell.Report(*a.Load)
+		cell.Reach.Heard(now)
+	}
+	if a.Work > 0 && cell.Record.Instance != p.entry.Board.Self.Instance {
+		p.entry.Board.Works.Of(p.call.Rule).AddTime(a.Work)
+	}
+	if a.Outcome == Answered && a.Length > 0 {
+		p.entry.Board.Works.Of(p.call.Rule).AddBytes(a.Length)
+	}
+	switch {
+	case a.Outcome == Answered:
+		cell.ObserveOutcome(a.Status >= http.StatusInternalServerError, now)
+	case a.Outcome == Rejected, a.Outcome == Unknown && a.Reason != board.ReasonCanceled, a.Reason == board.ReasonNoBackend:
+		cell.ObserveOutcome(true, now)
+	}
+}
+
+// send makes one exchange with the executor on another node.
+func (p *passage) send(ctx context.Context, cell *board.MeshCell, patience time.Duration) *Answer {
+	c := p.call
+	ctx, cancel := context.WithCancel(ctx)
+	header := c.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(headerHop, encodeHop(hopOf(c, cell.Record.ServerID, patience, time.Now())))
+	accept := time.AfterFunc(acceptTimeout, cancel)
+	got, err := p.entry.Peers.Do(ctx, cell.Record.PeerAddr, &h1.Call{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
+		Hold: !c.Idempotent, MaxIdle: peerMaxIdle, Interim: func(int) { accept.Stop() },
+	})
+	silent := !accept.Stop() && err != nil
+	if err != nil {
+		cancel()
+		return p.sendFailed(cell, err, silent)
+	}
+	answer := answerOf(got)
+	answer.Body = onClose(answer.Body, cancel)
+	return answer
+}
+
+// sendFailed classifies an exchange without an answer.
+func (p *passage) sendFailed(cell *board.MeshCell, err error, silent bool) *Answer {
+	var failed *h1.Error
+	reason := board.ReasonUnreachable
+	if silent {
+		reason = board.ReasonSilent
+	}
+	if time.Until(p.call.Deadline) > 0 {
+		cell.Reach.Failed()
+		p.entry.Peers.Forget(cell.Record.PeerAddr)
+	}
+	p.entry.Log.Info().Str("event", "executor_lost").Str("id", p.call.ID).Str("executor", string(cell.Record.Instance)).
+		Str("reason", string(reason)).Err(err).Send()
+	if errors.As(err, &failed) && !failed.Sent {
+		return notSent(reason)
+	}
+	if reason == board.ReasonUnreachable {
+		reason = board.ReasonExecutorLost
+	}
+	return unknown(reason)
+}
+
+// answerOf reads the answer of an executor.
+func answerOf(got *h1.Answer) *Answer {
+	told, err := takeHopAnswer(got.Header)
+	if err != nil {
+		_ = got.Body.Close()
+		return unknown(board.ReasonMalformedAnswer)
+	}
+	load := told.Load
+	a := &Answer{
+		Outcome: told.Outcome, Reason: told.Reason, Load: &load,
+		Work: time.Duration(told.WorkMicros) * time.Microsecond, Wait: time.Duration(told.WaitMicros) * time.Microsecond,
+	}
+	if a.Outcome != Answered {
+		_ = got.Body.Close()
+		return a
+	}
+	a.Status, a.Header, a.Body, a.Length = got.Status, got.Header, got.Body, got.Length
+	return a
+}
--- /dev/null
+++ b/pkg/settings/mesh.go
@@ -0,0 +1,157 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/inifile"
+)
+
+// Mesh holds the static settings of a node on the users' platform. The
+// platform fills in deploy/mangostandd.ini.tmpl at each start and each change.
+type Mesh struct {
+	// Instance names the instance; required.
+	Instance string
+	// Region and FailureDomain place the instance; required.
+	Region        string
+	FailureDomain string
+	// LogLevel is debug, info, warn or error; default info.
+	LogLevel string
+	// Memory is the limit of the process in MB; 0 means none.
+	Memory int
+
+	// Callers is the address for callers, Peers that for other nodes, Local that
+	// for the backend server's announcements and Readiness that for the
+	// platform's readiness check and metrics. All are IP:port and required.
+	Callers   string
+	Peers     string
+	Local     string
+	Readiness string
+
+	// Service is the service of the backend server beside the node, Server its
+	// address.
+	Service string
+	Server  string
+
+	// Store is the URL of the platform's store; required.
+	Store string
+	// Bounds are the figures of the platform that bind a node.
+	Bounds Bounds
+}
+
+// Bounds are the figures of the platform that bind a node.
+type Bounds struct {
+	// DrainTime is how long a leaving backend server may still get calls,
+	// default 2s.
+	DrainTime time.Duration
+	// Grace is the time between the order to stop and the kill, default 6s.
+	Grace time.Duration
+	// AttemptRatio, AttemptWindow and AttemptSlack bound the additional attempts
+	// of all nodes for a service: ratio times its calls, plus slack, in a
+	// window. Defaults: 0.2, 10s and 50.
+	AttemptRatio  float64
+	AttemptWindow time.Duration
+	AttemptSlack  float64
+}
+
+func defaultBounds() Bounds {
+	return Bounds{DrainTime: 2 * time.Second, Grace: 6 * time.Second, AttemptRatio: 0.2, AttemptWindow: 10 * time.Second, AttemptSlack: 50}
+}
+
+const (
+	// longestBound and mostAttempts bound what the platform may ask for.
+	longestBound = 10 * time.Minute
+	mostAttempts = 1_000_000
+)
+
+// LoadMesh reads the settings file of a node on the platform.
+func LoadMesh(file string) (*Mesh, []*inifile.Error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, []*inifile.Error{{File: file, Line: 1, Text: errors.Cause(err).Error()}}
+	}
+	return ParseMesh(file, data)
+}
+
+// ParseMesh checks settings and returns them, or every problem with file and
+// line.
+func ParseMesh(file string, data []byte) (*Mesh, []*inifile.Error) {
+	sections, problems := inifile.Parse(file, data)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	m := &Mesh{LogLevel: "info", Bounds: defaultBounds()}
+	for _, s := range sections {
+		fields := m.fields(s.Title())
+		if fields == nil {
+			problems = append(problems, s.Errorf("unknown section [%s]", s.Title()))
+			continue
+		}
+		problems = append(problems, inifile.Apply(s, fields)...)
+	}
+	problems = append(problems, checkRequired(file, sections, requiredMeshKeys)...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return m, nil
+}
+
+var requiredMeshKeys = []requiredKey{
+	{"node", "instance"},
+	{"node", "region"},
+	{"node", "failure_domain"},
+	{"listen", "callers"},
+	{"listen", "peers"},
+	{"listen", "local"},
+	{"listen", "readiness"},
+	{"backend_server", "service"},
+	{"backend_server", "address"},
+	{"platform", "store"},
+}
+
+// fields returns the keys of a section, nil when there is no such section.
+func (m *Mesh) fields(section string) []inifile.Field {
+	switch section {
+	case "node":
+		return []inifile.Field{
+			inifile.String("instance", &m.Instance).
+				Because("Name of the instance, unique in the fleet and the same after a restart. Required."),
+			inifile.String("region", &m.Region).Because("Region of the instance. Required."),
+			inifile.String("failure_domain", &m.FailureDomain).Because("Failure domain of the instance. Required."),
+			inifile.Choice("log_level", &m.LogLevel, "debug", "info", "warn", "error").Because("Least level of log lines."),
+			inifile.Int("memory_mb", &m.Memory, 0, maxMemoryMB).Because("Memory limit of the process in MB; 0 means none."),
+		}
+	case "listen":
+		return []inifile.Field{
+			address("callers", &m.Callers).Because("TCP address for callers. Required."),
+			address("peers", &m.Peers).Because("TCP address for other nodes. Required."),
+			address("local", &m.Local).Because("TCP address for the backend server's announcements. Required."),
+			address("readiness", &m.Readiness).Because("TCP address for the readiness check and the metrics. Required."),
+		}
+	case "backend_server":
+		return []inifile.Field{
+			inifile.String("service", &m.Service).Because("Service of the backend server beside the node. Required."),
+			address("address", &m.Server).Because("Address of the backend server. Required."),
+		}
+	case "platform":
+		return []inifile.Field{
+			storeField(&m.Store).Because("URL of the platform's store. Required."),
+			inifile.Duration("drain_time", &m.Bounds.DrainTime, time.Millisecond, longestBound).
+				Because("How long a leaving backend server may still get calls."),
+			inifile.Duration("grace", &m.Bounds.Grace, time.Millisecond, longestBound).
+				Because("Time between the order to stop and the kill."),
+			inifile.Float("attempt_ratio", &m.Bounds.AttemptRatio, 0, 1).
+				Because("Additional attempts of all nodes for a service per call."),
+			inifile.Duration("attempt_window", &m.Bounds.AttemptWindow, time.Second, longestBound).
+				Because("Window over which additional attempts are counted."),
+			inifile.Float("attempt_slack", &m.Bounds.AttemptSlack, 0, mostAttempts).
+				Because("Additional attempts of all nodes for a service in a window, besides the ratio."),
+		}
+	}
+	return nil
+}
+
+// maxMemoryMB bounds the memory limit to what an instance can have.
+const maxMemoryMB = 1 << 20
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -81,7 +81,7 @@
 	if node.AdvertisePeers == "" {
 		node.AdvertisePeers = node.Peers
 	}
-	problems = append(problems, checkRequired(file, sections)...)
+	problems = append(problems, checkRequired(file, sections, requiredKeys)...)
 	problems = append(problems, checkTLS(sections)...)
 	if len(problems) > 0 {
 		return nil, problems
@@ -89,8 +89,11 @@
 	return node, nil
 }
 
+// requiredKey is a key without which a node cannot start.
+type requiredKey struct{ section, key string }
+
 // requiredKeys lists the keys without which a node cannot start.
-var requiredKeys = []struct{ section, key string }{
+var requiredKeys = []requiredKey{
 	{"node", "instance"},
 	{"node", "site"},
 	{"node", "region"},
@@ -104,9 +107,9 @@
 
 // checkRequired reports keys that are missing, at the line of their section. A
 // key with a bad value has its own error.
-func checkRequired(file string, sections []*inifile.Section) []*inifile.Error {
+func checkRequired(file string, sections []*inifile.Section, required []requiredKey) []*inifile.Error {
 	var problems []*inifile.Error
-	for _, r := range requiredKeys {
+	for _, r := range required {
 		section := findSection(sections, r.section)
 		if section != nil && section.Find(r.key) != nil {
 			continue
