Follow the configuration with two watchers and confirmations between nodes

Change: two nodes watch with waits of 600 ms; all others learn in their exchanges when some node last saw the version confirmed, and ask the store themselves after 1.3 s. New tables spread at once.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -40,6 +40,10 @@
 	// Budgets holds the additional attempts that are left for each service.
 	Budgets *AttemptBudgets
 
+	// Confirmed is when some node last saw that the routes in force are the
+	// newest ones.
+	Confirmed *Confirmation
+
 	// Announcements carries what the backend server says to control/ownserver.
 	Announcements *Inbox[ServerEvent]
 	// Records carries the node records of other nodes to control/directory.
@@ -73,12 +77,30 @@
 		Pulse:         &Pulse{},
 		Works:         &Works{},
 		Budgets:       &AttemptBudgets{},
+		Confirmed:     &Confirmation{},
 		Announcements: NewInbox[ServerEvent](heartbeatInboxSize),
 		Records:       NewInbox[RecordsEvent](recordsInboxSize),
 		Tables:        NewInbox[TableHint](tableInboxSize),
 	}
 }
 
+// Confirmation is a time that only moves forward.
+type Confirmation struct{ at atomic.Int64 }
+
+// Advance moves the time forward to t.
+func (c *Confirmation) Advance(t time.Time) {
+	next := sinceStart(t)
+	for {
+		old := c.at.Load()
+		if next <= old || c.at.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// At returns the time; at first it is the start of the process.
+func (c *Confirmation) At() time.Time { return processStart.Add(time.Duration(c.at.Load())) }
+
 // Stopping says whether the node is on its way out.
 type Stopping struct {
 	// Active is set by the order to stop.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -42,6 +42,9 @@
 	ConfigVersion uint64 `cbor:"5,keyasint"`
 	// Load is the sender's load.
 	Load board.LoadReport `cbor:"6,keyasint"`
+	// ConfirmedMillis is how long ago some node saw that ConfigVersion is the
+	// newest version.
+	ConfirmedMillis int64 `cbor:"7,keyasint"`
 }
 
 // Exchanger sends a message to a node and returns its answer.
@@ -96,6 +99,7 @@
 	server := c.board.Server.Subscribe()
 	stopping := c.board.Stopping.Subscribe()
 	store := c.board.Store.Subscribe()
+	routes := c.board.Routes.Subscribe()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -108,6 +112,8 @@
 			c.refreshOwn(ctx, time.Now())
 		case <-stopping:
 			c.refreshOwn(ctx, time.Now())
+		case <-routes:
+			c.spread(ctx, []board.NodeRecord{c.own}, "")
 		case <-store:
 			c.takeListing(ctx, time.Now())
 		case id := <-c.done:
@@ -320,7 +326,7 @@
 	c.busy[id] = true
 	message := &Message{
 		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digest: c.writer.Load().Digest,
-		ConfigVersion: c.board.Routes.Load().Version, Load: c.load(),
+		ConfigVersion: c.board.Routes.Load().Version, Load: c.load(), ConfirmedMillis: confirmedAge(c.board),
 	}
 	go c.run(ctx, e.cell, message)
 }
@@ -351,7 +357,10 @@
 	if len(m.Records) > 0 {
 		b.Records.Post(board.RecordsEvent{Records: m.Records, From: m.From})
 	}
-	if m.ConfigVersion > b.Routes.Load().Version {
+	switch current := b.Routes.Load().Version; {
+	case m.ConfigVersion == current:
+		b.Confirmed.Advance(time.Now().Add(-time.Duration(m.ConfirmedMillis)*time.Millisecond - messageAge))
+	case m.ConfigVersion > current:
 		b.Tables.Post(board.TableHint{From: m.PeerAddr, Version: m.ConfigVersion})
 	}
 	if cell := b.Fleet.Load().ByInstance[m.From]; cell != nil {
@@ -360,6 +369,11 @@
 	}
 }
 
+// messageAge is added to the age of a confirmation for the way of its message.
+const messageAge = 20 * time.Millisecond
+
+func confirmedAge(b *board.Mesh) int64 { return time.Since(b.Confirmed.At()).Milliseconds() }
+
 // Answer takes a message of another node and returns the answer: the own record
 // alone when both sides know the same, else all records.
 func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
@@ -367,7 +381,7 @@
 	view := b.Fleet.Load()
 	answer := &Message{
 		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digest: view.Digest,
-		ConfigVersion: b.Routes.Load().Version, Load: load,
+		ConfigVersion: b.Routes.Load().Version, Load: load, ConfirmedMillis: confirmedAge(b),
 	}
 	if m.Digest != view.Digest {
 		for _, cell := range view.ByInstance {
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,14 +14,25 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/platform"
 )
 
 const (
-	// watchWait is the longest wait of one watch. Each watch is paid for, and
-	// the platform allows 30 s.
-	watchWait = 20 * time.Second
+	// watchWait is the longest wait of one watch. A store that loses its history
+	// leaves a waiting watch without news; only the next call tells. A change
+	// is to be in force within 2 s.
+	watchWait = 600 * time.Millisecond
+	// watchers is the number of nodes that follow the store; the second one
+	// covers the time until the loss of the first is known.
+	watchers = 2
+	// quietLimit is the time without confirmation after which a node asks the
+	// store itself; quietJitter spreads the questions of many nodes.
+	quietLimit  = 1300 * time.Millisecond
+	quietJitter = 300 * time.Millisecond
+	// pollEvery spaces the looks at the time of the confirmation.
+	pollEvery = 100 * time.Millisecond
 	// retryEvery spaces calls while the store does not answer.
 	retryEvery = 600 * time.Millisecond
 	// watchGap spaces watches when versions come in quick succession.
@@ -113,25 +126,53 @@
 	c.take(document, hint.From)
 }
 
-// watch reads the configuration and follows its changes.
+// watch keeps the configuration current: a watcher follows the store, any
+// other node asks it only when it has not heard for too long, from whatever
+// node, that the version in force is the newest.
 func (c *Controller) watch(ctx context.Context) {
+	limit := quietLimit + rand.N(quietJitter)
 	for ctx.Err() == nil {
+		watcher := c.isWatcher()
+		if !watcher && time.Since(c.board.Confirmed.At()) < limit {
+			control.Sleep(ctx, pollEvery)
+			continue
+		}
+		asked := time.Now()
 		entry, asOf, err := c.store.GetAsOf(ctx, platform.ConfigKey)
 		if err != nil {
+			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
+				Dur("confirmed_age", time.Since(c.board.Confirmed.At())).Send()
 			control.Sleep(ctx, retryEvery)
 			continue
 		}
 		if entry.Revision > 0 {
 			c.offer(ctx, entry.Value)
 		}
-		c.followWatch(ctx, asOf)
+		c.board.Confirmed.Advance(asked)
+		if watcher {
+			c.followWatch(ctx, asOf)
+		}
 		control.Sleep(ctx, watchGap)
 	}
 }
 
-// followWatch follows the changes after a revision until the watch breaks.
+// isWatcher reports whether this node is one of those that follow the store.
+func (c *Controller) isWatcher() bool {
+	view := c.board.Fleet.Load()
+	ids := make([]board.InstanceID, 0, len(view.ByInstance))
+	for id, cell := range view.ByInstance {
+		if !cell.Record.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	return slices.Contains(fleet.Watchers(ids, watchers), c.board.Self.Instance)
+}
+
+// followWatch follows the changes after a revision until the watch breaks or
+// this node is no watcher any more.
 func (c *Controller) followWatch(ctx context.Context, after uint64) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.isWatcher() {
+		asked := time.Now()
 		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, watchWait)
 		if errors.Is(err, platform.ErrCompacted) {
 			c.log.Info().Str("event", "watch_compacted").Uint64("after", after).Send()
@@ -148,6 +189,7 @@
 				break
 			}
 		}
+		c.board.Confirmed.Advance(asked)
 		after = next
 		if len(events) > 0 {
 			control.Sleep(ctx, watchGap)
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -3,12 +3,14 @@
 package fleet
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"strconv"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
 )
 
 const (
@@ -67,3 +69,13 @@
 	}
 	return h.Sum64()
 }
+
+// Watchers returns the nodes that follow the configuration in the store: the
+// first count in an order that is the same on all nodes with the same view.
+func Watchers(ids []board.InstanceID, count int) []board.InstanceID {
+	sorted := slices.Clone(ids)
+	slices.SortFunc(sorted, func(a, b board.InstanceID) int {
+		return cmp.Or(cmp.Compare(hashing.String(string(a)), hashing.String(string(b))), cmp.Compare(a, b))
+	})
+	return sorted[:min(count, len(sorted))]
+}
--- a/pkg/decide/hashing/hashing.go
+++ b/pkg/decide/hashing/hashing.go
@@ -2,6 +2,8 @@
 // homes share. All nodes must use the same one.
 package hashing
 
+import "hash/fnv"
+
 // Mix spreads the bits of an FNV hash, whose high bits differ little for short
 // names (finalizer of SplitMix64).
 func Mix(x uint64) uint64 {
@@ -11,3 +13,11 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// String returns the spread hash of a name.
+func String(name string) uint64 {
+	h := fnv.New64a()
+	// A hash takes any bytes.
+	_, _ = h.Write([]byte(name))
+	return Mix(h.Sum64())
+}
