Send late idempotent calls to a second backend server

Change: the executor follows the progress of each run by the load reports and tells the entry in an informational answer when the objective will be missed; the entry sends an idempotent call to a second executor then, or after 1.5 times the expected time, within the budgets.

--- a/pkg/control/pulse/pulse.go
+++ b/pkg/control/pulse/pulse.go
@@ -38,7 +38,9 @@
 	Codec   mesh.Codec
 	// InFlight returns the calls that run or wait.
 	InFlight func() int
-	Log      zerolog.Logger
+	// Pulsed takes a load report.
+	Pulsed func(board.PulseView)
+	Log    zerolog.Logger
 
 	busyAt  time.Time
 	askedAt time.Time
@@ -99,8 +101,7 @@
 	_ = got.Body.Close()
 	reading := c.Codec.Reading(got.Status, got.Header)
 	if reading.Load != nil {
-		reading.Load.At = time.Now()
-		c.Board.Pulse.Set(*reading.Load)
+		c.Pulsed(*reading.Load)
 	}
 	c.found(got.Status, reading, addr)
 }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -50,13 +50,49 @@
 	DrainTime time.Duration
 
 	gate    gate
+	runs    runs
 	mean    board.Work
 	reports atomic.Uint64
 }
 
-// take is told that a call was admitted. It returns the body of a call whose
-// sender holds it back until then.
-type take func() ([]byte, error)
+// statusSlow is the informational answer by which an executor tells the entry
+// that it expects to miss the objective.
+const statusSlow = http.StatusEarlyHints
+
+// taker is the sender of a call as the executor sees it.
+type taker interface {
+	// Take tells that the call was admitted. It returns the body of a call whose
+	// sender holds it back until then.
+	Take(ctx context.Context) ([]byte, error)
+	// Slow tells that the call is expected to miss its objective.
+	Slow()
+}
+
+// localTake is the entry of the same node.
+type localTake struct{ slow func() }
+
+// Take admits the call.
+func (localTake) Take(context.Context) ([]byte, error) { return nil, nil }
+
+// Slow tells the entry.
+func (t localTake) Slow() { t.slow() }
+
+// remoteTake is the entry on another node.
+type remoteTake struct{ request *h1.Request }
+
+// Take tells the entry and waits for the body if the entry holds it back.
+func (t remoteTake) Take(ctx context.Context) ([]byte, error) {
+	if !t.request.Held() {
+		return nil, t.request.Interim(http.StatusProcessing)
+	}
+	if err := t.request.Interim(http.StatusContinue); err != nil {
+		return nil, err
+	}
+	return t.request.AwaitBody(ctx, bodyWait)
+}
+
+// Slow tells the entry. The entry notices itself when the connection is gone.
+func (t remoteTake) Slow() { _ = t.request.Interim(statusSlow) }
 
 // InFlight returns the calls that run or wait.
 func (x *Executor) InFlight() int { return int(x.gate.running.Load() + x.gate.waiting.Load()) }
@@ -93,7 +129,7 @@
 }
 
 // Serve checks a call, admits it and runs it. The answer carries the load.
-func (x *Executor) Serve(ctx context.Context, c *Call, serverID string, patience time.Duration, admitted take) *Answer {
+func (x *Executor) Serve(ctx context.Context, c *Call, serverID string, patience time.Duration, admitted taker) *Answer {
 	server := x.Board.Server.Load()
 	started := time.Now()
 	answer := x.serve(ctx, c, server, serverID, patience, admitted)
@@ -120,7 +156,7 @@
 	return -1
 }
 
-func (x *Executor) serve(ctx context.Context, c *Call, server *board.Server, serverID string, patience time.Duration, admitted take) *Answer {
+func (x *Executor) serve(ctx context.Context, c *Call, server *board.Server, serverID string, patience time.Duration, admitted taker) *Answer {
 	if reason := refusal(server, c, serverID); reason != "" {
 		return notSent(reason)
 	}
@@ -135,7 +171,7 @@
 		answer.Wait = verdict.Wait
 		return answer
 	}
-	body, err := admitted()
+	body, err := admitted.Take(ctx)
 	if err != nil {
 		return notSent(board.ReasonBodyMissing)
 	}
@@ -145,7 +181,7 @@
 	if reason := x.acquire(ctx, job, server.Slots); reason != "" {
 		return notSent(reason)
 	}
-	return x.run(ctx, c, server)
+	return x.run(ctx, c, server, job, admitted)
 }
 
 func (x *Executor) meanOr(usual time.Duration) time.Duration {
@@ -198,7 +234,7 @@
 }
 
 // run sends a call that holds a slot to the backend server.
-func (x *Executor) run(ctx context.Context, c *Call, admittedTo *board.Server) *Answer {
+func (x *Executor) run(ctx context.Context, c *Call, admittedTo *board.Server, job queueing.Job, from taker) *Answer {
 	slots := admittedTo.Slots
 	server := x.Board.Server.Load()
 	now := time.Now()
@@ -210,21 +246,28 @@
 		x.gate.release(slots)
 		return notSent(board.ReasonDraining)
 	}
-	before := x.slowdown(server, now)
+	run := x.runs.begin(job, x.slowdown(server, now), now, from.Slow)
 	answer := x.send(ctx, c, server)
+	worked := x.runs.end(run, time.Now())
 	if answer.whole || answer.Body == nil {
 		x.gate.release(slots)
 	} else {
 		answer.Body = onClose(answer.Body, func() { x.gate.release(slots) })
 	}
 	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
-		usual := time.Duration(float64(time.Since(now)) / ((before + x.slowdown(server, time.Now())) / 2))
-		x.mean.AddTime(usual)
-		x.Board.Works.Of(c.Rule).AddTime(usual)
+		x.mean.AddTime(worked)
+		x.Board.Works.Of(c.Rule).AddTime(worked)
 	}
 	return answer
 }
 
+// Pulsed takes a load report of the backend server.
+func (x *Executor) Pulsed(view board.PulseView) {
+	view.At = time.Now()
+	x.Board.Pulse.Set(view)
+	x.runs.pulse(x.slowdown(x.Board.Server.Load(), view.At), view.At)
+}
+
 // send makes one request to the backend server.
 func (x *Executor) send(ctx context.Context, c *Call, server *board.Server) *Answer {
 	header := c.Header
@@ -271,8 +314,7 @@
 func (x *Executor) read(ctx context.Context, c *Call, got *h1.Answer) *Answer {
 	reading := x.Codec.Reading(got.Status, got.Header)
 	if reading.Load != nil {
-		reading.Load.At = time.Now()
-		x.Board.Pulse.Set(*reading.Load)
+		x.Pulsed(*reading.Load)
 	}
 	if reading.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(got.Body, wholeAnswer))
@@ -331,15 +373,7 @@
 	c := h.call(r.Received)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	h1.RemoveHopHeaders(c.Header)
-	answer := x.Serve(ctx, c, h.ServerID, time.Duration(h.PatienceMicros)*time.Microsecond, func() ([]byte, error) {
-		if !r.Held() {
-			return nil, r.Interim(http.StatusProcessing)
-		}
-		if err := r.Interim(http.StatusContinue); err != nil {
-			return nil, err
-		}
-		return r.AwaitBody(ctx, bodyWait)
-	})
+	answer := x.Serve(ctx, c, h.ServerID, time.Duration(h.PatienceMicros)*time.Microsecond, remoteTake{r})
 	response := &h1.Response{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: answer.Length}
 	if answer.Outcome != Answered {
 		response.Status = http.StatusServiceUnavailable
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -10,6 +10,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/pick/earliest"
 	"mangostand.example/mangostand/pkg/h1"
 )
@@ -76,7 +77,7 @@
 			}
 			paid = true
 		}
-		answer := p.offer(ctx, cell, patience)
+		answer, cell := p.attempt(ctx, cell, patience)
 		if answer.Outcome != NotSent {
 			p.sent++
 			paid = false
@@ -220,20 +221,116 @@
 	return c
 }
 
-// offer asks an executor to run the call and takes its answer.
-func (p *passage) offer(ctx context.Context, cell *board.MeshCell, patience time.Duration) *Answer {
+// offered is the outcome of one offer.
+type offered struct {
+	answer *Answer
+	cell   *board.MeshCell
+}
+
+// offer asks an executor to run the call. The outcome arrives on the channel;
+// slow is told when the executor expects to miss the objective.
+func (p *passage) offer(ctx context.Context, cell *board.MeshCell, patience time.Duration, slow func(), out chan<- offered) {
 	p.offers++
 	p.last = cell.Record.Instance
 	cell.Started()
-	var answer *Answer
-	if cell.Record.Instance == p.entry.Board.Self.Instance {
-		answer = p.entry.Local.Serve(ctx, p.copyOfCall(), cell.Record.ServerID, patience, func() ([]byte, error) { return nil, nil })
-	} else {
-		answer = p.send(ctx, cell, patience)
-	}
-	answer.Body = onClose(answer.Body, cell.Finished)
-	p.learn(cell, answer)
-	return answer
+	go func() {
+		var answer *Answer
+		if cell.Record.Instance == p.entry.Board.Self.Instance {
+			answer = p.entry.Local.Serve(ctx, p.copyOfCall(), cell.Record.ServerID, patience, localTake{slow})
+		} else {
+			answer = p.send(ctx, cell, patience, slow)
+		}
+		answer.Body = onClose(answer.Body, cell.Finished)
+		p.learn(cell, answer)
+		out <- offered{answer, cell}
+	}()
+}
+
+// attempt offers the call to an executor and, when the call may be repeated and
+// its answer is late, to a second one as well. It returns the first answer.
+func (p *passage) attempt(ctx context.Context, cell *board.MeshCell, patience time.Duration) (*Answer, *board.MeshCell) {
+	out := make(chan offered, 2)
+	slow := make(chan struct{}, 1)
+	first, cancelFirst := context.WithCancel(ctx)
+	p.offer(first, cell, patience, func() { notify(slow) }, out)
+	if !p.call.Idempotent {
+		o := <-out
+		return withCancel(o, cancelFirst)
+	}
+	timer := time.NewTimer(hedge.Delay(p.expected, p.usual(), time.Until(p.call.Objective)))
+	defer timer.Stop()
+	cause := "timer"
+	select {
+	case o := <-out:
+		return withCancel(o, cancelFirst)
+	case <-slow:
+		cause = "slow"
+	case <-timer.C:
+	}
+	second := p.hedgeTarget(cell, cause)
+	if second == nil {
+		o := <-out
+		return withCancel(o, cancelFirst)
+	}
+	p.sent++
+	again, cancelSecond := context.WithCancel(ctx)
+	p.offer(again, second, 0, func() {}, out)
+	return p.race(out, map[*board.MeshCell]context.CancelFunc{cell: cancelFirst, second: cancelSecond})
+}
+
+func notify(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func withCancel(o offered, cancel context.CancelFunc) (*Answer, *board.MeshCell) {
+	o.answer.Body = onClose(o.answer.Body, cancel)
+	return o.answer, o.cell
+}
+
+// hedgeTarget returns the executor for a second send, or nil when there is none
+// or the budgets do not allow it.
+func (p *passage) hedgeTarget(first *board.MeshCell, cause string) *board.MeshCell {
+	if p.sent+1 >= p.call.MaxAttempts {
+		return nil
+	}
+	p.excluded = append(p.excluded, first.Record.Instance)
+	cell, _ := p.choose()
+	p.excluded = p.excluded[:len(p.excluded)-1]
+	if cell == nil || !p.entry.Board.Budgets.Of(p.call.Service).Take(p.entry.Attempts, time.Now()) {
+		return nil
+	}
+	p.entry.Log.Info().Str("event", "hedged").Str("id", p.call.ID).Str("cause", cause).
+		Str("first", string(first.Record.Instance)).Str("second", string(cell.Record.Instance)).
+		Dur("elapsed", time.Since(p.call.Received)).Dur("usual", p.usual()).Send()
+	return cell
+}
+
+// race returns the first good answer of two sends and cancels the other one.
+func (p *passage) race(out chan offered, cancels map[*board.MeshCell]context.CancelFunc) (*Answer, *board.MeshCell) {
+	o := <-out
+	if o.answer.Outcome == Answered && o.answer.Status < http.StatusInternalServerError {
+		for cell, cancel := range cancels {
+			if cell != o.cell {
+				cancel()
+			}
+		}
+		go func() {
+			other := <-out
+			other.answer.close()
+		}()
+		return withCancel(o, cancels[o.cell])
+	}
+	o.answer.close()
+	cancels[o.cell]()
+	if o.answer.Outcome == Unknown {
+		p.doubtful = o.answer
+	}
+	p.excluded = append(p.excluded, o.cell.Record.Instance)
+	last := <-out
+	return withCancel(last, cancels[last.cell])
 }
 
 // copyOfCall returns the call with headers of its own, which the executor
@@ -267,7 +364,7 @@
 }
 
 // send makes one exchange with the executor on another node.
-func (p *passage) send(ctx context.Context, cell *board.MeshCell, patience time.Duration) *Answer {
+func (p *passage) send(ctx context.Context, cell *board.MeshCell, patience time.Duration, slow func()) *Answer {
 	c := p.call
 	ctx, cancel := context.WithCancel(ctx)
 	header := c.Header.Clone()
@@ -278,7 +375,12 @@
 	accept := time.AfterFunc(acceptTimeout, cancel)
 	got, err := p.entry.Peers.Do(ctx, cell.Record.PeerAddr, &h1.Call{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
-		Hold: !c.Idempotent, MaxIdle: peerMaxIdle, Interim: func(int) { accept.Stop() },
+		Hold: !c.Idempotent, MaxIdle: peerMaxIdle, Interim: func(status int) {
+			accept.Stop()
+			if status == statusSlow {
+				slow()
+			}
+		},
 	})
 	silent := !accept.Stop() && err != nil
 	if err != nil {
--- /dev/null
+++ b/pkg/mesh/runs.go
@@ -0,0 +1,84 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"mangostand.example/mangostand/pkg/decide/hedge"
+	"mangostand.example/mangostand/pkg/decide/queueing"
+)
+
+// runs follows the calls on the own backend server: each load report advances
+// them, and the sender of one that is about to miss its objective is told once.
+type runs struct {
+	mu     sync.Mutex
+	active map[*run]struct{}
+}
+
+type run struct {
+	state     hedge.Run
+	objective time.Time
+	slowdown  float64
+	at        time.Time
+	slow      func()
+	told      bool
+
+	// telling orders the word to the sender before the answer.
+	telling sync.Mutex
+	ended   bool
+}
+
+// tell tells the sender unless the call has ended.
+func (r *run) tell() {
+	r.telling.Lock()
+	defer r.telling.Unlock()
+	if !r.ended {
+		r.slow()
+	}
+}
+
+func (r *run) advance(slowdown float64, now time.Time) {
+	r.state = r.state.Advance(now.Sub(r.at), (r.slowdown+slowdown)/2)
+	r.slowdown, r.at = slowdown, now
+}
+
+// begin adds a call that starts at a slowdown.
+func (s *runs) begin(job queueing.Job, slowdown float64, now time.Time, slow func()) *run {
+	r := &run{state: hedge.Run{Usual: job.Usual}, objective: job.Objective, slowdown: slowdown, at: now, slow: slow}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active == nil {
+		s.active = map[*run]struct{}{}
+	}
+	s.active[r] = struct{}{}
+	return r
+}
+
+// end removes a call and returns how long it would have taken at usual speed.
+func (s *runs) end(r *run, now time.Time) time.Duration {
+	r.telling.Lock()
+	r.ended = true
+	r.telling.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active, r)
+	r.advance(r.slowdown, now)
+	return r.state.Done
+}
+
+// pulse advances all calls to a load report.
+func (s *runs) pulse(slowdown float64, now time.Time) {
+	var late []*run
+	s.mu.Lock()
+	for r := range s.active {
+		r.advance(slowdown, now)
+		if !r.told && hedge.Worthwhile(r.state, slowdown, r.objective.Sub(now)) {
+			r.told = true
+			late = append(late, r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range late {
+		r.tell()
+	}
+}
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -136,7 +136,8 @@
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullTable, n.log),
 		&pulse.Controller{
-			Board: n.board, Servers: n.servers, Codec: platform.Codec{}, InFlight: n.executor.InFlight, Log: n.log,
+			Board: n.board, Servers: n.servers, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
+			Pulsed: n.executor.Pulsed, Log: n.log,
 		},
 		&sweeper{pools: []*h1.Pool{n.peers, n.servers}},
 	}
