Charge the calls of repeated runs to the attempt budgets

Runs that were repeated at atelier-suivi made their calls again, and failures caused by plan-depot were repeated everywhere. Change: pkg/decide/attempts charges an attempt to all services by the calls its run may make, keeps room for the more useful causes, and repeats a failure only if the backend server fails more than the others; the slack is divided by the number of nodes.

--- a/pkg/board/attempts.go
+++ b/pkg/board/attempts.go
@@ -2,76 +2,85 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // attemptBuckets divide the window of an attempt budget, so that it slides.
 const attemptBuckets = 10
 
-// AttemptBudgets bound the additional attempts of this node by service.
+// AttemptBudgets count the calls and the additional attempts of this node by
+// service in a sliding window. The counters are atomics; two calls that begin a
+// new part of the window at once may lose one of each other's counts.
 type AttemptBudgets struct{ byService sync.Map }
 
-// Of returns the budget of a service.
-func (b *AttemptBudgets) Of(service string) *AttemptBudget {
-	if v, ok := b.byService.Load(service); ok {
-		return v.(*AttemptBudget)
+// attemptWindow is the window of one service.
+type attemptWindow struct{ parts [attemptBuckets]attemptPart }
+
+type attemptPart struct {
+	number atomic.Int64
+	calls  atomic.Int64
+	// extraMilli counts additional attempts in thousandths.
+	extraMilli atomic.Int64
+}
+
+func (w *attemptWindow) part(number int64) *attemptPart {
+	p := &w.parts[number%attemptBuckets]
+	old := p.number.Load()
+	if old != number && p.number.CompareAndSwap(old, number) {
+		p.calls.Store(0)
+		p.extraMilli.Store(0)
 	}
-	v, _ := b.byService.LoadOrStore(service, &AttemptBudget{})
-	return v.(*AttemptBudget)
+	return p
 }
 
-// AttemptLimit is the bound of a service over a sliding window.
-type AttemptLimit struct {
-	Window time.Duration
-	// Ratio is the number of additional attempts per call.
-	Ratio float64
-	// Slack is this node's share of the attempts that are allowed besides.
-	Slack float64
+// AttemptCount is what a window holds.
+type AttemptCount struct {
+	Service string
+	// Calls is the number of calls that callers sent.
+	Calls float64
+	// Extra is the number of additional attempts.
+	Extra float64
 }
 
-// AttemptBudget counts calls and additional attempts in a sliding window.
-type AttemptBudget struct {
-	mu    sync.Mutex
-	slots [attemptBuckets]attemptSlot
+func (b *AttemptBudgets) of(service string) *attemptWindow {
+	if v, ok := b.byService.Load(service); ok {
+		return v.(*attemptWindow)
+	}
+	v, _ := b.byService.LoadOrStore(service, &attemptWindow{})
+	return v.(*attemptWindow)
 }
 
-type attemptSlot struct {
-	number int64
-	calls  int
-	extra  int
+func partNumber(window time.Duration, now time.Time) int64 {
+	return sinceStart(now)/int64(window/attemptBuckets) + 1
 }
 
-func (b *AttemptBudget) slot(limit AttemptLimit, now time.Time) *attemptSlot {
-	number := sinceStart(now) / int64(limit.Window/attemptBuckets)
-	s := &b.slots[number%attemptBuckets]
-	if s.number != number {
-		*s = attemptSlot{number: number}
-	}
-	return s
+// Call counts a call of a caller.
+func (b *AttemptBudgets) Call(service string, window time.Duration, now time.Time) {
+	b.of(service).part(partNumber(window, now)).calls.Add(1)
 }
 
-// Call counts a call that a caller sent.
-func (b *AttemptBudget) Call(limit AttemptLimit, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.slot(limit, now).calls++
+// Spend counts additional attempts, which may be a fraction.
+func (b *AttemptBudgets) Spend(service string, attempts float64, window time.Duration, now time.Time) {
+	b.of(service).part(partNumber(window, now)).extraMilli.Add(int64(1000 * attempts))
 }
 
-// Take takes an additional attempt and reports whether there was one.
-func (b *AttemptBudget) Take(limit AttemptLimit, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	current := b.slot(limit, now)
-	calls, extra := 0, 0
-	for _, s := range b.slots {
-		if s.number > current.number-attemptBuckets {
-			calls += s.calls
-			extra += s.extra
+// Counts returns what the windows of all services hold.
+func (b *AttemptBudgets) Counts(window time.Duration, now time.Time) []AttemptCount {
+	number := partNumber(window, now)
+	var counts []AttemptCount
+	b.byService.Range(func(key, v any) bool {
+		count := AttemptCount{Service: key.(string)}
+		w := v.(*attemptWindow)
+		for i := range w.parts {
+			p := &w.parts[i]
+			if p.number.Load() > number-attemptBuckets {
+				count.Calls += float64(p.calls.Load())
+				count.Extra += float64(p.extraMilli.Load()) / 1000
+			}
 		}
-	}
-	if float64(extra+1) > limit.Ratio*float64(calls)+limit.Slack {
-		return false
-	}
-	current.extra++
-	return true
+		counts = append(counts, count)
+		return true
+	})
+	return counts
 }
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/metrics"
@@ -24,8 +25,10 @@
 	Codec   Codec
 	Log     zerolog.Logger
 	Metrics *metrics.Mesh
-	// Attempts bounds the additional attempts for a service over all nodes.
-	Attempts board.AttemptLimit
+	// Attempts bounds the additional attempts for a service of all nodes in the
+	// window.
+	Attempts      attempts.Limit
+	AttemptWindow time.Duration
 
 	active atomic.Int64
 }
@@ -69,10 +72,22 @@
 	c.CallerService, c.Version = e.Board.Self.Service, table.Version
 	h1.RemoveHopHeaders(c.Header)
 	c.Header.Del(headerHop)
-	e.Board.Budgets.Of(service).Call(e.Attempts, time.Now())
+	e.Board.Budgets.Call(service, e.AttemptWindow, time.Now())
 	return e.answer(ctx, c)
 }
 
+// takeAttempt spends one more attempt for a service if the budgets allow it.
+func (e *Entry) takeAttempt(service string, cause attempts.Cause) bool {
+	now := time.Now()
+	limit := e.Attempts
+	limit.Slack /= float64(max(1, e.Board.Fleet.Load().Size))
+	spending, allowed := attempts.Spending(service, e.Board.Budgets.Counts(e.AttemptWindow, now), limit, cause)
+	for name, spend := range spending {
+		e.Board.Budgets.Spend(name, spend, e.AttemptWindow, now)
+	}
+	return allowed
+}
+
 // refuse answers a request that is not carried.
 func (e *Entry) refuse(id string, status int, reason board.Reason, retryAfter time.Duration) *h1.Response {
 	e.Log.Info().Str("event", "refused").Str("id", id).Int("status", status).Str("reason", string(reason)).
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/pick/earliest"
@@ -66,13 +67,14 @@
 func (p *passage) carry(ctx context.Context) *Answer {
 	last := notSent(board.ReasonNoServer)
 	paid := true
+	cause := attempts.Lost
 	for p.offers < maxOffers && ctx.Err() == nil {
 		cell, patience := p.choose()
 		if cell == nil {
 			break
 		}
 		if p.sent > 0 && !paid {
-			if !p.mayRepeat() {
+			if !p.mayRepeat(cause) {
 				break
 			}
 			paid = true
@@ -80,7 +82,7 @@
 		answer, cell := p.attempt(ctx, cell, patience)
 		if answer.Outcome != NotSent {
 			p.sent++
-			paid = false
+			paid, cause = false, causeOf(answer)
 		}
 		if p.settles(answer, cell) {
 			p.failed.close()
@@ -110,20 +112,47 @@
 	return false
 }
 
+// causeOf returns why a call would be sent again after an answer.
+func causeOf(a *Answer) attempts.Cause {
+	switch a.Outcome {
+	case Rejected:
+		return attempts.Rejected
+	case Answered:
+		return attempts.Failed
+	}
+	return attempts.Lost
+}
+
 // mayRepeat takes an additional attempt from the budgets of the call and of
 // its service.
-func (p *passage) mayRepeat() bool {
+func (p *passage) mayRepeat(cause attempts.Cause) bool {
 	c := p.call
-	if p.sent >= c.MaxAttempts {
+	if p.sent >= c.MaxAttempts || (cause == attempts.Failed && !p.standsOut()) {
 		return false
 	}
-	if !p.entry.Board.Budgets.Of(c.Service).Take(p.entry.Attempts, time.Now()) {
-		p.entry.Log.Info().Str("event", "repeat_refused").Str("id", c.ID).Str("service", c.Service).Int("sent", p.sent).Send()
+	if !p.entry.takeAttempt(c.Service, cause) {
+		p.entry.Log.Info().Str("event", "repeat_refused").Str("id", c.ID).Str("service", c.Service).Int("sent", p.sent).
+			Uint8("cause", uint8(cause)).Send()
 		return false
 	}
 	return true
 }
 
+// standsOut reports whether the last backend server fails more than the others
+// of its service.
+func (p *passage) standsOut() bool {
+	now := time.Now()
+	own, others := 0.0, []float64{}
+	for _, cell := range p.entry.Board.Fleet.Load().ByService[p.call.Service] {
+		if cell.Record.Instance == p.last {
+			own = cell.FailureShare(now)
+		} else {
+			others = append(others, cell.FailureShare(now))
+		}
+	}
+	return attempts.Repeatable(own, others)
+}
+
 // conclude returns what the caller is told when no offer was final: a failure
 // of a backend server, else that the call may have run, else the refusal.
 func (p *passage) conclude(ctx context.Context, last *Answer) *Answer {
@@ -259,12 +288,12 @@
 	}
 	timer := time.NewTimer(hedge.Delay(p.expected, p.usual(), time.Until(p.call.Objective)))
 	defer timer.Stop()
-	cause := "timer"
+	cause := attempts.Lost
 	select {
 	case o := <-out:
 		return withCancel(o, cancelFirst)
 	case <-slow:
-		cause = "slow"
+		cause = attempts.Slow
 	case <-timer.C:
 	}
 	second := p.hedgeTarget(cell, cause)
@@ -292,17 +321,17 @@
 
 // hedgeTarget returns the executor for a second send, or nil when there is none
 // or the budgets do not allow it.
-func (p *passage) hedgeTarget(first *board.MeshCell, cause string) *board.MeshCell {
+func (p *passage) hedgeTarget(first *board.MeshCell, cause attempts.Cause) *board.MeshCell {
 	if p.sent+1 >= p.call.MaxAttempts {
 		return nil
 	}
 	p.excluded = append(p.excluded, first.Record.Instance)
 	cell, _ := p.choose()
 	p.excluded = p.excluded[:len(p.excluded)-1]
-	if cell == nil || !p.entry.Board.Budgets.Of(p.call.Service).Take(p.entry.Attempts, time.Now()) {
+	if cell == nil || !p.entry.takeAttempt(p.call.Service, cause) {
 		return nil
 	}
-	p.entry.Log.Info().Str("event", "hedged").Str("id", p.call.ID).Str("cause", cause).
+	p.entry.Log.Info().Str("event", "hedged").Str("id", p.call.ID).Uint8("cause", uint8(cause)).
 		Str("first", string(first.Record.Instance)).Str("second", string(cell.Record.Instance)).
 		Dur("elapsed", time.Since(p.call.Received)).Dur("usual", p.usual()).Send()
 	return cell
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -20,6 +20,7 @@
 	"mangostand.example/mangostand/pkg/control/pulse"
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
+	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/mesh"
@@ -108,23 +109,17 @@
 	}
 	n.entry = &mesh.Entry{
 		Board: n.board, Peers: n.peers, Local: n.executor, Codec: platform.Codec{}, Log: requests, Metrics: counters,
-		Attempts: n.attempts(),
+		Attempts: n.attempts(), AttemptWindow: n.settings.Bounds.AttemptWindow,
 	}
 }
 
-const (
-	// attemptShare is the share of the allowed additional attempts that is
-	// used. Nodes do not see the attempts of each other.
-	attemptShare = 0.8
-	// usualNodes divides the slack of a service: each node uses a part of it,
-	// and a failure seldom meets the callers of all nodes at once.
-	usualNodes = 8
-)
+// attemptShare is the share of the allowed additional attempts that is used.
+// Nodes do not see the attempts of each other.
+const attemptShare = 0.8
 
-func (n *Node) attempts() board.AttemptLimit {
-	return board.AttemptLimit{
-		Window: n.settings.Bounds.AttemptWindow, Ratio: attemptShare * n.settings.Bounds.AttemptRatio,
-		Slack: attemptShare * n.settings.Bounds.AttemptSlack / usualNodes,
+func (n *Node) attempts() attempts.Limit {
+	return attempts.Limit{
+		Ratio: attemptShare * n.settings.Bounds.AttemptRatio, Slack: attemptShare * n.settings.Bounds.AttemptSlack,
 	}
 }
 
