Stop reading busy pipelined connections when a node drains

Change: with its next answer a draining server stops to read a connection and closes it after the last answer that is due. Header limits count exactly, and a timeout inside a header line is told as 408.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -66,7 +66,9 @@
 	switch {
 	case load.Waiting >= mostWaiting*max(1, load.Slots):
 		v.Refusal = Full
-	case now.Add(v.Wait + leastWork(job)).After(job.Deadline):
+	case now.Add(leastWork(job)).After(job.Deadline):
+		v.Refusal = TooLate
+	case busy(load) && now.Add(v.Wait+likelyWork(job, load)).After(job.Objective):
 		v.Refusal = TooLate
 	case job.Patience > 0 && v.Expected > job.Patience:
 		v.Refusal = Slower
@@ -82,8 +84,28 @@
 	return time.Duration(leastShare * float64(job.Usual))
 }
 
-// Expires returns when a waiting job can't be answered any more.
-func Expires(job Job) time.Time { return job.Deadline.Add(-leastWork(job)) }
+// likelyShare is the share of its expected time that a job is given when a
+// waiting one is judged. About two thirds of all jobs need less.
+const likelyShare = 0.9
+
+func likelyWork(job Job, load estimate.Load) time.Duration {
+	return time.Duration(likelyShare * float64(estimate.Work(job.Usual, load.Slowdown)))
+}
+
+// busyShare is the share of slots in use from which on a late answer is likely
+// to take the place of one in time.
+const busyShare = 0.5
+
+func busy(load estimate.Load) bool {
+	return float64(load.Running+load.Waiting) >= busyShare*float64(load.Slots)
+}
+
+// Expires returns when a waiting job can't meet its objective any more. It is
+// refused then: a late answer has lost most of its value and would take the
+// slot of one that is in time, and the caller may still come back.
+func Expires(job Job) time.Time {
+	return job.Objective.Add(-leastWork(job))
+}
 
 // Bounds of the advice when to come back. The least lets one call of a usual
 // service end; callers follow an advice up to a third of the time they have.
--- a/pkg/h1/read.go
+++ b/pkg/h1/read.go
@@ -12,25 +12,28 @@
 // errHeaderTooLarge ends the read of a header above the limit.
 const errHeaderTooLarge = errors.ConstError("header above the limit")
 
-// limitedReader fails after left bytes; -1 means no limit.
+// limitedReader fails after left bytes; -1 means no limit. It remembers its
+// last error, which parsers replace by their own.
 type limitedReader struct {
 	r    io.Reader
 	left int
+	err  error
 }
 
 // Read reads at most the bytes that are left.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left < 0 {
-		return l.r.Read(p)
-	}
 	if l.left == 0 {
-		return 0, errHeaderTooLarge
+		l.err = errHeaderTooLarge
+		return 0, l.err
 	}
-	if len(p) > l.left {
+	if l.left > 0 && len(p) > l.left {
 		p = p[:l.left]
 	}
 	n, err := l.r.Read(p)
-	l.left -= n
+	if l.left > 0 {
+		l.left -= n
+	}
+	l.err = err
 	return n, err
 }
 
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -101,7 +101,8 @@
 	s.mu.Unlock()
 }
 
-// Drain closes each connection after the last answer that is due on it.
+// Drain ends each connection: with its next answer it stops to read requests,
+// and it closes after the last answer that is due.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Active returns the number of requests that are not answered yet.
@@ -190,7 +191,7 @@
 func (c *serverConn) isLast(s *slot) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.last || (c.server.draining.Load() && c.pending == 1) {
+	if s.last || c.server.draining.Load() {
 		c.stopped = true
 	}
 	return c.stopped && c.pending == 1
@@ -242,11 +243,14 @@
 		return false
 	}
 	received := time.Now()
-	c.input.left = limits.HeaderBytes + readBufferSize
+	c.input.left = max(1, limits.HeaderBytes-c.br.Buffered())
 	_ = c.nc.SetReadDeadline(received.Add(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.br)
 	c.input.left = -1
 	if err != nil {
+		if c.input.err != nil {
+			err = c.input.err
+		}
 		return c.refuse(statusOfReadError(err))
 	}
 	_ = c.nc.SetReadDeadline(received.Add(limits.HeaderTimeout + bodyTimeout))
