--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/h1"
@@ -102,7 +103,7 @@
 	server := x.Board.Server.Load()
 	return board.LoadReport{
 		InFlight: uint32(x.gate.running.Load()), Queued: uint32(x.gate.waiting.Load()),
-		Limit: uint32(max(1, server.Slots)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
+		Limit: uint32(x.limit(server)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
 		Draining: !server.Takes() || x.Board.Stopping.Load().Active, Sequence: x.reports.Add(1),
 		SlowdownPercent: uint32(100 * x.slowdown(server, time.Now())),
 	}
@@ -120,6 +121,9 @@
 	return s
 }
 
+// limit returns the number of calls that the backend server runs at once.
+func (x *Executor) limit(server *board.Server) int { return x.runs.limit(server.Slots, time.Now()) }
+
 // usual returns the usual time of a call.
 func (x *Executor) usual(c *Call) time.Duration {
 	if d := x.Board.Works.Of(c.Rule).Time(); d > 0 {
@@ -164,7 +168,7 @@
 		Rank: c.Rank, Usual: x.usual(c), Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
 	}
 	now := time.Now()
-	load := x.gate.load(job, estimate.Load{Slots: server.Slots, Slowdown: x.slowdown(server, now), Mean: x.meanOr(job.Usual)})
+	load := x.gate.load(job, estimate.Load{Slots: x.limit(server), Slowdown: x.slowdown(server, now), Mean: x.meanOr(job.Usual)})
 	verdict := queueing.Judge(job, load, now)
 	if verdict.Refusal != queueing.Accepted {
 		answer := notSent(reasonOf(verdict.Refusal))
@@ -178,7 +182,7 @@
 	if body != nil {
 		c.Body = body
 	}
-	if reason := x.acquire(ctx, job, server.Slots); reason != "" {
+	if reason := x.acquire(ctx, job, x.limit(server)); reason != "" {
 		return notSent(reason)
 	}
 	return x.run(ctx, c, server, job, admitted)
@@ -235,8 +239,8 @@
 
 // run sends a call that holds a slot to the backend server.
 func (x *Executor) run(ctx context.Context, c *Call, admittedTo *board.Server, job queueing.Job, from taker) *Answer {
-	slots := admittedTo.Slots
 	server := x.Board.Server.Load()
+	slots := x.limit(server)
 	now := time.Now()
 	switch {
 	case server.ID != admittedTo.ID || server.Born != admittedTo.Born:
@@ -247,14 +251,19 @@
 		return notSent(board.ReasonDraining)
 	}
 	run := x.runs.begin(job, x.slowdown(server, now), now, from.Slow)
+	beside := x.gate.running.Load()
 	answer := x.send(ctx, c, server)
 	worked := x.runs.end(run, time.Now())
+	beside = (beside + x.gate.running.Load() + 1) / 2
 	if answer.whole || answer.Body == nil {
 		x.gate.release(slots)
 	} else {
 		answer.Body = onClose(answer.Body, func() { x.gate.release(slots) })
 	}
 	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
+		x.runs.sample(concurrency.Sample{
+			Ratio: float64(worked) / float64(max(1, job.Usual)), Running: int(beside), Slots: server.Slots,
+		}, time.Now())
 		x.mean.AddTime(worked)
 		x.Board.Works.Of(c.Rule).AddTime(worked)
 	}
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -243,6 +243,7 @@
 		return c
 	}
 	c.LoadAge = now.Sub(report.ReceivedAt)
+	c.Load.Slots = int(report.Limit)
 	c.Load.Slowdown = float64(report.SlowdownPercent) / 100
 	if report.LatencyMicros > 0 {
 		c.Load.Mean = time.Duration(report.LatencyMicros) * time.Microsecond
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 )
@@ -13,6 +15,32 @@
 type runs struct {
 	mu     sync.Mutex
 	active map[*run]struct{}
+
+	// pace is replaced as a whole with each call that ends.
+	pace atomic.Pointer[concurrency.State]
+}
+
+// limit returns the number of calls that may run at once.
+func (s *runs) limit(slots int, now time.Time) int {
+	if pace := s.pace.Load(); pace != nil {
+		return pace.Limit(slots, now)
+	}
+	return max(1, slots)
+}
+
+// sample takes a call that was answered.
+func (s *runs) sample(sample concurrency.Sample, now time.Time) {
+	for {
+		old := s.pace.Load()
+		var state concurrency.State
+		if old != nil {
+			state = *old
+		}
+		state = concurrency.Next(state, sample, now)
+		if s.pace.CompareAndSwap(old, &state) {
+			return
+		}
+	}
 }
 
 type run struct {
