Count only silent executors as silent

Cause: after an informational answer the timer of the acceptance is stopped, and a second Stop reported it as fired, so each call that ended at its deadline marked its executor as unreachable and closed its idle connections. Change: the timer sets a flag of its own; a canceled call says nothing about the executor.

--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -388,7 +389,7 @@
 	switch {
 	case a.Outcome == Answered:
 		cell.ObserveOutcome(a.Status >= http.StatusInternalServerError, now)
-	case a.Outcome == Rejected, a.Outcome == Unknown && a.Reason != board.ReasonCanceled, a.Reason == board.ReasonNoBackend:
+	case a.Outcome == Rejected, a.Outcome == Unknown && a.Reason != board.ReasonCanceled && a.Reason != board.ReasonDeadlineExceeded, a.Reason == board.ReasonNoBackend:
 		cell.ObserveOutcome(true, now)
 	}
 }
@@ -402,7 +403,11 @@
 		header = http.Header{}
 	}
 	header.Set(headerHop, encodeHop(hopOf(c, cell.Record.ServerID, patience, time.Now())))
-	accept := time.AfterFunc(acceptTimeout, cancel)
+	var silent atomic.Bool
+	accept := time.AfterFunc(acceptTimeout, func() {
+		silent.Store(true)
+		cancel()
+	})
 	got, err := p.entry.Peers.Do(ctx, cell.Record.PeerAddr, &h1.Call{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
 		Hold: !c.Idempotent, MaxIdle: peerMaxIdle, Interim: func(status int) {
@@ -412,35 +417,39 @@
 			}
 		},
 	})
-	silent := !accept.Stop() && err != nil
+	accept.Stop()
 	if err != nil {
+		canceled := ctx.Err() != nil && !silent.Load()
 		cancel()
-		return p.sendFailed(cell, err, silent)
+		return p.sendFailed(cell, err, silent.Load(), canceled)
 	}
 	answer := answerOf(got)
 	answer.Body = onClose(answer.Body, cancel)
 	return answer
 }
 
-// sendFailed classifies an exchange without an answer.
-func (p *passage) sendFailed(cell *board.MeshCell, err error, silent bool) *Answer {
+// sendFailed classifies an exchange without an answer. A call that was canceled
+// says nothing about the executor.
+func (p *passage) sendFailed(cell *board.MeshCell, err error, silent, canceled bool) *Answer {
 	var failed *h1.Error
-	reason := board.ReasonUnreachable
-	if silent {
+	reason := board.ReasonExecutorLost
+	switch {
+	case canceled && time.Now().Before(p.call.Deadline):
+		reason = board.ReasonCanceled
+	case canceled:
+		reason = board.ReasonDeadlineExceeded
+	case silent:
 		reason = board.ReasonSilent
 	}
-	if time.Until(p.call.Deadline) > 0 {
+	if !canceled {
 		cell.Reach.Failed()
 		p.entry.Peers.Forget(cell.Record.PeerAddr)
+		p.entry.Log.Info().Str("event", "executor_lost").Str("id", p.call.ID).Str("executor", string(cell.Record.Instance)).
+			Str("reason", string(reason)).Err(err).Send()
 	}
-	p.entry.Log.Info().Str("event", "executor_lost").Str("id", p.call.ID).Str("executor", string(cell.Record.Instance)).
-		Str("reason", string(reason)).Err(err).Send()
 	if errors.As(err, &failed) && !failed.Sent {
 		return notSent(reason)
 	}
-	if reason == board.ReasonUnreachable {
-		reason = board.ReasonExecutorLost
-	}
 	return unknown(reason)
 }
 
