Learn the concurrency limit on hosts at usual speed only

Change: only calls whose host kept its usual speed count, 30 of each kind, and the ratio has to reach 1.4.

--- a/pkg/decide/concurrency/concurrency.go
+++ b/pkg/decide/concurrency/concurrency.go
@@ -10,11 +10,12 @@
 	// full.
 	KneeShare = 0.8
 	// kneeRatio is the ratio of the work of nearly full to that of calm times
-	// from which the limit pays: with a fifth of the slots left empty, a server
-	// finishes more calls if its work takes less than 1/KneeShare.
-	kneeRatio = 1.25
+	// from which a limit is set. With a fifth of the slots left empty, a server
+	// finishes more calls if the ratio is above 1/KneeShare; the rest is the
+	// error of the averages.
+	kneeRatio = 1.4
 	// leastSamples is the number of calls of each kind that a verdict needs.
-	leastSamples = 20
+	leastSamples = 30
 	// sampleWeight is the weight of a call in the moving averages.
 	sampleWeight = 0.05
 	// verdictTime is how long a limit holds before it is tried again.
@@ -47,10 +48,20 @@
 	// Running is the number of calls that ran beside it, itself included.
 	Running int
 	Slots   int
+	// MostSlowdown is the greatest slowdown of the host meanwhile.
+	MostSlowdown float64
 }
 
+// usualSpeed is the slowdown up to which a host counts as being at its usual
+// speed. Calls pile up on slow hosts, so that the work of slow times would be
+// put down to the number of calls.
+const usualSpeed = 1.5
+
 // Next returns the state after a call.
 func Next(s State, sample Sample, now time.Time) State {
+	if sample.MostSlowdown > usualSpeed {
+		return s
+	}
 	if float64(sample.Running) > KneeShare*float64(sample.Slots) {
 		s.full = s.full.add(sample.Ratio)
 	} else {
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -263,6 +263,7 @@
 	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
 		x.runs.sample(concurrency.Sample{
 			Ratio: float64(worked) / float64(max(1, job.Usual)), Running: int(beside), Slots: server.Slots,
+			MostSlowdown: run.most,
 		}, time.Now())
 		x.mean.AddTime(worked)
 		x.Board.Works.Of(c.Rule).AddTime(worked)
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -47,9 +47,11 @@
 	state     hedge.Run
 	objective time.Time
 	slowdown  float64
-	at        time.Time
-	slow      func()
-	told      bool
+	// most is the greatest slowdown so far.
+	most float64
+	at   time.Time
+	slow func()
+	told bool
 
 	// telling orders the word to the sender before the answer.
 	telling sync.Mutex
@@ -68,11 +70,12 @@
 func (r *run) advance(slowdown float64, now time.Time) {
 	r.state = r.state.Advance(now.Sub(r.at), (r.slowdown+slowdown)/2)
 	r.slowdown, r.at = slowdown, now
+	r.most = max(r.most, slowdown)
 }
 
 // begin adds a call that starts at a slowdown.
 func (s *runs) begin(job queueing.Job, slowdown float64, now time.Time, slow func()) *run {
-	r := &run{state: hedge.Run{Usual: job.Usual}, objective: job.Objective, slowdown: slowdown, at: now, slow: slow}
+	r := &run{state: hedge.Run{Usual: job.Usual}, objective: job.Objective, slowdown: slowdown, most: slowdown, at: now, slow: slow}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.active == nil {
