Count objectives from a caller's first attempt

Change: the longest time that callers of a rule wait tells how much an attempt has lost; Retry-After lets the call meet its objective where that can be.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -320,6 +320,27 @@
 	// micros is the average time at usual speed, bytes that of the answers.
 	micros atomic.Int64
 	bytes  atomic.Int64
+	// wait is the longest time that a caller has said it waits, in nanoseconds.
+	wait atomic.Int64
+}
+
+// mostWait bounds what is believed of a caller.
+const mostWait = time.Minute
+
+// Waited takes the time that a caller waits for an answer and returns how much
+// less that is than the longest such time. Callers of one rule wait equally
+// long, so the difference is what earlier attempts have used up.
+func (w *Work) Waited(wait time.Duration) time.Duration {
+	wait = min(wait, mostWait)
+	for {
+		longest := time.Duration(w.wait.Load())
+		if wait <= longest {
+			return longest - wait
+		}
+		if w.wait.CompareAndSwap(int64(longest), int64(wait)) {
+			return 0
+		}
+	}
 }
 
 // Of returns the average of a rule.
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -108,23 +108,31 @@
 }
 
 // Bounds of the advice when to come back. The least lets one call of a usual
-// service end; callers follow an advice up to a third of the time they have.
+// service end.
 const (
 	leastRetryAfter = 20 * time.Millisecond
 	mostRetryAfter  = 2 * time.Second
 )
 
 // RetryAfter returns when a refused caller should come back: when the queue
-// that refused it is expected to have room, but early enough that the answer
-// can still come in time.
-func RetryAfter(wait, left, usual time.Duration) time.Duration {
+// that refused it is expected to have room, but while its call can still meet
+// the objective, else while it can still be answered.
+func RetryAfter(wait, objectiveLeft, deadlineLeft, usual time.Duration) time.Duration {
 	advice := max(wait, leastRetryAfter)
-	if latest := (left - usual) / 3; latest > leastRetryAfter {
-		advice = min(advice, latest)
+	needed := time.Duration(neededShare * float64(usual))
+	switch {
+	case objectiveLeft-needed > leastRetryAfter:
+		advice = min(advice, objectiveLeft-needed)
+	case deadlineLeft-needed > leastRetryAfter:
+		advice = min(advice, deadlineLeft-needed)
 	}
 	return min(advice, mostRetryAfter)
 }
 
+// neededShare is the time that a call which comes back needs, relative to its
+// usual time: the ways, and a host that is not always at its usual speed.
+const neededShare = 1.3
+
 // Next returns the index of the job that gets a free slot: the first by rank
 // and objective among those that can still meet their objective, else the
 // first of all. An answer after its objective has lost most of its value, so
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -61,6 +61,10 @@
 	if rule == nil {
 		return e.refuse(id, http.StatusNotFound, board.ReasonNoRoute, 0)
 	}
+	objective := r.Received.Add(rule.Objective)
+	if !deadline.IsZero() {
+		objective = objective.Add(-e.Board.Works.Of(rule.Name).Waited(deadline.Sub(r.Received)))
+	}
 	latest := r.Received.Add(rule.Timeout)
 	if deadline.IsZero() || deadline.After(latest) {
 		deadline = latest
@@ -68,7 +72,7 @@
 	service := rule.Choose(rand.Float64())
 	c := newCall(id, rule, service)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
-	c.Received, c.Deadline, c.Objective = r.Received, deadline, r.Received.Add(rule.Objective)
+	c.Received, c.Deadline, c.Objective = r.Received, deadline, objective
 	c.CallerService, c.Version = e.Board.Self.Service, table.Version
 	h1.RemoveHopHeaders(c.Header)
 	c.Header.Del(headerHop)
@@ -126,8 +130,8 @@
 	switch {
 	case a.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
-		left := time.Until(c.Deadline)
-		e.Codec.Refusal(response.Header, c.ID, queueing.RetryAfter(max(a.Wait, waitOf(a.Reason)), left, a.Work))
+		advice := queueing.RetryAfter(max(a.Wait, waitOf(a.Reason)), time.Until(c.Objective), time.Until(c.Deadline), a.Work)
+		e.Codec.Refusal(response.Header, c.ID, advice)
 		return response
 	case time.Now().Before(c.Deadline):
 		response.Status = http.StatusBadGateway
