Learn the concurrency limit by the calm work of each rule

Change: calm work is averaged by rule, a node starts below the knee until it knows calm times, then tries all slots; the verdict is logged and holds for 60 s; threshold 1.2.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -320,6 +320,8 @@
 	// micros is the average time at usual speed, bytes that of the answers.
 	micros atomic.Int64
 	bytes  atomic.Int64
+	// calmMicros is the average time beside few other calls.
+	calmMicros atomic.Int64
 	// wait is the longest time that a caller has said it waits, in nanoseconds.
 	wait atomic.Int64
 }
@@ -371,6 +373,13 @@
 // AddBytes adds the size of an answer.
 func (w *Work) AddBytes(n int64) { average(&w.bytes, n) }
 
+// AddCalm adds the time that a call beside few others took at usual speed.
+func (w *Work) AddCalm(d time.Duration) { average(&w.calmMicros, d.Microseconds()) }
+
+// Calm returns the average time beside few other calls, 0 when there is none
+// yet.
+func (w *Work) Calm() time.Duration { return time.Duration(w.calmMicros.Load()) * time.Microsecond }
+
 // Time returns the average time, 0 when there is none yet.
 func (w *Work) Time() time.Duration { return time.Duration(w.micros.Load()) * time.Microsecond }
 
--- a/pkg/decide/concurrency/concurrency.go
+++ b/pkg/decide/concurrency/concurrency.go
@@ -11,22 +11,25 @@
 	KneeShare = 0.8
 	// kneeRatio is the ratio of the work of nearly full to that of calm times
 	// from which a limit is set. With a fifth of the slots left empty, a server
-	// finishes more calls if the ratio is above 1/KneeShare; the rest is the
-	// error of the averages.
-	kneeRatio = 1.4
+	// finishes as many calls at 1/KneeShare, and each of them sooner.
+	kneeRatio = 1.2
 	// leastSamples is the number of calls of each kind that a verdict needs.
 	leastSamples = 30
 	// sampleWeight is the weight of a call in the moving averages.
 	sampleWeight = 0.05
-	// verdictTime is how long a limit holds before it is tried again.
+	// verdictTime is how long a verdict holds.
 	verdictTime = 60 * time.Second
 )
 
-// State is what is known about a server. The zero value knows nothing.
+// State is what is known about a server. The zero value knows nothing and keeps
+// below KneeShare until the work of calm times is known; then all slots are
+// tried, and the verdict holds for a while.
 type State struct {
 	calm, full average
-	// limitedUntil is the end of a limit.
-	limitedUntil time.Time
+	// limited is the verdict, until its end; decidedUntil is zero before the
+	// first one.
+	limited      bool
+	decidedUntil time.Time
 }
 
 type average struct {
@@ -43,7 +46,7 @@
 
 // Sample is one call that has ended.
 type Sample struct {
-	// Ratio is its work relative to the usual work of its rule.
+	// Ratio is its work relative to the usual work of its rule beside few calls.
 	Ratio float64
 	// Running is the number of calls that ran beside it, itself included.
 	Running int
@@ -57,30 +60,53 @@
 // put down to the number of calls.
 const usualSpeed = 1.5
 
+// Disturbed reports whether the host was too slow for the call to count.
+func (s Sample) Disturbed() bool { return s.MostSlowdown > usualSpeed }
+
+// Calm reports whether the call ran beside few others.
+func (s Sample) Calm() bool { return float64(s.Running) <= KneeShare*float64(s.Slots) }
+
 // Next returns the state after a call.
 func Next(s State, sample Sample, now time.Time) State {
-	if sample.MostSlowdown > usualSpeed {
+	if sample.Disturbed() {
 		return s
 	}
-	if float64(sample.Running) > KneeShare*float64(sample.Slots) {
-		s.full = s.full.add(sample.Ratio)
-	} else {
+	if sample.Calm() {
 		s.calm = s.calm.add(sample.Ratio)
+	} else {
+		s.full = s.full.add(sample.Ratio)
 	}
-	if now.Before(s.limitedUntil) || s.full.samples < leastSamples || s.calm.samples < leastSamples {
-		return s
-	}
-	if s.full.value > kneeRatio*s.calm.value {
-		s.limitedUntil = now.Add(verdictTime)
-		s.full = average{}
+	switch {
+	case now.Before(s.decidedUntil):
+	case !s.decidedUntil.IsZero():
+		s = State{}
+	case s.full.samples >= leastSamples && s.calm.samples >= leastSamples:
+		s.limited = s.full.value > kneeRatio*s.calm.value
+		s.decidedUntil = now.Add(verdictTime)
 	}
 	return s
 }
 
 // Limit returns the number of calls that may run at once.
 func (s State) Limit(slots int, now time.Time) int {
-	if now.Before(s.limitedUntil) {
+	below := s.calm.samples < leastSamples
+	if now.Before(s.decidedUntil) {
+		below = s.limited
+	}
+	if below {
 		return max(1, int(KneeShare*float64(slots)))
 	}
 	return max(1, slots)
 }
+
+// Ratio returns the work of nearly full relative to that of calm times, 0 when
+// it is not known.
+func (s State) Ratio() float64 {
+	if s.calm.value == 0 || s.full.samples == 0 {
+		return 0
+	}
+	return s.full.value / s.calm.value
+}
+
+// Decided reports whether a verdict holds.
+func (s State) Decided(now time.Time) bool { return now.Before(s.decidedUntil) }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -261,16 +261,33 @@
 		answer.Body = onClose(answer.Body, func() { x.gate.release(slots) })
 	}
 	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
-		x.runs.sample(concurrency.Sample{
-			Ratio: float64(worked) / float64(max(1, job.Usual)), Running: int(beside), Slots: server.Slots,
-			MostSlowdown: run.most,
-		}, time.Now())
+		x.sample(c, worked, run.most, int(beside), server.Slots)
 		x.mean.AddTime(worked)
 		x.Board.Works.Of(c.Rule).AddTime(worked)
 	}
 	return answer
 }
 
+// sample takes the work of a call for the limit of calls at once.
+func (x *Executor) sample(c *Call, worked time.Duration, mostSlowdown float64, beside, slots int) {
+	sample := concurrency.Sample{Running: beside, Slots: slots, MostSlowdown: mostSlowdown}
+	if sample.Disturbed() {
+		return
+	}
+	work := x.Board.Works.Of(c.Rule)
+	if sample.Calm() {
+		work.AddCalm(worked)
+	}
+	if calm := work.Calm(); calm > 0 {
+		sample.Ratio = float64(worked) / float64(calm)
+		now := time.Now()
+		if verdict := x.runs.sample(sample, now); verdict != nil {
+			x.Log.Info().Str("event", "concurrency").Float64("full_to_calm", verdict.Ratio()).
+				Int("limit", verdict.Limit(slots, now)).Int("slots", slots).Send()
+		}
+	}
+}
+
 // Pulsed takes a load report of the backend server.
 func (x *Executor) Pulsed(view board.PulseView) {
 	view.At = time.Now()
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -22,14 +22,16 @@
 
 // limit returns the number of calls that may run at once.
 func (s *runs) limit(slots int, now time.Time) int {
+	var state concurrency.State
 	if pace := s.pace.Load(); pace != nil {
-		return pace.Limit(slots, now)
+		state = *pace
 	}
-	return max(1, slots)
+	return state.Limit(slots, now)
 }
 
-// sample takes a call that was answered.
-func (s *runs) sample(sample concurrency.Sample, now time.Time) {
+// sample takes a call that was answered and returns the state if it has brought
+// a verdict, else nil.
+func (s *runs) sample(sample concurrency.Sample, now time.Time) *concurrency.State {
 	for {
 		old := s.pace.Load()
 		var state concurrency.State
@@ -37,9 +39,13 @@
 			state = *old
 		}
 		state = concurrency.Next(state, sample, now)
-		if s.pace.CompareAndSwap(old, &state) {
-			return
+		if !s.pace.CompareAndSwap(old, &state) {
+			continue
 		}
+		if state.Decided(now) && (old == nil || !old.Decided(now)) {
+			return &state
+		}
+		return nil
 	}
 }
 
