Hold every call back until its executor has taken it

Change: all calls between nodes send their body after the executor's 100; a refusal keeps the connection in step with an empty body. Executors have 130 ms to take a call, and nodes that are all suspected are asked once.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -323,7 +323,13 @@
 }
 
 func (x *exchange) answer(resp *http.Response) *Answer {
-	x.kept = !resp.Close && !x.conn.mixed && (!x.call.Hold || x.sent)
+	x.kept = !resp.Close && !x.conn.mixed
+	if x.call.Hold && !x.sent {
+		// The server has answered without the body; an empty one keeps the
+		// connection in step.
+		_, err := io.WriteString(x.conn.nc, "0\r\n\r\n")
+		x.kept = x.kept && err == nil
+	}
 	if x.writing != nil {
 		select {
 		case err := <-x.writing:
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -252,8 +252,12 @@
 	require.EqualValues(t, 1, p.Opened.Load())
 	_, err := p.Do(t.Context(), addr, held("/broken"))
 	require.True(t, failure(t, err).Sent)
-	answer, err := p.Do(t.Context(), addr, held("/refused"))
-	require.NoError(t, err)
-	require.Equal(t, http.StatusServiceUnavailable, answer.Status)
-	require.NoError(t, answer.Body.Close())
+	opened := p.Opened.Load()
+	for range 3 {
+		answer, err := p.Do(t.Context(), addr, held("/refused"))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, answer.Status)
+		require.NoError(t, answer.Body.Close())
+	}
+	require.LessOrEqual(t, p.Opened.Load(), opened+1)
 }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -62,8 +62,8 @@
 
 // taker is the sender of a call as the executor sees it.
 type taker interface {
-	// Take tells that the call was admitted. It returns the body of a call whose
-	// sender holds it back until then.
+	// Take tells that the call was admitted and returns its body, which another
+	// node holds back until then: a call whose body was not sent has not run.
 	Take(ctx context.Context) ([]byte, error)
 	// Slow tells that the call is expected to miss its objective.
 	Slow()
@@ -81,11 +81,8 @@
 // remoteTake is the entry on another node.
 type remoteTake struct{ request *h1.Request }
 
-// Take tells the entry and waits for the body if the entry holds it back.
+// Take tells the entry and waits for the body.
 func (t remoteTake) Take(ctx context.Context) ([]byte, error) {
-	if !t.request.Held() {
-		return nil, t.request.Interim(http.StatusProcessing)
-	}
 	if err := t.request.Interim(http.StatusContinue); err != nil {
 		return nil, err
 	}
@@ -396,6 +393,10 @@
 		x.Log.Warn().Err(err).Str("event", "hop_refused").Msg("call of another node not understood")
 		return &h1.Response{Status: http.StatusBadRequest}
 	}
+	if !r.Held() {
+		x.Log.Warn().Str("event", "hop_refused").Str("id", h.ID).Msg("call of another node without an expectation")
+		return &h1.Response{Status: http.StatusBadRequest}
+	}
 	r.Header.Del(headerHop)
 	c := h.call(r.Received)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -27,8 +27,9 @@
 	// patienceMargin is the gain below which another offer is not worth its way.
 	patienceMargin = 15 * time.Millisecond
 	// acceptTimeout bounds the wait for an executor to take a call: many times
-	// the way between failure domains and the pause of a busy host.
-	acceptTimeout = 250 * time.Millisecond
+	// the way between failure domains, and the pause of a host that has used up
+	// its share of a tenth of a second.
+	acceptTimeout = 130 * time.Millisecond
 	// sameDomainWay and otherDomainWay are the times of one way between nodes.
 	sameDomainWay  = 200 * time.Microsecond
 	otherDomainWay = 1100 * time.Microsecond
@@ -61,6 +62,8 @@
 	failed *Answer
 	// doubtful is the newest send whose outcome is unknown.
 	doubtful *Answer
+	// unreachable is set after an offer to a node that was suspected already.
+	unreachable bool
 }
 
 // carry offers the call to executors until one answers or nothing is left to
@@ -202,7 +205,10 @@
 			sound = append(sound, cell)
 		}
 	}
-	if len(sound) == 0 {
+	if len(sound) == 0 && !p.unreachable {
+		// One of them may be back; more than one question would only delay the
+		// refusal.
+		p.unreachable = true
 		return suspected
 	}
 	return sound
@@ -410,7 +416,7 @@
 	})
 	got, err := p.entry.Peers.Do(ctx, cell.Record.PeerAddr, &h1.Call{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
-		Hold: !c.Idempotent, MaxIdle: peerMaxIdle, Interim: func(status int) {
+		Hold: true, MaxIdle: peerMaxIdle, Interim: func(status int) {
 			accept.Stop()
 			if status == statusSlow {
 				slow()
