Call the store less and find the fleet at once after a restart

Change: the listing comes first and calls follow each other; two listings at the start, leases of 10 s, a record is written when others cannot learn the change from each other. Bytes between failure domains count at their price.

--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -19,22 +19,27 @@
 const (
 	// prefix holds the records of all nodes.
 	prefix = "nodes/"
-	// ttl is the life of a record without renewal: three renewals.
-	ttl = 5 * time.Second
+	// ttl is the life of a record without renewal: three renewals. Nodes that do
+	// not answer are avoided long before.
+	ttl = 10 * time.Second
 	// renewEvery spaces renewals.
-	renewEvery = 1600 * time.Millisecond
+	renewEvery = 3200 * time.Millisecond
 	// retryEvery spaces calls while the store does not answer. Refused calls
 	// are paid for as well.
 	retryEvery = 600 * time.Millisecond
 	// listEvery spaces the listings, which may be old.
-	listEvery = 3 * time.Second
+	listEvery = 10 * time.Second
+	// serverWait is how long the first record waits for the backend server, so
+	// that one write tells both.
+	serverWait = 500 * time.Millisecond
 	// tick is the resolution of the above.
 	tick = 100 * time.Millisecond
 )
 
 // startListings are the ages of the node at which it reads a listing that is
-// not old: all nodes of a site may start together.
-var startListings = []time.Duration{0, 400 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
+// not old: at once, since nodes that were there before are listed, and once
+// more since all nodes of a site may start together.
+var startListings = []time.Duration{0, 1500 * time.Millisecond}
 
 // Store is what the controller needs of the store.
 type Store interface {
@@ -76,27 +81,52 @@
 
 // Run registers the node until ctx ends, then withdraws it.
 func (c *Controller) Run(ctx context.Context) {
-	control.Every(ctx, tick, func(now time.Time) { c.step(ctx, now) })
+	c.steps(ctx, time.Now())
+	control.Every(ctx, tick, func(now time.Time) { c.steps(ctx, now) })
 	c.withdraw()
 }
 
-// step makes at most one kind of call, the most urgent one.
-func (c *Controller) step(ctx context.Context, now time.Time) {
+// steps makes the calls that are due, the most urgent one first.
+func (c *Controller) steps(ctx context.Context, now time.Time) {
+	for ctx.Err() == nil && c.step(ctx, now) {
+		now = time.Now()
+	}
+}
+
+// step makes at most one call and reports whether it did.
+func (c *Controller) step(ctx context.Context, now time.Time) bool {
 	if now.Sub(c.failedAt) < retryEvery {
-		return
+		return false
 	}
 	own, known := c.board.Fleet.Load().ByInstance[c.board.Self.Instance]
 	switch {
 	case !known:
+		return false
+	case c.listings == 0:
+		c.list(ctx, now)
 	case c.lease == "":
 		c.grant(ctx, now)
-	case c.written != own.Record:
+	case c.writeDue(own.Record, now):
 		c.write(ctx, own.Record)
 	case now.Sub(c.renewedAt) >= renewEvery:
 		c.renew(ctx, now)
 	case c.listingDue(now):
 		c.list(ctx, now)
+	default:
+		return false
+	}
+	return true
+}
+
+// writeDue reports whether the store has to hold another record. Other nodes
+// learn the short-lived parts from each other.
+func (c *Controller) writeDue(own board.NodeRecord, now time.Time) bool {
+	if c.written.Instance == "" {
+		return own.ServerID != "" || now.Sub(c.started) >= serverWait
 	}
+	was := c.written
+	return was.ServerID != own.ServerID || was.Born != own.Born || was.Leaving != own.Leaving ||
+		(was.State >= board.ServerDraining) != (own.State >= board.ServerDraining)
 }
 
 func (c *Controller) listingDue(now time.Time) bool {
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -29,7 +29,7 @@
 	watchers = 2
 	// quietLimit is the time without confirmation after which a node asks the
 	// store itself; quietJitter spreads the questions of many nodes.
-	quietLimit  = 1300 * time.Millisecond
+	quietLimit  = 1500 * time.Millisecond
 	quietJitter = 300 * time.Millisecond
 	// pollEvery spaces the looks at the time of the confirmation.
 	pollEvery = 100 * time.Millisecond
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -34,9 +34,9 @@
 	sameDomainWay  = 200 * time.Microsecond
 	otherDomainWay = 1100 * time.Microsecond
 	// byteCost is the time that an answer's byte across failure domains counts
-	// as: traffic between them is paid for, and a bundle of 90 kB is worth
-	// about 100 ms.
-	byteCost = 1100 * time.Nanosecond
+	// as. At the price of that traffic a bundle of 90 kB costs over half of what
+	// its answer is worth, as much as half a second of most objectives.
+	byteCost = 5 * time.Microsecond
 	// placeTolerance is the difference in expected time below which executors
 	// are equal: figures are never exact to this.
 	placeTolerance = 2 * time.Millisecond
@@ -190,7 +190,8 @@
 	if p.offers >= offersWithPatience || choice.Next == 0 {
 		return cell, 0
 	}
-	return cell, max(choice.Next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
+	next := choice.Next - candidates[choice.Index].Cost
+	return cell, max(next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
 }
 
 // cells returns the executors that may be asked.
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -89,8 +89,9 @@
 	n.stopping = n.board.Stopping.Claim("meshnode")
 	scope, handler, closer := metrics.New(map[string]string{"node": s.Instance})
 	n.metricsHTTP, n.metricsDone = handler, closer.Close
-	n.buildCallPath(metrics.NewMesh(scope))
-	n.buildControllers()
+	counters := metrics.NewMesh(scope)
+	n.buildCallPath(counters)
+	n.buildControllers(counters)
 	n.buildServers()
 	if err := n.bind(); err != nil {
 		n.closeListeners()
@@ -123,8 +124,12 @@
 	}
 }
 
-func (n *Node) buildControllers() {
-	store := platform.NewClient(n.settings.Store, platform.WithTimeout(storeTimeout))
+func (n *Node) buildControllers(counters *metrics.Mesh) {
+	store := platform.NewClient(n.settings.Store, platform.WithTimeout(storeTimeout),
+		platform.WithObserver(func(kind platform.Kind, result platform.Result) {
+			counters.Count("store_calls", map[string]string{"kind": string(kind), "result": string(result)})
+			n.log.Debug().Str("event", "store_call").Str("kind", string(kind)).Str("result", string(result)).Send()
+		}))
 	n.controllers = []control.Controller{
 		ownserver.New(n.board, n.log),
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.Load, n.log),
--- a/pkg/metrics/mesh.go
+++ b/pkg/metrics/mesh.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// Count adds to a plain counter.
-func (m *Mesh) Count(name string, n int64) {
+// Count adds one to a counter with tags.
+func (m *Mesh) Count(name string, tags map[string]string) {
 	if m != nil {
-		m.scope.Counter(name).Inc(n)
+		m.scope.Tagged(tags).Counter(name).Inc(1)
 	}
 }
