Let one node watch the configuration and one step in early

Change: the first node in a fixed order watches, the second asks the store after 1 s without confirmation, all others after 1.5 s. Bytes between failure domains count at half their price.

--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,11 +23,13 @@
 	// leaves a waiting watch without news; only the next call tells. A change
 	// is to be in force within 2 s.
 	watchWait = 600 * time.Millisecond
-	// watchers is the number of nodes that follow the store; the second one
-	// covers the time until the loss of the first is known.
-	watchers = 2
-	// quietLimit is the time without confirmation after which a node asks the
-	// store itself; quietJitter spreads the questions of many nodes.
+	// backups is the number of nodes that step in early when the watcher brings
+	// no confirmation.
+	backups = 1
+	// backupLimit and quietLimit are the times without confirmation after which
+	// a backup and any other node ask the store themselves; quietJitter spreads
+	// the questions of many nodes.
+	backupLimit = time.Second
 	quietLimit  = 1500 * time.Millisecond
 	quietJitter = 300 * time.Millisecond
 	// pollEvery spaces the looks at the time of the confirmation.
@@ -130,9 +131,14 @@
 // other node asks it only when it has not heard for too long, from whatever
 // node, that the version in force is the newest.
 func (c *Controller) watch(ctx context.Context) {
-	limit := quietLimit + rand.N(quietJitter)
+	jitter := rand.N(quietJitter)
 	for ctx.Err() == nil {
-		watcher := c.isWatcher()
+		rank := c.watchRank()
+		watcher := rank == 0
+		limit := quietLimit + jitter
+		if rank <= backups {
+			limit = backupLimit
+		}
 		if !watcher && time.Since(c.board.Confirmed.At()) < limit {
 			control.Sleep(ctx, pollEvery)
 			continue
@@ -156,8 +162,9 @@
 	}
 }
 
-// isWatcher reports whether this node is one of those that follow the store.
-func (c *Controller) isWatcher() bool {
+// watchRank returns the place of this node in the order of those that follow
+// the store; 0 is the watcher.
+func (c *Controller) watchRank() int {
 	view := c.board.Fleet.Load()
 	ids := make([]board.InstanceID, 0, len(view.ByInstance))
 	for id, cell := range view.ByInstance {
@@ -165,13 +172,13 @@
 			ids = append(ids, id)
 		}
 	}
-	return slices.Contains(fleet.Watchers(ids, watchers), c.board.Self.Instance)
+	return fleet.WatchRank(ids, c.board.Self.Instance)
 }
 
 // followWatch follows the changes after a revision until the watch breaks or
 // this node is no watcher any more.
 func (c *Controller) followWatch(ctx context.Context, after uint64) {
-	for ctx.Err() == nil && c.isWatcher() {
+	for ctx.Err() == nil && c.watchRank() == 0 {
 		asked := time.Now()
 		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, watchWait)
 		if errors.Is(err, platform.ErrCompacted) {
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -70,12 +70,15 @@
 	return h.Sum64()
 }
 
-// Watchers returns the nodes that follow the configuration in the store: the
-// first count in an order that is the same on all nodes with the same view.
-func Watchers(ids []board.InstanceID, count int) []board.InstanceID {
-	sorted := slices.Clone(ids)
-	slices.SortFunc(sorted, func(a, b board.InstanceID) int {
-		return cmp.Or(cmp.Compare(hashing.String(string(a)), hashing.String(string(b))), cmp.Compare(a, b))
-	})
-	return sorted[:min(count, len(sorted))]
+// WatchRank returns the place of a node in an order of all nodes that is the
+// same wherever the same nodes are known.
+func WatchRank(ids []board.InstanceID, self board.InstanceID) int {
+	own := hashing.String(string(self))
+	rank := 0
+	for _, id := range ids {
+		if id != self && cmp.Or(cmp.Compare(hashing.String(string(id)), own), cmp.Compare(id, self)) < 0 {
+			rank++
+		}
+	}
+	return rank
 }
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -35,8 +35,8 @@
 	otherDomainWay = 1100 * time.Microsecond
 	// byteCost is the time that an answer's byte across failure domains counts
 	// as. At the price of that traffic a bundle of 90 kB costs over half of what
-	// its answer is worth, as much as half a second of most objectives.
-	byteCost = 5 * time.Microsecond
+	// its answer is worth; half of that is left to the objective.
+	byteCost = 2500 * time.Nanosecond
 	// placeTolerance is the difference in expected time below which executors
 	// are equal: figures are never exact to this.
 	placeTolerance = 2 * time.Millisecond
