--- /dev/null
+++ b/pkg/decide/concurrency/concurrency_test.go
@@ -0,0 +1,53 @@
+package concurrency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// play runs calls on a server with 13 slots under lasting load, whose work
+// takes knee times as long above ten calls at once, and returns the limits.
+func play(knee float64, calls int) []int {
+	now := time.Unix(0, 0)
+	var state State
+	var limits []int
+	for range calls {
+		limit := state.Limit(13, now)
+		limits = append(limits, limit)
+		ratio := 1.0
+		if limit > 10 {
+			ratio = knee
+		}
+		state = Next(state, Sample{Ratio: ratio, Running: limit, Slots: 13, MostSlowdown: 1}, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	return limits
+}
+
+// Guards against a server that is driven beyond its knee for longer than it
+// takes to find out, and against empty slots of a server without one.
+func TestLimitFollowsTheKnee(t *testing.T) {
+	require.Equal(t, 10, play(1.7, 200)[199])
+	require.Equal(t, 13, play(1.0, 200)[199])
+	beyond := 0
+	for _, limit := range play(1.7, 3000) {
+		if limit > 10 {
+			beyond++
+		}
+	}
+	require.Less(t, beyond, 100)
+}
+
+// Guards against the work of slow hosts that is put down to the load.
+func TestDisturbedCallsDoNotCount(t *testing.T) {
+	now := time.Unix(0, 0)
+	var state State
+	for range 100 {
+		state = Next(state, Sample{Ratio: 1, Running: 5, Slots: 13, MostSlowdown: 1}, now)
+		state = Next(state, Sample{Ratio: 7, Running: 13, Slots: 13, MostSlowdown: 7}, now)
+	}
+	require.False(t, state.Decided(now))
+	require.Equal(t, 13, state.Limit(13, now))
+}
--- /dev/null
+++ b/pkg/decide/fleet/fleet_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// The rule that decides between contact and the store. Guards against nodes
+// that are lost while the store is away, and against nodes that are kept after
+// it has returned without them.
+func TestAlive(t *testing.T) {
+	for name, c := range map[string]struct {
+		evidence Evidence
+		alive    bool
+	}{
+		"listed and heard":                       {Evidence{Listed: true, ListingFresh: true, Heard: true, SeenFor: time.Minute}, true},
+		"heard, lapsed in the store":             {Evidence{ListingFresh: true, Heard: true, SeenFor: time.Minute}, true},
+		"silent but listed":                      {Evidence{Listed: true, ListingFresh: true, SeenFor: time.Minute}, true},
+		"silent, store away":                     {Evidence{SeenFor: time.Minute}, true},
+		"silent and missing after the return":    {Evidence{ListingFresh: true, SeenFor: time.Minute}, false},
+		"new, not listed yet":                    {Evidence{ListingFresh: true, SeenFor: time.Second}, true},
+		"left, its record is still in the store": {Evidence{Listed: true, Heard: true, Left: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.alive, Alive(c.evidence)) })
+	}
+}
+
+// Guards against fleets in which no node or each node follows the store.
+func TestWatchRankIsAnOrder(t *testing.T) {
+	ids := []board.InstanceID{"a", "b", "c", "d"}
+	seen := map[int]bool{}
+	for _, id := range ids {
+		seen[WatchRank(ids, id)] = true
+	}
+	require.Equal(t, map[int]bool{0: true, 1: true, 2: true, 3: true}, seen)
+}
+
+// Guards against exchanges of all records between nodes that know the same.
+func TestDigest(t *testing.T) {
+	a, b := board.NodeRecord{Instance: "a", Sequence: 1}, board.NodeRecord{Instance: "b", Sequence: 1}
+	require.Equal(t, Digest([]board.NodeRecord{a, b}), Digest([]board.NodeRecord{b, a}))
+	changed := b
+	changed.Sequence = 2
+	require.NotEqual(t, Digest([]board.NodeRecord{a, b}), Digest([]board.NodeRecord{a, changed}))
+}
--- /dev/null
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -0,0 +1,59 @@
+package earliest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/decide/estimate"
+)
+
+const ms = time.Millisecond
+
+func candidate(running int, slowdown float64) Candidate {
+	return Candidate{Load: estimate.Load{Running: running, Slots: 4, Slowdown: slowdown, Mean: 100 * ms}}
+}
+
+// Guards against calls for a full, slow, failing or distant backend server
+// while a better one is known.
+func TestChooseAvoidsWorseServers(t *testing.T) {
+	failing, distant := candidate(0, 1), candidate(0, 1)
+	failing.Failing = 0.5
+	distant.Cost = 200 * ms
+	for name, worse := range map[string]Candidate{
+		"full": candidate(4, 1), "slow": candidate(0, 7), "failing": failing, "distant": distant,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for draw := range uint64(8) {
+				choice, ok := Choose([]Candidate{worse, candidate(1, 1)}, 100*ms, ms, draw)
+				require.True(t, ok)
+				require.Equal(t, 1, choice.Index)
+				require.Greater(t, choice.Next, choice.Expected)
+			}
+		})
+	}
+}
+
+// Guards against all callers choosing the same one of equal backend servers.
+func TestEqualServersShareCalls(t *testing.T) {
+	got := map[int]int{}
+	for draw := range uint64(30) {
+		choice, _ := Choose([]Candidate{candidate(0, 1), candidate(1, 1), candidate(2, 1)}, 100*ms, ms, draw)
+		got[choice.Index]++
+	}
+	require.Equal(t, map[int]int{0: 10, 1: 10, 2: 10}, got)
+}
+
+// Guards against a call without a choice, and against an excluded backend server
+// that is used while there is another one.
+func TestExcludedServers(t *testing.T) {
+	_, ok := Choose(nil, 100*ms, ms, 0)
+	require.False(t, ok)
+	excluded := candidate(0, 1)
+	excluded.Excluded = true
+	choice, _ := Choose([]Candidate{excluded, candidate(4, 7)}, 100*ms, ms, 0)
+	require.Equal(t, 1, choice.Index)
+	choice, _ = Choose([]Candidate{excluded}, 100*ms, ms, 0)
+	require.Equal(t, 0, choice.Index)
+}
