Ask a node that the store does not list before it is given up

Cause: a test of the directory: with random exchanges a living node is often not heard for 3 s, and was dropped when its record had lapsed in the store. Change: such nodes are asked first and are gone only if they do not answer; times that are compared are kept as readings of the steady clock.

--- a/pkg/board/attempts.go
+++ b/pkg/board/attempts.go
@@ -12,7 +12,14 @@
 // AttemptBudgets count the calls and the additional attempts of this node by
 // service in a sliding window. The counters are atomics; two calls that begin a
 // new part of the window at once may lose one of each other's counts.
-type AttemptBudgets struct{ byService sync.Map }
+type AttemptBudgets struct {
+	// base is what times are counted from, on the steady clock.
+	base      time.Time
+	byService sync.Map
+}
+
+// NewAttemptBudgets returns empty windows.
+func NewAttemptBudgets(now time.Time) *AttemptBudgets { return &AttemptBudgets{base: now} }
 
 // attemptWindow is the window of one service.
 type attemptWindow struct{ parts [attemptBuckets]attemptPart }
@@ -51,23 +58,24 @@
 	return v.(*attemptWindow)
 }
 
-func partNumber(window time.Duration, now time.Time) int64 {
-	return sinceStart(now)/int64(window/attemptBuckets) + 1
+// partNumber returns the number of a part of the window, from 1 on.
+func (b *AttemptBudgets) partNumber(window time.Duration, now time.Time) int64 {
+	return int64(max(0, now.Sub(b.base)))/int64(window/attemptBuckets) + 1
 }
 
 // Call counts a call of a caller.
 func (b *AttemptBudgets) Call(service string, window time.Duration, now time.Time) {
-	b.of(service).part(partNumber(window, now)).calls.Add(1)
+	b.of(service).part(b.partNumber(window, now)).calls.Add(1)
 }
 
 // Spend counts additional attempts, which may be a fraction.
 func (b *AttemptBudgets) Spend(service string, attempts float64, window time.Duration, now time.Time) {
-	b.of(service).part(partNumber(window, now)).extraMilli.Add(int64(1000 * attempts))
+	b.of(service).part(b.partNumber(window, now)).extraMilli.Add(int64(1000 * attempts))
 }
 
 // Counts returns what the windows of all services hold.
 func (b *AttemptBudgets) Counts(window time.Duration, now time.Time) []AttemptCount {
-	number := partNumber(window, now)
+	number := b.partNumber(window, now)
 	var counts []AttemptCount
 	b.byService.Range(func(key, v any) bool {
 		count := AttemptCount{Service: key.(string)}
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -76,7 +76,7 @@
 		Stopping:      NewSection("stopping", &Stopping{}),
 		Pulse:         &Pulse{},
 		Works:         &Works{},
-		Budgets:       &AttemptBudgets{},
+		Budgets:       NewAttemptBudgets(time.Now()),
 		Confirmed:     &Confirmation{},
 		Announcements: NewInbox[ServerEvent](heartbeatInboxSize),
 		Records:       NewInbox[RecordsEvent](recordsInboxSize),
@@ -85,21 +85,26 @@
 }
 
 // Confirmation is a time that only moves forward.
-type Confirmation struct{ at atomic.Int64 }
+type Confirmation struct{ at atomic.Pointer[time.Time] }
 
 // Advance moves the time forward to t.
 func (c *Confirmation) Advance(t time.Time) {
-	next := sinceStart(t)
 	for {
 		old := c.at.Load()
-		if next <= old || c.at.CompareAndSwap(old, next) {
+		if old != nil && !t.After(*old) || c.at.CompareAndSwap(old, &t) {
 			return
 		}
 	}
 }
 
-// At returns the time; at first it is the start of the process.
-func (c *Confirmation) At() time.Time { return processStart.Add(time.Duration(c.at.Load())) }
+// Age returns how long ago the time is. It is long before any confirmation.
+func (c *Confirmation) Age(now time.Time) time.Duration {
+	at := c.at.Load()
+	if at == nil {
+		return time.Hour
+	}
+	return now.Sub(*at)
+}
 
 // Stopping says whether the node is on its way out.
 type Stopping struct {
@@ -250,19 +255,15 @@
 
 // Reach is what this node knows about the way to another one.
 type Reach struct {
-	// heard is the time of the last answer in nanoseconds since the start of
-	// the process, failures the exchanges without an answer since then.
-	heard    atomic.Int64
+	// heard is the time of the last answer, failures the exchanges without an
+	// answer since then.
+	heard    atomic.Pointer[time.Time]
 	failures atomic.Int32
 }
 
-var processStart = time.Now()
-
-func sinceStart(t time.Time) int64 { return int64(t.Sub(processStart)) }
-
 // Heard notes an answer of the node.
 func (r *Reach) Heard(now time.Time) {
-	r.heard.Store(sinceStart(now))
+	r.heard.Store(&now)
 	r.failures.Store(0)
 }
 
@@ -276,7 +277,7 @@
 // HeardSince reports whether the node answered after the time.
 func (r *Reach) HeardSince(t time.Time) bool {
 	heard := r.heard.Load()
-	return heard > 0 && heard >= sinceStart(t)
+	return heard != nil && !heard.Before(t)
 }
 
 // Fleet is an immutable view of the nodes.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -71,6 +71,9 @@
 	seen    time.Time
 	alive   bool
 	aliveAt time.Time
+	// unlisted is set when the store does not list the node and it was not heard
+	// lately; it is asked before it is given up.
+	unlisted bool
 }
 
 // New claims the section. The incarnation rises with each start of the node.
@@ -228,8 +231,9 @@
 		alive := fleet.Alive(fleet.Evidence{
 			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
 			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
-			Left:  e.cell.Record.Leaving, SeenFor: now.Sub(e.seen),
+			Left:  e.cell.Record.Leaving, SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
 		})
+		e.unlisted = settled && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
 		if alive {
 			e.aliveAt = now
 		}
@@ -286,7 +290,7 @@
 		if e.cell.Record.Leaving {
 			continue
 		}
-		if e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
+		if e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
 			doubtful = append(doubtful, id)
 		}
 		ids = append(ids, id)
@@ -372,7 +376,7 @@
 // messageAge is added to the age of a confirmation for the way of its message.
 const messageAge = 20 * time.Millisecond
 
-func confirmedAge(b *board.Mesh) int64 { return time.Since(b.Confirmed.At()).Milliseconds() }
+func confirmedAge(b *board.Mesh) int64 { return b.Confirmed.Age(time.Now()).Milliseconds() }
 
 // Answer takes a message of another node and returns the answer: the own record
 // alone when both sides know the same, else all records.
--- /dev/null
+++ b/pkg/control/directory/directory_test.go
@@ -0,0 +1,199 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+)
+
+// One processor: the race detector of Go 1.26 crashes when two threads run
+// timers of one synctest bubble at the same time.
+func init() { runtime.GOMAXPROCS(1) }
+
+// network carries exchanges between the boards of a test.
+type network struct {
+	mu     sync.Mutex
+	boards map[string]*board.Mesh
+	cut    map[string]bool
+}
+
+func (n *network) set(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+}
+
+func (n *network) reach(from, to string) *board.Mesh {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[from] || n.cut[to] {
+		return nil
+	}
+	return n.boards[to]
+}
+
+func (n *network) exchanger(from string) Exchanger {
+	return func(ctx context.Context, addr string, m *Message) (*Message, error) {
+		to := n.reach(from, addr)
+		if to == nil {
+			<-ctx.Done()
+			return nil, errors.Trace(ctx.Err())
+		}
+		return Answer(to, m, board.LoadReport{}), nil
+	}
+}
+
+type testNode struct {
+	board  *board.Mesh
+	server *board.Writer[*board.Server]
+	store  *board.Writer[*board.StoreView]
+}
+
+func (n *network) start(ctx context.Context, number int, incarnation uint64) *testNode {
+	addr := fmt.Sprintf("addr-%d", number)
+	b := board.NewMesh(board.Self{Instance: board.InstanceID(fmt.Sprintf("n%d", number)), Service: "desk", PeerAddr: addr})
+	n.mu.Lock()
+	n.boards[addr] = b
+	n.mu.Unlock()
+	t := &testNode{board: b, server: b.Server.Claim("test"), store: b.Store.Claim("test")}
+	t.server.Publish(&board.Server{ID: fmt.Sprintf("s%d", number), State: board.ServerReady, Service: "desk", Slots: 4})
+	c := New(b, incarnation, n.exchanger(addr), func() board.LoadReport { return board.LoadReport{} }, zerolog.Nop())
+	go c.Run(ctx)
+	return t
+}
+
+func newNetwork() *network { return &network{boards: map[string]*board.Mesh{}, cut: map[string]bool{}} }
+
+// fleet starts nodes of which each knows only the first one from the store.
+func fleetOf(ctx context.Context, n *network, size int) []*testNode {
+	var nodes []*testNode
+	for i := range size {
+		nodes = append(nodes, n.start(ctx, i, 1))
+	}
+	synctest.Wait()
+	time.Sleep(tick)
+	first := nodes[0].board.Fleet.Load().ByInstance["n0"].Record
+	for _, node := range nodes {
+		node.list(first)
+	}
+	return nodes
+}
+
+// list publishes a listing of the store.
+func (t *testNode) list(records ...board.NodeRecord) {
+	view := &board.StoreView{Reachable: true, Since: time.Now().Add(-time.Hour), ListedAt: time.Now(), Listed: map[board.InstanceID]board.NodeRecord{}}
+	for _, record := range records {
+		view.Listed[record.Instance] = record
+	}
+	t.store.Publish(view)
+}
+
+func takers(t *testNode) int { return len(t.board.Fleet.Load().ByService["desk"]) }
+
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for started := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		synctest.Wait()
+		if holds() {
+			return
+		}
+		require.Less(t, time.Since(started), limit, what)
+	}
+}
+
+func all(nodes []*testNode, count int) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			if takers(n) != count {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against nodes that do not find each other through one common record,
+// and against a drain that stays unknown to some for longer than 1 s.
+func TestRecordsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nodes := fleetOf(ctx, newNetwork(), 20)
+		within(t, 5*time.Second, "all know all", all(nodes, 20))
+		nodes[3].server.Publish(&board.Server{ID: "s3", State: board.ServerDraining, Service: "desk", Slots: 4})
+		within(t, time.Second, "all know the drain", all(nodes, 19))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against nodes that are lost because the store is away or has dropped
+// their records, and against silent nodes that are never dropped.
+func TestContactGoesBeforeTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork()
+		nodes := fleetOf(ctx, n, 6)
+		within(t, 5*time.Second, "all know all", all(nodes, 6))
+		for _, node := range nodes {
+			node.list()
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.True(t, all(nodes, 6)(), "records lapsed in the store, but all answer")
+
+		n.set("addr-5", true)
+		for _, node := range nodes[:5] {
+			node.store.Publish(&board.StoreView{})
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.True(t, all(nodes[:5], 6)(), "the store cannot tell")
+		within(t, 30*time.Second, "the silent node is suspected", func() bool {
+			return nodes[0].board.Fleet.Load().ByInstance["n5"].Reach.Suspected()
+		})
+		for _, node := range nodes[:5] {
+			node.list()
+		}
+		within(t, 2*time.Second, "the silent node is dropped", all(nodes[:5], 5))
+
+		n.set("addr-5", false)
+		within(t, 5*time.Second, "it is back after the partition", all(nodes, 6))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a node whose clock went back and whose new records are taken
+// for old ones.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork()
+		old, stop := context.WithCancel(ctx)
+		first := n.start(old, 0, 100)
+		second := n.start(ctx, 1, 1)
+		time.Sleep(tick)
+		synctest.Wait()
+		first.list(second.board.Fleet.Load().ByInstance["n1"].Record)
+		within(t, 5*time.Second, "both know both", all([]*testNode{first, second}, 2))
+		stop()
+		synctest.Wait()
+		again := n.start(ctx, 0, 50)
+		again.server.Publish(&board.Server{ID: "new", State: board.ServerReady, Service: "desk", Slots: 4})
+		within(t, 5*time.Second, "the new life is known", func() bool {
+			return second.board.Fleet.Load().ByInstance["n0"].Record.ServerID == "new"
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -139,7 +139,7 @@
 		if rank <= backups {
 			limit = backupLimit
 		}
-		if !watcher && time.Since(c.board.Confirmed.At()) < limit {
+		if !watcher && c.board.Confirmed.Age(time.Now()) < limit {
 			control.Sleep(ctx, pollEvery)
 			continue
 		}
@@ -147,7 +147,7 @@
 		entry, asOf, err := c.store.GetAsOf(ctx, platform.ConfigKey)
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
-				Dur("confirmed_age", time.Since(c.board.Confirmed.At())).Send()
+				Dur("confirmed_age", c.board.Confirmed.Age(time.Now())).Send()
 			control.Sleep(ctx, retryEvery)
 			continue
 		}
--- /dev/null
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -0,0 +1,146 @@
+package routefeed
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/fleet"
+	"mangostand.example/mangostand/pkg/standin/store"
+	"mangostand.example/mangostand/platform"
+)
+
+// One processor: the race detector of Go 1.26 crashes when two threads run
+// timers of one synctest bubble at the same time.
+func init() { runtime.GOMAXPROCS(1) }
+
+func document(version int) []byte {
+	return fmt.Appendf(nil, `{"version":"r%d","listeners":[],"clusters":[]}`, version)
+}
+
+// deafStore is a store whose watches hear nothing.
+type deafStore struct {
+	Store
+	deaf atomic.Bool
+}
+
+func (d *deafStore) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+	if !d.deaf.Load() {
+		return d.Store.WatchPrefix(ctx, prefix, after, wait)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil, after, errors.Trace(platform.ErrCompacted)
+	case <-ctx.Done():
+		return nil, after, errors.Trace(ctx.Err())
+	}
+}
+
+// start runs a controller that sees the given nodes besides itself.
+func start(ctx context.Context, self board.InstanceID, others []board.InstanceID, s Store, pull Puller) *board.Mesh {
+	b := board.NewMesh(board.Self{Instance: self})
+	view := &board.Fleet{ByInstance: map[board.InstanceID]*board.MeshCell{self: {}}}
+	for _, id := range others {
+		view.ByInstance[id] = &board.MeshCell{}
+	}
+	b.Fleet.Claim("test").Publish(view)
+	go New(b, s, pull, zerolog.Nop()).Run(ctx)
+	return b
+}
+
+func put(t *testing.T, s *store.Store, version int) {
+	t.Helper()
+	_, err := s.Commit(nil, []platform.Entry{{Key: platform.ConfigKey, Value: document(version)}}, nil)
+	require.NoError(t, err)
+}
+
+// Guards against a configuration that is not in force within 2 s because the
+// store lost its history while a watch waited (ctrt-mesh scale-1, CONFIG), and
+// against a store whose first configuration comes late.
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := store.New(time.Now)
+		deaf := &deafStore{Store: platform.NewClient("http://store", platform.WithTransport(s.Transport()))}
+		b := start(ctx, "a", nil, deaf, nil)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, b.Routes.Load().Version)
+		put(t, s, 4)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 4, b.Routes.Load().Version)
+		deaf.deaf.Store(true)
+		time.Sleep(time.Second)
+		put(t, s, 7)
+		s.Compact()
+		time.Sleep(1900 * time.Millisecond)
+		require.EqualValues(t, 7, b.Routes.Load().Version)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a node that goes back to an older configuration, from whatever
+// source, and against one that takes a document it does not understand.
+func TestVersionsOnlyRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := store.New(time.Now)
+		put(t, s, 9)
+		pull := func(_ context.Context, addr string) ([]byte, error) {
+			if addr == "broken" {
+				return []byte("{"), nil
+			}
+			return document(5), nil
+		}
+		b := start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), pull)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 9, b.Routes.Load().Version)
+		b.Tables.Post(board.TableHint{From: "old", Version: 20})
+		b.Tables.Post(board.TableHint{From: "broken", Version: 21})
+		put(t, s, 3)
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 9, b.Routes.Load().Version)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against nodes that all follow the store, whose calls are paid for, and
+// against a node that is left behind when nobody confirms its version.
+func TestOthersAskOnlyWithoutConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := store.New(time.Now)
+		put(t, s, 1)
+		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
+		last := ids[0]
+		for _, id := range ids {
+			if fleet.WatchRank(ids, id) > fleet.WatchRank(ids, last) {
+				last = id
+			}
+		}
+		b := start(ctx, last, ids, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		for range 40 {
+			time.Sleep(500 * time.Millisecond)
+			b.Confirmed.Advance(time.Now())
+		}
+		require.EqualValues(t, 1, b.Routes.Load().Version)
+		require.EqualValues(t, 1, s.Calls().ByKind[platform.KindList])
+		put(t, s, 2)
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 2, b.Routes.Load().Version)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -31,6 +31,8 @@
 	ListingFresh bool
 	// Heard is true when the node answered within SilenceLimit.
 	Heard bool
+	// Unanswered is true when the newest exchange with the node failed.
+	Unanswered bool
 	// Left is true when the node said that it leaves.
 	Left bool
 	// SeenFor is how long the node is known.
@@ -51,7 +53,7 @@
 	case !e.ListingFresh:
 		return true
 	}
-	return e.SeenFor < SilenceLimit
+	return !e.Unanswered || e.SeenFor < SilenceLimit
 }
 
 // Digest returns a number that is equal for equal sets of records.
