--- a/cmd/mangostandd/main.go
+++ b/cmd/mangostandd/main.go
@@ -26,21 +26,29 @@
 	exitBadSettings = 2
 )
 
+// defaultFile is the settings file of a node without the platform.
+const defaultFile = "mangostandd.ini"
+
 func main() {
-	file := "mangostandd.ini"
+	file := ""
 	flaggy.SetName("mangostandd")
 	flaggy.SetDescription("mangostand node: runs beside one backend server and carries calls")
 	flaggy.SetVersion(version)
 	flaggy.DefaultParser.ShowCompletion = false
-	flaggy.String(&file, "s", "settings", "settings file of the node (INI)")
-	platformFile := ""
+	flaggy.String(&file, "s", "settings", "settings file of the node (INI), default "+defaultFile+
+		", on the platform the path in "+platform.SettingsVariable)
 	onPlatform := flaggy.NewSubcommand("platform")
 	onPlatform.Description = "run on the users' platform"
-	onPlatform.String(&platformFile, "s", "settings", "settings file (INI), default the path in "+platform.SettingsVariable)
 	flaggy.AttachSubcommand(onPlatform, 1)
 	flaggy.Parse()
+	switch {
+	case onPlatform.Used && file == "":
+		file = os.Getenv(platform.SettingsVariable)
+	case file == "":
+		file = defaultFile
+	}
 	if onPlatform.Used {
-		os.Exit(runPlatform(platformFile))
+		os.Exit(runPlatform(file))
 	}
 	os.Exit(run(file))
 }
--- a/cmd/mangostandd/platform.go
+++ b/cmd/mangostandd/platform.go
@@ -14,7 +14,6 @@
 	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/meshnode"
 	"mangostand.example/mangostand/pkg/settings"
-	"mangostand.example/mangostand/platform"
 )
 
 // settingsPoll spaces the looks at the settings file, which may change without
@@ -23,9 +22,6 @@
 
 // runPlatform runs a node on the users' platform.
 func runPlatform(file string) int {
-	if file == "" {
-		file = os.Getenv(platform.SettingsVariable)
-	}
 	s, problems := settings.LoadMesh(file)
 	if len(problems) > 0 {
 		for _, p := range problems {
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -84,7 +84,7 @@
 	n := &Node{settings: s, log: log, listeners: map[string]net.Listener{}}
 	n.board = board.NewMesh(board.Self{
 		Instance: board.InstanceID(s.Instance), Region: s.Region, FailureDomain: s.FailureDomain,
-		Service: s.Service, PeerAddr: s.Peers, ServerAddr: s.Server,
+		Service: s.Service, PeerAddr: s.AdvertisePeers, ServerAddr: s.Server,
 	})
 	n.stopping = n.board.Stopping.Claim("meshnode")
 	scope, handler, closer := metrics.New(map[string]string{"node": s.Instance})
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -29,6 +29,8 @@
 	Peers     string
 	Local     string
 	Readiness string
+	// AdvertisePeers is the address that other nodes dial; default Peers.
+	AdvertisePeers string
 
 	// Service is the service of the backend server beside the node, Server its
 	// address.
@@ -95,6 +97,9 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
+	if m.AdvertisePeers == "" {
+		m.AdvertisePeers = m.Peers
+	}
 	return m, nil
 }
 
@@ -127,6 +132,8 @@
 		return []inifile.Field{
 			address("callers", &m.Callers).Because("TCP address for callers. Required."),
 			address("peers", &m.Peers).Because("TCP address for other nodes. Required."),
+			address("advertise_peers", &m.AdvertisePeers).
+				Because("Address that other nodes dial; without the key the value of peers."),
 			address("local", &m.Local).Because("TCP address for the backend server's announcements. Required."),
 			address("readiness", &m.Readiness).Because("TCP address for the readiness check and the metrics. Required."),
 		}
--- /dev/null
+++ b/pkg/standin/tcprelay/tcprelay.go
@@ -0,0 +1,146 @@
+// Package tcprelay is a loopback relay that harms the TCP connections through
+// it, for runs that inject faults from outside a process. It is not shipped to
+// production.
+package tcprelay
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Harm is what the relay does to connections.
+type Harm struct {
+	// Refuse resets new connections.
+	Refuse bool
+	// MuteToServer and MuteToClient drop the bytes of one direction and keep
+	// the connections open.
+	MuteToServer bool
+	MuteToClient bool
+	// Delay holds each piece of data.
+	Delay time.Duration
+}
+
+// Relay forwards connections to a target.
+type Relay struct {
+	listener net.Listener
+	target   string
+	harm     atomic.Pointer[Harm]
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Start listens on a free loopback port.
+func Start(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r := &Relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	r.harm.Store(&Harm{})
+	go r.accept()
+	return r, nil
+}
+
+// Addr returns the address of the relay.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Set changes the harm for all connections.
+func (r *Relay) Set(h Harm) { r.harm.Store(&h) }
+
+// Reset resets all open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	r.conns = map[net.Conn]struct{}{}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Reset()
+}
+
+func (r *Relay) accept() {
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(client)
+	}
+}
+
+func (r *Relay) keep(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[conn] = struct{}{}
+}
+
+func (r *Relay) drop(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, conn)
+	_ = conn.Close()
+}
+
+func (r *Relay) serve(client net.Conn) {
+	if r.harm.Load().Refuse {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	server, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	r.keep(client)
+	r.keep(server)
+	done := make(chan struct{})
+	go func() {
+		r.copy(server, client, func(h *Harm) bool { return h.MuteToServer })
+		close(done)
+	}()
+	r.copy(client, server, func(h *Harm) bool { return h.MuteToClient })
+	<-done
+	r.drop(client)
+	r.drop(server)
+}
+
+// bufferSize is the size of one piece of data in bytes.
+const bufferSize = 16 << 10
+
+// copy forwards one direction and passes its end on.
+func (r *Relay) copy(to, from net.Conn, muted func(*Harm) bool) {
+	buf := make([]byte, bufferSize)
+	for {
+		n, err := from.Read(buf)
+		h := r.harm.Load()
+		if n > 0 && !muted(h) {
+			if h.Delay > 0 {
+				time.Sleep(h.Delay)
+			}
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			return
+		}
+	}
+}
