Confirm the configuration on calls between nodes

Change: calls between nodes and their answers carry the version and the age of its confirmation; a lone node watches only after 3 s, registers once it knows its backend server and lists again only while it is alone; a stopping node leaves 0.9 s of its grace.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -106,6 +106,33 @@
 	return now.Sub(*at)
 }
 
+// ConfigWord is what a node says about its configuration.
+type ConfigWord struct {
+	// Version is that of the routes in force at the node.
+	Version uint64 `cbor:"1,keyasint"`
+	// ConfirmedMillis is how long ago some node saw that it is the newest one.
+	ConfirmedMillis int64 `cbor:"2,keyasint"`
+}
+
+// confirmationAge is added to the age of a confirmation for the way of its
+// message.
+const confirmationAge = 20 * time.Millisecond
+
+// ConfigWord returns what this node says.
+func (b *Mesh) ConfigWord(now time.Time) ConfigWord {
+	return ConfigWord{Version: b.Routes.Load().Version, ConfirmedMillis: b.Confirmed.Age(now).Milliseconds()}
+}
+
+// HeardConfig takes what the node at an address says about its configuration.
+func (b *Mesh) HeardConfig(word ConfigWord, from string, now time.Time) {
+	switch current := b.Routes.Load().Version; {
+	case word.Version == current:
+		b.Confirmed.Advance(now.Add(-time.Duration(word.ConfirmedMillis)*time.Millisecond - confirmationAge))
+	case word.Version > current && from != "":
+		b.Tables.Post(TableHint{From: from, Version: word.Version})
+	}
+}
+
 // Stopping says whether the node is on its way out.
 type Stopping struct {
 	// Active is set by the order to stop.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -38,13 +38,10 @@
 	Records  []board.NodeRecord `cbor:"3,keyasint"`
 	// Digest is that of all records of the sender.
 	Digest uint64 `cbor:"4,keyasint"`
-	// ConfigVersion is the version of the sender's routes.
-	ConfigVersion uint64 `cbor:"5,keyasint"`
+	// Config is what the sender knows of the configuration.
+	Config board.ConfigWord `cbor:"5,keyasint"`
 	// Load is the sender's load.
 	Load board.LoadReport `cbor:"6,keyasint"`
-	// ConfirmedMillis is how long ago some node saw that ConfigVersion is the
-	// newest version.
-	ConfirmedMillis int64 `cbor:"7,keyasint"`
 }
 
 // Exchanger sends a message to a node and returns its answer.
@@ -330,7 +327,7 @@
 	c.busy[id] = true
 	message := &Message{
 		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digest: c.writer.Load().Digest,
-		ConfigVersion: c.board.Routes.Load().Version, Load: c.load(), ConfirmedMillis: confirmedAge(c.board),
+		Config: c.board.ConfigWord(time.Now()), Load: c.load(),
 	}
 	go c.run(ctx, e.cell, message)
 }
@@ -361,23 +358,13 @@
 	if len(m.Records) > 0 {
 		b.Records.Post(board.RecordsEvent{Records: m.Records, From: m.From})
 	}
-	switch current := b.Routes.Load().Version; {
-	case m.ConfigVersion == current:
-		b.Confirmed.Advance(time.Now().Add(-time.Duration(m.ConfirmedMillis)*time.Millisecond - messageAge))
-	case m.ConfigVersion > current:
-		b.Tables.Post(board.TableHint{From: m.PeerAddr, Version: m.ConfigVersion})
-	}
+	b.HeardConfig(m.Config, m.PeerAddr, time.Now())
 	if cell := b.Fleet.Load().ByInstance[m.From]; cell != nil {
 		m.Load.ReceivedAt = time.Now()
 		cell.Report(m.Load)
 	}
 }
 
-// messageAge is added to the age of a confirmation for the way of its message.
-const messageAge = 20 * time.Millisecond
-
-func confirmedAge(b *board.Mesh) int64 { return b.Confirmed.Age(time.Now()).Milliseconds() }
-
 // Answer takes a message of another node and returns the answer: the own record
 // alone when both sides know the same, else all records.
 func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
@@ -385,7 +372,7 @@
 	view := b.Fleet.Load()
 	answer := &Message{
 		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digest: view.Digest,
-		ConfigVersion: b.Routes.Load().Version, Load: load, ConfirmedMillis: confirmedAge(b),
+		Config: b.ConfigWord(time.Now()), Load: load,
 	}
 	if m.Digest != view.Digest {
 		for _, cell := range view.ByInstance {
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,17 +31,17 @@
 	// listEvery spaces the listings, which may be old.
 	listEvery = 10 * time.Second
 	// serverWait is how long the first record waits for the backend server, so
-	// that one write tells both.
-	serverWait = 500 * time.Millisecond
+	// that one write tells both. Until then other nodes know this one from its
+	// exchanges with those it finds.
+	serverWait = 5 * time.Second
+	// secondListing and secondJitter say when a node that has found no other one
+	// lists again: all nodes of a site may start together.
+	secondListing = time.Second
+	secondJitter  = time.Second
 	// tick is the resolution of the above.
 	tick = 100 * time.Millisecond
 )
 
-// startListings are the ages of the node at which it reads a listing that is
-// not old: at once, since nodes that were there before are listed, and once
-// more since all nodes of a site may start together.
-var startListings = []time.Duration{0, 1500 * time.Millisecond}
-
 // Store is what the controller needs of the store.
 type Store interface {
 	Put(ctx context.Context, key string, value []byte, lease string) (uint64, error)
@@ -66,6 +67,8 @@
 	failedAt  time.Time
 	listedAt  time.Time
 	listings  int
+	// relist is the time between listings while no other node is known.
+	relist time.Duration
 	// settled is set after a listing that was read ReturnTime after the store
 	// came back.
 	settledAt time.Time
@@ -73,7 +76,7 @@
 
 // New claims the section.
 func New(b *board.Mesh, store Store, log zerolog.Logger) *Controller {
-	return &Controller{board: b, store: store, log: log, writer: b.Store.Claim("registration"), started: time.Now()}
+	return &Controller{board: b, store: store, log: log, writer: b.Store.Claim("registration"), started: time.Now(), relist: secondListing + rand.N(secondJitter)}
 }
 
 // Name returns the name of the controller.
@@ -130,12 +133,15 @@
 }
 
 func (c *Controller) listingDue(now time.Time) bool {
-	if c.listings < len(startListings) && now.Sub(c.started) >= startListings[c.listings] {
+	if c.alone() && now.Sub(c.listedAt) >= c.relist {
 		return true
 	}
 	return now.Sub(c.listedAt) >= listEvery
 }
 
+// alone reports whether no other node is known.
+func (c *Controller) alone() bool { return c.board.Fleet.Load().Size <= 1 }
+
 // note records whether a call of the store succeeded.
 func (c *Controller) note(call string, err error) bool {
 	now := time.Now()
@@ -196,7 +202,7 @@
 func (c *Controller) list(ctx context.Context, now time.Time) {
 	read := c.store.ListStale
 	view := c.writer.Load()
-	fresh := c.listings < len(startListings) || c.settledAt.Before(view.Since)
+	fresh := c.alone() || c.settledAt.Before(view.Since)
 	if fresh {
 		read = c.store.List
 	}
@@ -205,8 +211,8 @@
 		return
 	}
 	c.listedAt = now
+	c.listings++
 	if fresh {
-		c.listings++
 		c.settledAt = now
 	}
 	next := *c.writer.Load()
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -32,6 +32,9 @@
 	backupLimit = time.Second
 	quietLimit  = 1500 * time.Millisecond
 	quietJitter = 300 * time.Millisecond
+	// aloneLimit is the age up to which a node that knows no other one does not
+	// take itself for the watcher.
+	aloneLimit = 3 * time.Second
 	// pollEvery spaces the looks at the time of the confirmation.
 	pollEvery = 100 * time.Millisecond
 	// retryEvery spaces calls while the store does not answer.
@@ -51,11 +54,12 @@
 
 // Controller keeps the routes.
 type Controller struct {
-	board  *board.Mesh
-	store  Store
-	pull   Puller
-	log    zerolog.Logger
-	writer *board.Writer[*dynconf.Table]
+	board   *board.Mesh
+	store   Store
+	pull    Puller
+	log     zerolog.Logger
+	writer  *board.Writer[*dynconf.Table]
+	started time.Time
 	// documents carries what the watch has read to the writer.
 	documents chan source
 }
@@ -71,7 +75,7 @@
 // New claims the section.
 func New(b *board.Mesh, store Store, pull Puller, log zerolog.Logger) *Controller {
 	return &Controller{
-		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"),
+		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), started: time.Now(),
 		documents: make(chan source, documentQueue),
 	}
 }
@@ -172,6 +176,10 @@
 			ids = append(ids, id)
 		}
 	}
+	if len(ids) <= 1 && time.Since(c.started) < aloneLimit {
+		// A node that has just started knows no other one yet.
+		return backups
+	}
 	return fleet.WatchRank(ids, c.board.Self.Instance)
 }
 
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -397,6 +397,7 @@
 		x.Log.Warn().Str("event", "hop_refused").Str("id", h.ID).Msg("call of another node without an expectation")
 		return &h1.Response{Status: http.StatusBadRequest}
 	}
+	x.Board.HeardConfig(h.Config, h.From, r.Received)
 	r.Header.Del(headerHop)
 	c := h.call(r.Received)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
@@ -412,6 +413,7 @@
 	response.Header.Set(headerHop, encodeHop(hopAnswer{
 		Outcome: answer.Outcome, Reason: answer.Reason, Load: *answer.Load,
 		WorkMicros: answer.Work.Microseconds(), WaitMicros: answer.Wait.Microseconds(),
+		Config: x.Board.ConfigWord(time.Now()),
 	}))
 	return response
 }
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -32,6 +32,9 @@
 	PatienceMicros int64  `cbor:"10,keyasint"`
 	Version        uint64 `cbor:"11,keyasint"`
 	Large          bool   `cbor:"12,keyasint"`
+	// Config is what the entry knows of the configuration, From its address.
+	Config board.ConfigWord `cbor:"13,keyasint"`
+	From   string           `cbor:"14,keyasint"`
 }
 
 // hopAnswer is what the executor tells the entry besides the answer.
@@ -41,6 +44,8 @@
 	Load       board.LoadReport `cbor:"3,keyasint"`
 	WorkMicros int64            `cbor:"4,keyasint"`
 	WaitMicros int64            `cbor:"5,keyasint"`
+	// Config is what the executor knows of the configuration.
+	Config board.ConfigWord `cbor:"6,keyasint"`
 }
 
 func encodeHop(v any) string {
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -409,7 +409,10 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	header.Set(headerHop, encodeHop(hopOf(c, cell.Record.ServerID, patience, time.Now())))
+	now := time.Now()
+	h := hopOf(c, cell.Record.ServerID, patience, now)
+	h.Config, h.From = p.entry.Board.ConfigWord(now), p.entry.Board.Self.PeerAddr
+	header.Set(headerHop, encodeHop(h))
 	var silent atomic.Bool
 	accept := time.AfterFunc(acceptTimeout, func() {
 		silent.Store(true)
@@ -430,7 +433,7 @@
 		cancel()
 		return p.sendFailed(cell, err, silent.Load(), canceled)
 	}
-	answer := answerOf(got)
+	answer := p.answerOf(got, cell)
 	answer.Body = onClose(answer.Body, cancel)
 	return answer
 }
@@ -461,12 +464,13 @@
 }
 
 // answerOf reads the answer of an executor.
-func answerOf(got *h1.Answer) *Answer {
+func (p *passage) answerOf(got *h1.Answer, cell *board.MeshCell) *Answer {
 	told, err := takeHopAnswer(got.Header)
 	if err != nil {
 		_ = got.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
+	p.entry.Board.HeardConfig(told.Config, cell.Record.PeerAddr, time.Now())
 	load := told.Load
 	a := &Answer{
 		Outcome: told.Outcome, Reason: told.Reason, Load: &load,
--- a/pkg/meshnode/stop.go
+++ b/pkg/meshnode/stop.go
@@ -10,8 +10,9 @@
 	// acceptAfterStop is how long a stopping node takes new calls: until the
 	// platform has noticed twice, a second apart, that it is not ready.
 	acceptAfterStop = 3 * time.Second
-	// stopMargin is left before the platform's kill.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is left before the platform's kill to withdraw from the store
+	// and to write the last lines of the log.
+	stopMargin = 900 * time.Millisecond
 	// stopPoll spaces the looks at what is unanswered.
 	stopPoll = 20 * time.Millisecond
 	// quietStop is the time without any call after which a stopping node that
