Do not count the time after a start twice

Calls that will be late were refused from half of the slots on. Change: the factor applies only without a load report; late calls are refused from 0.8 of the slots on.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -94,7 +94,7 @@
 
 // busyShare is the share of slots in use from which on a late answer is likely
 // to take the place of one in time.
-const busyShare = 0.5
+const busyShare = 0.8
 
 func busy(load estimate.Load) bool {
 	return float64(load.Running+load.Waiting) >= busyShare*float64(load.Slots)
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -33,7 +33,7 @@
 	// server gets no call from the queue any more.
 	drainMargin = 500 * time.Millisecond
 	// coldSlowdown is how long work takes on a backend server that has just
-	// started, relative to the usual time.
+	// started and has not told its load, relative to the usual time.
 	coldSlowdown = 2
 	// defaultWork is assumed for a rule without samples, as a share of its
 	// objective.
@@ -106,16 +106,16 @@
 	}
 }
 
-// slowdown returns how long work takes now relative to the usual time.
+// slowdown returns how long work takes now relative to the usual time. The load
+// reports of a backend server include the time after its start.
 func (x *Executor) slowdown(server *board.Server, now time.Time) float64 {
-	s := estimate.UsualSlowdown
 	if pulse := x.Board.Pulse.Load(); pulse != nil {
-		s = estimate.Aged(pulse.Slowdown, now.Sub(pulse.At))
+		return estimate.Aged(pulse.Slowdown, now.Sub(pulse.At))
 	}
 	if now.Before(server.WarmUntil) {
-		s *= coldSlowdown
+		return coldSlowdown * estimate.UsualSlowdown
 	}
-	return s
+	return estimate.UsualSlowdown
 }
 
 // limit returns the number of calls that the backend server runs at once.
