--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,14 @@
 # Tests with a known fault that is recorded in KNOWN-RED.txt, as a -skip pattern.
 RED     := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build fmt lint vet test check model quickstart site fuzz faults bench bench-quick capacity clean
+.PHONY: build fmt lint vet test check model quickstart quickstart-platform soak site fuzz faults bench bench-quick capacity clean
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 # Fails when a file is not formatted.
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg examples bench test); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg platform examples bench test); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -29,13 +29,25 @@
 	@sed -n 's/^test: */known red, skipped: /p' KNOWN-RED.txt
 	$(GO) test -race $(if $(RED),-skip '$(RED)') ./...
 
-check: fmt vet lint test model
+check: fmt vet lint test model soak
 
 # Runs a site in small on this machine: make quickstart SITE=great-lakes.
 quickstart: build
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart
 	@$(BIN)/quickstart --site $(SITE) --bin $(BIN) --examples examples
 
+# Runs the path of the users' platform in small; takes about 20 s.
+quickstart-platform: build
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./examples/quickstart-platform
+	@$(BIN)/quickstart-platform --binary $(BIN)/mangostandd
+
+# Injects faults into node processes from outside; SOAK passes options, see
+# `build/soak --help`. The default takes under 1 min.
+SOAK ?= --first 1 --seeds 2
+soak: build
+	$(GO) build -o $(BIN)/ ./test/soak
+	@$(BIN)/soak --binary $(BIN)/mangostandd $(SOAK)
+
 # Checks the specifications in model/ (docs/model.md); takes about 1 min.
 model:
 	@command -v spin >/dev/null || { apt-get update && apt-get install -y spin; }
@@ -72,6 +84,8 @@
 fuzz:
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./pkg/httpfront -run '^$$' -fuzz '^FuzzParseRequest$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeTable$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeHeartbeat$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./pkg/localapi -run '^$$' -fuzz '^FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) -parallel 4
 
 # Measures the cost of a node against the size of the fleet, with up to 200 node
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -22,8 +22,8 @@
 	"mangostand.example/mangostand/pkg/configstore"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/localapi"
-	"mangostand.example/mangostand/platform"
 	"mangostand.example/mangostand/pkg/security"
+	"mangostand.example/mangostand/platform"
 )
 
 // Shape of the fleet, see section 1.4 of the design page.
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -19,10 +19,10 @@
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/loadgen"
 	"mangostand.example/mangostand/pkg/node"
-	"mangostand.example/mangostand/platform"
 	"mangostand.example/mangostand/pkg/security"
 	"mangostand.example/mangostand/pkg/settings"
 	"mangostand.example/mangostand/pkg/standin/store"
+	"mangostand.example/mangostand/platform"
 )
 
 // shape is the size of one site.
--- a/cmd/mangostandd/platform.go
+++ b/cmd/mangostandd/platform.go
@@ -30,7 +30,7 @@
 		return exitBadSettings
 	}
 	stream := logging.NewStream(os.Stdout)
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	log := logging.New(stream, s.Instance)
 	if err := logging.SetLevel(s.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -7,7 +7,7 @@
 	"github.com/integrii/flaggy"
 )
 
-// Exit statuses, documented in docs/operations.md.
+// Exit statuses, documented in docs/OPERATIONS.md.
 const (
 	ExitOK = 0
 	// ExitFailure: the command failed.
--- a/pkg/dynconf/reference_test.go
+++ b/pkg/dynconf/reference_test.go
@@ -23,6 +23,7 @@
 	require.NoError(t, err)
 	text := replaceTables(t, string(data), "static", settings.Reference())
 	text = replaceTables(t, text, "dynamic", dynconf.Reference())
+	text = replaceTables(t, text, "platform", settings.MeshReference())
 	if os.Getenv("UPDATE_SETTINGS_PAGE") != "" {
 		require.NoError(t, os.WriteFile(page, []byte(text), 0o644))
 	}
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -26,7 +26,7 @@
 				return
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				script(t, conn, number)
 			}()
 		}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -97,7 +97,7 @@
 }
 
 func (b *backendServer) serve(conn net.Conn, run script) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -287,7 +287,7 @@
 // attempt offers the call to an executor and, when the call may be repeated and
 // its answer is late, to a second one as well. It returns the first answer.
 func (p *passage) attempt(ctx context.Context, cell *board.MeshCell, patience time.Duration) (*Answer, *board.MeshCell) {
-	out := make(chan offered, 2)
+	out := make(chan offered, maxOffers)
 	slow := make(chan struct{}, 1)
 	first, cancelFirst := context.WithCancel(ctx)
 	p.offer(first, cell, patience, func() { notify(slow) }, out)
@@ -311,9 +311,9 @@
 		return withCancel(o, cancelFirst)
 	}
 	p.sent++
-	again, cancelSecond := context.WithCancel(ctx)
-	p.offer(again, second, 0, func() {}, out)
-	return p.race(out, map[*board.MeshCell]context.CancelFunc{cell: cancelFirst, second: cancelSecond})
+	r := &race{passage: p, ctx: ctx, out: out, cancels: map[*board.MeshCell]context.CancelFunc{cell: cancelFirst}, pending: 1}
+	r.enter(second)
+	return r.run()
 }
 
 func notify(ch chan<- struct{}) {
@@ -346,31 +346,6 @@
 	return cell
 }
 
-// race returns the first good answer of two sends and cancels the other one.
-func (p *passage) race(out chan offered, cancels map[*board.MeshCell]context.CancelFunc) (*Answer, *board.MeshCell) {
-	o := <-out
-	if o.answer.Outcome == Answered && o.answer.Status < http.StatusInternalServerError {
-		for cell, cancel := range cancels {
-			if cell != o.cell {
-				cancel()
-			}
-		}
-		go func() {
-			other := <-out
-			other.answer.close()
-		}()
-		return withCancel(o, cancels[o.cell])
-	}
-	o.answer.close()
-	cancels[o.cell]()
-	if o.answer.Outcome == Unknown {
-		p.doubtful = o.answer
-	}
-	p.excluded = append(p.excluded, o.cell.Record.Instance)
-	last := <-out
-	return withCancel(last, cancels[last.cell])
-}
-
 // copyOfCall returns the call with headers of its own, which the executor
 // changes.
 func (p *passage) copyOfCall() *Call {
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -116,6 +116,16 @@
 	{"platform", "store"},
 }
 
+// MeshReference returns the rows of the reference page for each section.
+func MeshReference() []inifile.SectionReference {
+	m := &Mesh{LogLevel: "info", Bounds: defaultBounds()}
+	var references []inifile.SectionReference
+	for _, kind := range []string{"node", "listen", "backend_server", "platform"} {
+		references = append(references, inifile.Describe(kind, m.fields(kind)))
+	}
+	return references
+}
+
 // fields returns the keys of a section, nil when there is no such section.
 func (m *Mesh) fields(section string) []inifile.Field {
 	switch section {
