Do not pass on answers that no backend server has signed

Cause: a success without a signature was passed on as the backend server's; the reading of the signature was not used. Change: such an answer counts as malformed: a read is repeated, a call that may run once is told as open. Seen: the case 'answer of another maker' of TestUnsafeCallIsSentOnce fails before (200) and passes after (502).

--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -349,6 +349,11 @@
 		}
 		return &Answer{Outcome: Rejected, Reason: reason}
 	}
+	if !reading.Signed && got.Status < http.StatusMultipleChoices {
+		// Not made by the backend server: the run is as open as without an answer.
+		_ = got.Body.Close()
+		return unknown(board.ReasonMalformedAnswer)
+	}
 	answer := &Answer{Outcome: Answered, Status: got.Status, Header: got.Header, Body: got.Body, Length: got.Length}
 	if answer.Length > wholeAnswer {
 		return answer
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -267,6 +267,10 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
 			return false
 		},
+		"answer of another maker": func(conn net.Conn, r *http.Request) bool {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nbad", headerID, r.Header.Get(headerID))
+			return err == nil
+		},
 		"no answer in HTTP": func(conn net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, "nonsense\r\n\r\n")
 			return false
