Add a model of the decisions under load

Change: bench/model plays scenario files against the decision packages and prints what callers get; its test plays three loads.

--- /dev/null
+++ b/bench/model/model_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func play(t *testing.T, name string) map[string]float64 {
+	t.Helper()
+	s, err := loadScenario(filepath.Join("scenarios", name))
+	require.NoError(t, err)
+	got := map[string]float64{}
+	for _, p := range policies {
+		got[p.name] = earned(s, simulate(s, p, 1))
+	}
+	return got
+}
+
+// Plays a site on noisy hosts, near and above its limit. Guards against
+// decisions under which callers get less than from simpler ones.
+func TestDecisionsInUseServeCallersBetter(t *testing.T) {
+	for _, name := range []string{"noisy.ini", "overload.ini", "knee.ini"} {
+		t.Run(name, func(t *testing.T) {
+			got := play(t, name)
+			for _, p := range policies {
+				require.GreaterOrEqual(t, got["in use"]+0.02, got[p.name], p.name)
+			}
+			require.Greater(t, got["in use"], got["random, fifo"])
+		})
+	}
+}
+
+// Guards against runs that differ with the same seed.
+func TestSameSeedSameRun(t *testing.T) {
+	s, err := loadScenario(filepath.Join("scenarios", "noisy.ini"))
+	require.NoError(t, err)
+	last := policies[len(policies)-1]
+	require.Equal(t, simulate(s, last, 7), simulate(s, last, 7))
+}
+
+// Guards against a scenario with a mistake that is played in part.
+func TestScenarioWithMistakes(t *testing.T) {
+	_, err := loadScenario(filepath.Join("testdata", "mistake.ini"))
+	require.ErrorContains(t, err, "mistake.ini:4")
+}
