Read short answers of other nodes whole before they are passed on

Change: the entry reads answers up to 64 kB whole and treats a broken one as open, so that a read is repeated; each cut answer is logged as answer_cut.

--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -374,12 +374,17 @@
 		defer answer.Body.Close()
 	}
 	if answer.Broken || c.ctx.Err() != nil {
+		if answer.Broken {
+			c.server.Log.Warn().Str("event", "answer_cut").Str("method", s.method).Msg("no answer can be given")
+		}
 		c.close()
 		return false
 	}
 	last := c.isLast(s)
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := writeResponse(w, s.method, answer, last); err != nil {
+		c.server.Log.Warn().Err(err).Str("event", "answer_cut").Str("method", s.method).Int("status", answer.Status).
+			Int64("length", answer.Length).Bool("caller_left", c.ctx.Err() != nil).Send()
 		c.close()
 		return false
 	}
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -456,5 +458,24 @@
 		return a
 	}
 	a.Status, a.Header, a.Body, a.Length = got.Status, got.Header, got.Body, got.Length
+	if a.Length < 0 || a.Length > shortAnswer {
+		return a
+	}
+	return readShort(a)
+}
+
+// shortAnswer is the size in bytes up to which the entry reads an answer whole
+// before it passes it on. A longer one that breaks off ends the caller's
+// connection, with all answers that are due on it.
+const shortAnswer = 64 << 10
+
+func readShort(a *Answer) *Answer {
+	var buf bytes.Buffer
+	_, err := buf.ReadFrom(a.Body)
+	_ = a.Body.Close()
+	if err != nil {
+		return &Answer{Outcome: Unknown, Reason: board.ReasonResponseCut, Load: a.Load}
+	}
+	a.Body, a.Length, a.whole = io.NopCloser(&buf), int64(buf.Len()), true
 	return a
 }
