Refuse calls that wait for a dead backend server at once

Cause: calls stayed in the queue of an executor whose backend server had crashed until they could not be in time any more. Change: the executor runs as a controller that empties its queue when the section Server says down or gone.

--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -13,8 +13,7 @@
 	// Load is the newest known load; LoadAge is how old its speed is.
 	Load    estimate.Load
 	LoadAge time.Duration
-	// Refused is set when the candidate has just told its load in a refusal, so
-	// that its speed is exact.
+	// Distance is the time of one way to it.
 	Distance time.Duration
 	// Failing is the recent share of failed calls, 0 to 1.
 	Failing float64
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -426,8 +426,24 @@
 // IsHop reports whether a request of another node carries a call.
 func IsHop(r *h1.Request) bool { return r.Header.Get(headerHop) != "" }
 
-// ServerLeft refuses the calls that wait for a backend server that has gone.
-func (x *Executor) ServerLeft() { x.gate.refuseAll(board.ReasonDraining) }
+// Name returns the name of the executor as a controller.
+func (x *Executor) Name() string { return "executor" }
+
+// Run refuses the calls that wait for a backend server that has gone or is
+// down, until ctx ends.
+func (x *Executor) Run(ctx context.Context) {
+	changed := x.Board.Server.Subscribe()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			if server := x.Board.Server.Load(); server.Down || server.State == board.ServerGone {
+				x.gate.refuseAll(board.ReasonNoBackend)
+			}
+		}
+	}
+}
 
 // closer runs done once when a body is closed.
 type closer struct {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -371,6 +371,43 @@
 	require.EqualValues(t, 20, staying.runs.Load())
 }
 
+// Guards against calls that wait for a backend server which has crashed: they
+// are refused at once and served elsewhere or not at all.
+func TestWaitingCallsLeaveADeadServer(t *testing.T) {
+	release := make(chan struct{})
+	server := startBackend(t, func(conn net.Conn, r *http.Request) bool {
+		<-release
+		return ok(conn, r)
+	})
+	n := startFleet(t, server)[0]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.executor.Run(ctx)
+	statuses := make(chan int, 8)
+	for i := range 8 {
+		go func() {
+			resp, _ := n.send(t, http.MethodPost, fmt.Sprintf("/book/%d", i), "x", func(r *http.Request) { r.Header.Set(headerDeadline, "60000") })
+			statuses <- resp.StatusCode
+		}()
+	}
+	require.Eventually(t, func() bool { return n.executor.InFlight() == 8 || len(statuses) > 0 }, 5*time.Second, time.Millisecond)
+	down := *n.board.Server.Load()
+	down.Down = true
+	n.server.Publish(&down)
+	refused := 0
+	for n.executor.InFlight() > 4 || refused+len(statuses) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for range 8 {
+		if <-statuses == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	require.GreaterOrEqual(t, refused, 4)
+	require.LessOrEqual(t, server.runs.Load(), int32(4))
+}
+
 // Guards against a call that is held past the timeout of its route, and against
 // a run that goes on after its caller was answered or has left.
 func TestTimeoutAndDepartureEndTheRun(t *testing.T) {
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -132,6 +132,7 @@
 		}))
 	n.controllers = []control.Controller{
 		ownserver.New(n.board, n.log),
+		n.executor,
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.Load, n.log),
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullTable, n.log),
