Exchange only the records in which two nodes may differ

Change: a message carries up to 64 digests of records by a hash of their node; the answer has the records of the buckets that differ.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -314,8 +314,8 @@
 	ByService map[string][]*MeshCell
 	// Size counts the nodes that are taken to be alive, this one included.
 	Size int
-	// Digest is equal for equal sets of records.
-	Digest uint64
+	// Digests are equal for equal sets of records, see fleet.Digests.
+	Digests []uint32
 }
 
 // Pulse holds the newest load figures of the own backend server.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -36,8 +36,8 @@
 	From     board.InstanceID   `cbor:"1,keyasint"`
 	PeerAddr string             `cbor:"2,keyasint"`
 	Records  []board.NodeRecord `cbor:"3,keyasint"`
-	// Digest is that of all records of the sender.
-	Digest uint64 `cbor:"4,keyasint"`
+	// Digests are those of all records of the sender.
+	Digests []uint32 `cbor:"4,keyasint"`
 	// Config is what the sender knows of the configuration.
 	Config board.ConfigWord `cbor:"5,keyasint"`
 	// Load is the sender's load.
@@ -269,7 +269,7 @@
 		next.Size++
 		add(next, e.cell)
 	}
-	next.Digest = fleet.Digest(records)
+	next.Digests = fleet.Digests(records)
 	c.writer.Publish(next)
 }
 
@@ -326,7 +326,7 @@
 	}
 	c.busy[id] = true
 	message := &Message{
-		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digest: c.writer.Load().Digest,
+		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digests: c.writer.Load().Digests,
 		Config: c.board.ConfigWord(time.Now()), Load: c.load(),
 	}
 	go c.run(ctx, e.cell, message)
@@ -365,17 +365,17 @@
 	}
 }
 
-// Answer takes a message of another node and returns the answer: the own record
-// alone when both sides know the same, else all records.
+// Answer takes a message of another node and returns the answer, with the
+// records in which the two may differ.
 func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
 	Take(b, m)
 	view := b.Fleet.Load()
 	answer := &Message{
-		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digest: view.Digest,
+		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digests: view.Digests,
 		Config: b.ConfigWord(time.Now()), Load: load,
 	}
-	if m.Digest != view.Digest {
-		for _, cell := range view.ByInstance {
+	for id, cell := range view.ByInstance {
+		if fleet.Differs(id, view.Digests, m.Digests) {
 			answer.Records = append(answer.Records, cell.Record)
 		}
 	}
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -4,8 +4,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"slices"
 	"strconv"
 	"time"
 
@@ -56,20 +54,47 @@
 	return !e.Unanswered || e.SeenFor < SilenceLimit
 }
 
-// Digest returns a number that is equal for equal sets of records.
-func Digest(records []board.NodeRecord) uint64 {
-	sorted := slices.Clone(records)
-	slices.SortFunc(sorted, func(a, b board.NodeRecord) int {
-		if a.Instance < b.Instance {
-			return -1
-		}
-		return 1
-	})
-	h := fnv.New64a()
-	for _, r := range sorted {
-		_, _ = h.Write([]byte(string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10) + "\n"))
+const (
+	// bucketSize is the number of records that share a digest.
+	bucketSize = 4
+	// mostBuckets bounds the digests of a message.
+	mostBuckets = 64
+)
+
+// Buckets returns the number of digests for a number of records, a power of
+// two.
+func Buckets(records int) int {
+	n := 1
+	for n < mostBuckets && n*bucketSize < records {
+		n *= 2
+	}
+	return n
+}
+
+// BucketOf returns the bucket of a node.
+func BucketOf(id board.InstanceID, buckets int) int {
+	return int(hashing.String(string(id)) % uint64(buckets))
+}
+
+// Digests returns a number for each bucket that is equal for equal records.
+// The order of the records does not matter.
+func Digests(records []board.NodeRecord) []uint32 {
+	digests := make([]uint32, Buckets(len(records)))
+	for _, r := range records {
+		text := string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10)
+		digests[BucketOf(r.Instance, len(digests))] ^= uint32(hashing.String(text))
+	}
+	return digests
+}
+
+// Differs reports whether the record of a node may differ between two nodes
+// with the digests. Other numbers of digests mean other numbers of records.
+func Differs(id board.InstanceID, own, other []uint32) bool {
+	if len(own) != len(other) {
+		return true
 	}
-	return h.Sum64()
+	bucket := BucketOf(id, len(own))
+	return own[bucket] != other[bucket]
 }
 
 // WatchRank returns the place of a node in an order of all nodes that is the
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,11 +42,26 @@
 	require.Equal(t, map[int]bool{0: true, 1: true, 2: true, 3: true}, seen)
 }
 
-// Guards against exchanges of all records between nodes that know the same.
-func TestDigest(t *testing.T) {
-	a, b := board.NodeRecord{Instance: "a", Sequence: 1}, board.NodeRecord{Instance: "b", Sequence: 1}
-	require.Equal(t, Digest([]board.NodeRecord{a, b}), Digest([]board.NodeRecord{b, a}))
-	changed := b
-	changed.Sequence = 2
-	require.NotEqual(t, Digest([]board.NodeRecord{a, b}), Digest([]board.NodeRecord{a, changed}))
+// Guards against exchanges of all records between nodes that know the same or
+// differ in one record, and against differences that are not seen.
+func TestDigestsTellWhatDiffers(t *testing.T) {
+	var records []board.NodeRecord
+	for i := range 300 {
+		records = append(records, board.NodeRecord{Instance: board.InstanceID(fmt.Sprint("node-", i)), Sequence: 1})
+	}
+	own := Digests(records)
+	reversed := slices.Clone(records)
+	slices.Reverse(reversed)
+	require.Equal(t, own, Digests(reversed))
+	reversed[7].Sequence = 2
+	other := Digests(reversed)
+	differing := 0
+	for _, r := range records {
+		if Differs(r.Instance, own, other) {
+			differing++
+		}
+	}
+	require.True(t, Differs(reversed[7].Instance, own, other))
+	require.Less(t, differing, 20)
+	require.True(t, Differs("any", own, own[:1]))
 }
