Take the load reports of a restarted node

Cause: a restarted node counts its load reports from 1, and nodes that knew its backend server kept the figures of the former life, so that its reports were taken for old ones until their number was passed. Change: figures last for one incarnation of a node. pkg/mesh is split into a file for each concern.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -181,7 +181,9 @@
 	if known != nil {
 		next.seen = known.seen
 		cell.Reach = known.cell.Reach
-		if known.cell.Record.ServerID == record.ServerID && known.cell.Record.Born == record.Born {
+		// A restarted node counts its load reports anew.
+		if known.cell.Record.Incarnation == record.Incarnation && known.cell.Record.ServerID == record.ServerID &&
+			known.cell.Record.Born == record.Born {
 			cell.Figures, cell.Since = known.cell.Figures, known.cell.Since
 		}
 		if record.Incarnation != known.cell.Record.Incarnation || record.PeerAddr != known.cell.Record.PeerAddr {
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -173,6 +173,27 @@
 	})
 }
 
+// Guards against load reports of a restarted node that are taken for old ones,
+// since its node counts them from the start.
+func TestRestartedNodeTellsItsLoadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		node := newNetwork().start(ctx, 0, 1)
+		report := func(incarnation, sequence uint64, inFlight uint32) uint32 {
+			record := board.NodeRecord{Instance: "other", Incarnation: incarnation, Sequence: 1, PeerAddr: "addr-9", Service: "desk", ServerID: "s", Slots: 4, State: board.ServerReady}
+			node.board.Records.Post(board.RecordsEvent{Records: []board.NodeRecord{record}, From: "other"})
+			synctest.Wait()
+			Take(node.board, &Message{From: "other", Load: board.LoadReport{Sequence: sequence, InFlight: inFlight}})
+			return node.board.Fleet.Load().ByInstance["other"].LastReport().InFlight
+		}
+		require.EqualValues(t, 4, report(1, 500, 4))
+		require.EqualValues(t, 4, report(1, 499, 3), "an older report")
+		require.EqualValues(t, 1, report(2, 1, 1), "the first report after a restart")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a node whose clock went back and whose new records are taken
 // for old ones.
 func TestRestartWithAnEarlierClock(t *testing.T) {
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -1,14 +1,11 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -20,15 +17,6 @@
 )
 
 const (
-	// unsafeMaxIdle is the longest idle time of a connection that carries a call
-	// which may run once only. A server may drop idle connections without
-	// notice, and such a call can't be repeated after a reset.
-	unsafeMaxIdle = time.Second
-	// wholeAnswer is the size in bytes up to which an answer is read whole
-	// before it is passed on, so that a broken one is not passed on at all.
-	wholeAnswer = 1 << 20
-	// bodyWait bounds the wait for the body of a call that was admitted.
-	bodyWait = 500 * time.Millisecond
 	// drainMargin is left before the end of the drain time: a leaving backend
 	// server gets no call from the queue any more.
 	drainMargin = 500 * time.Millisecond
@@ -56,42 +44,6 @@
 	reports atomic.Uint64
 }
 
-// statusSlow is the informational answer by which an executor tells the entry
-// that it expects to miss the objective.
-const statusSlow = http.StatusEarlyHints
-
-// taker is the sender of a call as the executor sees it.
-type taker interface {
-	// Take tells that the call was admitted and returns its body, which another
-	// node holds back until then: a call whose body was not sent has not run.
-	Take(ctx context.Context) ([]byte, error)
-	// Slow tells that the call is expected to miss its objective.
-	Slow()
-}
-
-// localTake is the entry of the same node.
-type localTake struct{ slow func() }
-
-// Take admits the call.
-func (localTake) Take(context.Context) ([]byte, error) { return nil, nil }
-
-// Slow tells the entry.
-func (t localTake) Slow() { t.slow() }
-
-// remoteTake is the entry on another node.
-type remoteTake struct{ request *h1.Request }
-
-// Take tells the entry and waits for the body.
-func (t remoteTake) Take(ctx context.Context) ([]byte, error) {
-	if err := t.request.Interim(http.StatusContinue); err != nil {
-		return nil, err
-	}
-	return t.request.AwaitBody(ctx, bodyWait)
-}
-
-// Slow tells the entry. The entry notices itself when the connection is gone.
-func (t remoteTake) Slow() { _ = t.request.Interim(statusSlow) }
-
 // InFlight returns the calls that run or wait.
 func (x *Executor) InFlight() int { return int(x.gate.running.Load() + x.gate.waiting.Load()) }
 
@@ -292,105 +244,6 @@
 	x.runs.pulse(x.slowdown(x.Board.Server.Load(), view.At), view.At)
 }
 
-// send makes one request to the backend server.
-func (x *Executor) send(ctx context.Context, c *Call, server *board.Server) *Answer {
-	header := c.Header
-	if header == nil {
-		header = http.Header{}
-	}
-	x.Codec.Outgoing(header, Outgoing{ID: c.ID, ServerID: server.ID, CallerService: c.CallerService, Left: time.Until(c.Deadline)})
-	maxIdle := x.Servers.IdleTimeout
-	if !c.Idempotent {
-		maxIdle = unsafeMaxIdle
-	}
-	got, err := x.Servers.Do(ctx, server.Addr, &h1.Call{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, MaxIdle: maxIdle,
-		Mine: func(h http.Header) bool { return x.Codec.Mine(h, c.ID) },
-	})
-	if err != nil {
-		return x.sendFailed(ctx, err, server)
-	}
-	return x.read(ctx, c, got)
-}
-
-// sendFailed classifies a send without an answer.
-func (x *Executor) sendFailed(ctx context.Context, err error, server *board.Server) *Answer {
-	var failed *h1.Error
-	if !errors.As(err, &failed) {
-		return unknown(board.ReasonConnectionLost)
-	}
-	if failed.Refused {
-		x.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerRefused, Server: *server})
-	}
-	if !failed.Sent {
-		if ctx.Err() != nil {
-			return notSent(board.ReasonCanceled)
-		}
-		return notSent(board.ReasonNoBackend)
-	}
-	if ctx.Err() != nil {
-		return unknown(board.ReasonCanceled)
-	}
-	return unknown(board.ReasonConnectionLost)
-}
-
-// read takes the backend server's answer.
-func (x *Executor) read(ctx context.Context, c *Call, got *h1.Answer) *Answer {
-	reading := x.Codec.Reading(got.Status, got.Header)
-	if reading.Load != nil {
-		x.Pulsed(*reading.Load)
-	}
-	if reading.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(got.Body, wholeAnswer))
-		_ = got.Body.Close()
-		reason := board.ReasonRejected
-		if reading.Other {
-			reason = board.ReasonOtherServer
-		}
-		return &Answer{Outcome: Rejected, Reason: reason}
-	}
-	if !reading.Signed && got.Status < http.StatusMultipleChoices {
-		// Not made by the backend server: the run is as open as without an answer.
-		_ = got.Body.Close()
-		return unknown(board.ReasonMalformedAnswer)
-	}
-	answer := &Answer{Outcome: Answered, Status: got.Status, Header: got.Header, Body: got.Body, Length: got.Length}
-	if answer.Length > wholeAnswer {
-		return answer
-	}
-	return x.readWhole(ctx, c, answer)
-}
-
-// readWhole reads the body, so that an incomplete one is told as such.
-func (x *Executor) readWhole(ctx context.Context, c *Call, answer *Answer) *Answer {
-	var buf bytes.Buffer
-	if answer.Length > 0 {
-		buf.Grow(int(answer.Length) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buf, io.LimitReader(answer.Body, wholeAnswer+1))
-	if err != nil {
-		answer.close()
-		if ctx.Err() != nil {
-			return unknown(board.ReasonCanceled)
-		}
-		return unknown(board.ReasonMalformedAnswer)
-	}
-	if n > wholeAnswer {
-		answer.Body = &rest{Reader: io.MultiReader(&buf, answer.Body), Closer: answer.Body}
-		return answer
-	}
-	_ = answer.Body.Close()
-	answer.Body, answer.Length, answer.whole = io.NopCloser(&buf), n, true
-	x.Board.Works.Of(c.Rule).AddBytes(n)
-	return answer
-}
-
-// rest is a body whose first part was read ahead.
-type rest struct {
-	io.Reader
-	io.Closer
-}
-
 // HandleHop answers a call of another node.
 func (x *Executor) HandleHop(ctx context.Context, r *h1.Request) *h1.Response {
 	var h hop
@@ -444,29 +297,3 @@
 		}
 	}
 }
-
-// closer runs done once when a body is closed.
-type closer struct {
-	io.ReadCloser
-	done atomic.Pointer[func()]
-}
-
-// Close closes the body and runs what was to follow.
-func (c *closer) Close() error {
-	err := c.ReadCloser.Close()
-	if done := c.done.Swap(nil); done != nil {
-		(*done)()
-	}
-	return err
-}
-
-// onClose runs done when the body is closed, or at once when there is none.
-func onClose(body io.ReadCloser, done func()) io.ReadCloser {
-	if body == nil {
-		done()
-		return nil
-	}
-	c := &closer{ReadCloser: body}
-	c.done.Store(&done)
-	return c
-}
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -1,50 +1,18 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/attempts"
-	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/hedge"
-	"mangostand.example/mangostand/pkg/decide/pick/earliest"
-	"mangostand.example/mangostand/pkg/h1"
 )
 
-const (
-	// maxOffers bounds the executors that are asked for one call. An executor
-	// that refuses tells its load, so the third choice is made on fresh figures.
-	maxOffers = 5
-	// offersWithPatience is the number of first offers that an executor refuses
-	// when it expects to be slower than the next best one.
-	offersWithPatience = 3
-	// patienceMargin is the gain below which another offer is not worth its way.
-	patienceMargin = 15 * time.Millisecond
-	// acceptTimeout bounds the wait for an executor to take a call: many times
-	// the way between failure domains, and the pause of a host that has used up
-	// its share of a tenth of a second.
-	acceptTimeout = 130 * time.Millisecond
-	// sameDomainWay and otherDomainWay are the times of one way between nodes.
-	sameDomainWay  = 200 * time.Microsecond
-	otherDomainWay = 1100 * time.Microsecond
-	// byteCost is the time that an answer's byte across failure domains counts
-	// as. At the price of that traffic a bundle of 90 kB costs over half of what
-	// its answer is worth; half of that is left to the objective.
-	byteCost = 2500 * time.Nanosecond
-	// placeTolerance is the difference in expected time below which executors
-	// are equal: figures are never exact to this.
-	placeTolerance = 2 * time.Millisecond
-	// peerMaxIdle is the longest idle time of a reused connection to a node.
-	peerMaxIdle = 20 * time.Second
-)
+// maxOffers bounds the executors that are asked for one call. An executor that
+// refuses tells its load, so that the later choices are made on fresh figures.
+const maxOffers = 5
 
 // passage is the way of one call: the executors it was offered to and what
 // came of it. It belongs to one goroutine.
@@ -173,94 +141,6 @@
 	return last
 }
 
-// choose returns the executor to ask and how long the call may be expected to
-// take there before it asks another one.
-func (p *passage) choose() (*board.MeshCell, time.Duration) {
-	cells := p.cells()
-	if len(cells) == 0 {
-		return nil, 0
-	}
-	now := time.Now()
-	usual := p.usual()
-	candidates := make([]earliest.Candidate, len(cells))
-	for i, cell := range cells {
-		candidates[i] = p.candidate(cell, now)
-	}
-	choice, _ := earliest.Choose(candidates, usual, placeTolerance, rand.Uint64())
-	cell := cells[choice.Index]
-	p.expected, p.loadAge = choice.Expected, candidates[choice.Index].LoadAge
-	if p.offers >= offersWithPatience || choice.Next == 0 {
-		return cell, 0
-	}
-	next := choice.Next - candidates[choice.Index].Cost
-	return cell, max(next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
-}
-
-// cells returns the executors that may be asked.
-func (p *passage) cells() []*board.MeshCell {
-	var sound, suspected []*board.MeshCell
-	for _, cell := range p.entry.Board.Fleet.Load().ByService[p.call.Service] {
-		switch {
-		case p.isExcluded(cell.Record.Instance):
-		case cell.Reach.Suspected():
-			suspected = append(suspected, cell)
-		default:
-			sound = append(sound, cell)
-		}
-	}
-	if len(sound) == 0 && !p.unreachable {
-		// One of them may be back; more than one question would only delay the
-		// refusal.
-		p.unreachable = true
-		return suspected
-	}
-	return sound
-}
-
-func (p *passage) isExcluded(id board.InstanceID) bool {
-	for _, other := range p.excluded {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
-// usual returns the usual time of the call.
-func (p *passage) usual() time.Duration {
-	if d := p.entry.Board.Works.Of(p.call.Rule).Time(); d > 0 {
-		return d
-	}
-	return p.call.Objective.Sub(p.call.Received) / defaultWork
-}
-
-func (p *passage) candidate(cell *board.MeshCell, now time.Time) earliest.Candidate {
-	self := p.entry.Board.Self
-	c := earliest.Candidate{
-		Load:     estimate.Load{Running: int(cell.EstimatedInFlight()), Slots: cell.Record.Slots, Mean: p.usual()},
-		Failing:  cell.FailureShare(now),
-		Distance: sameDomainWay,
-	}
-	if cell.Record.Instance == self.Instance {
-		c.Distance = 0
-	} else if cell.Record.FailureDomain != self.FailureDomain {
-		c.Distance = otherDomainWay
-		c.Cost = time.Duration(p.entry.Board.Works.Of(p.call.Rule).Bytes()) * byteCost
-	}
-	c.LoadAge = -1
-	report := cell.LastReport()
-	if report == nil {
-		return c
-	}
-	c.LoadAge = now.Sub(report.ReceivedAt)
-	c.Load.Slots = int(report.Limit)
-	c.Load.Slowdown = float64(report.SlowdownPercent) / 100
-	if report.LatencyMicros > 0 {
-		c.Load.Mean = time.Duration(report.LatencyMicros) * time.Microsecond
-	}
-	return c
-}
-
 // offered is the outcome of one offer.
 type offered struct {
 	answer *Answer
@@ -377,105 +257,3 @@
 		cell.ObserveOutcome(true, now)
 	}
 }
-
-// send makes one exchange with the executor on another node.
-func (p *passage) send(ctx context.Context, cell *board.MeshCell, patience time.Duration, slow func()) *Answer {
-	c := p.call
-	ctx, cancel := context.WithCancel(ctx)
-	header := c.Header.Clone()
-	if header == nil {
-		header = http.Header{}
-	}
-	now := time.Now()
-	h := hopOf(c, cell.Record.ServerID, patience, now)
-	h.Config, h.From = p.entry.Board.ConfigWord(now), p.entry.Board.Self.PeerAddr
-	header.Set(headerHop, encodeHop(h))
-	var silent atomic.Bool
-	accept := time.AfterFunc(acceptTimeout, func() {
-		silent.Store(true)
-		cancel()
-	})
-	got, err := p.entry.Peers.Do(ctx, cell.Record.PeerAddr, &h1.Call{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
-		Hold: true, MaxIdle: peerMaxIdle, Interim: func(status int) {
-			accept.Stop()
-			if status == statusSlow {
-				slow()
-			}
-		},
-	})
-	accept.Stop()
-	if err != nil {
-		canceled := ctx.Err() != nil && !silent.Load()
-		cancel()
-		return p.sendFailed(cell, err, silent.Load(), canceled)
-	}
-	answer := p.answerOf(got, cell)
-	answer.Body = onClose(answer.Body, cancel)
-	return answer
-}
-
-// sendFailed classifies an exchange without an answer. A call that was canceled
-// says nothing about the executor.
-func (p *passage) sendFailed(cell *board.MeshCell, err error, silent, canceled bool) *Answer {
-	var failed *h1.Error
-	reason := board.ReasonExecutorLost
-	switch {
-	case canceled && time.Now().Before(p.call.Deadline):
-		reason = board.ReasonCanceled
-	case canceled:
-		reason = board.ReasonDeadlineExceeded
-	case silent:
-		reason = board.ReasonSilent
-	}
-	if !canceled {
-		cell.Reach.Failed()
-		p.entry.Peers.Forget(cell.Record.PeerAddr)
-		p.entry.Log.Info().Str("event", "executor_lost").Str("id", p.call.ID).Str("executor", string(cell.Record.Instance)).
-			Str("reason", string(reason)).Err(err).Send()
-	}
-	if errors.As(err, &failed) && !failed.Sent {
-		return notSent(reason)
-	}
-	return unknown(reason)
-}
-
-// answerOf reads the answer of an executor.
-func (p *passage) answerOf(got *h1.Answer, cell *board.MeshCell) *Answer {
-	told, err := takeHopAnswer(got.Header)
-	if err != nil {
-		_ = got.Body.Close()
-		return unknown(board.ReasonMalformedAnswer)
-	}
-	p.entry.Board.HeardConfig(told.Config, cell.Record.PeerAddr, time.Now())
-	load := told.Load
-	a := &Answer{
-		Outcome: told.Outcome, Reason: told.Reason, Load: &load,
-		Work: time.Duration(told.WorkMicros) * time.Microsecond, Wait: time.Duration(told.WaitMicros) * time.Microsecond,
-	}
-	if a.Outcome != Answered {
-		_ = got.Body.Close()
-		return a
-	}
-	a.Status, a.Header, a.Body, a.Length = got.Status, got.Header, got.Body, got.Length
-	if a.Length < 0 || a.Length > shortAnswer {
-		return a
-	}
-	return readShort(a)
-}
-
-// shortAnswer is the size in bytes up to which the entry reads an answer whole
-// before it passes it on. A longer one that breaks off ends the caller's
-// connection, with all answers that are due on it.
-const shortAnswer = 64 << 10
-
-func readShort(a *Answer) *Answer {
-	var buf bytes.Buffer
-	_, err := buf.ReadFrom(a.Body)
-	_ = a.Body.Close()
-	if err != nil {
-		return &Answer{Outcome: Unknown, Reason: board.ReasonResponseCut, Load: a.Load}
-	}
-	a.Body, a.Length, a.whole = io.NopCloser(&buf), int64(buf.Len()), true
-	return a
-}
--- /dev/null
+++ b/pkg/mesh/place.go
@@ -0,0 +1,109 @@
+package mesh
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/pick/earliest"
+)
+
+const (
+	// offersWithPatience is the number of first offers that an executor refuses
+	// when it expects to be slower than the next best one.
+	offersWithPatience = 3
+	// patienceMargin is the gain below which another offer is not worth its way.
+	patienceMargin = 15 * time.Millisecond
+	// sameDomainWay and otherDomainWay are the times of one way between nodes.
+	sameDomainWay  = 200 * time.Microsecond
+	otherDomainWay = 1100 * time.Microsecond
+	// byteCost is the time that an answer's byte across failure domains counts
+	// as. At the price of that traffic a bundle of 90 kB costs over half of what
+	// its answer is worth; half of that is left to the objective.
+	byteCost = 2500 * time.Nanosecond
+	// placeTolerance is the difference in expected time below which executors
+	// are equal: figures are never exact to this.
+	placeTolerance = 2 * time.Millisecond
+)
+
+// choose returns the executor to ask and how long the call may be expected to
+// take there before it asks another one.
+func (p *passage) choose() (*board.MeshCell, time.Duration) {
+	cells := p.cells()
+	if len(cells) == 0 {
+		return nil, 0
+	}
+	now := time.Now()
+	usual := p.usual()
+	candidates := make([]earliest.Candidate, len(cells))
+	for i, cell := range cells {
+		candidates[i] = p.candidate(cell, now)
+	}
+	choice, _ := earliest.Choose(candidates, usual, placeTolerance, rand.Uint64())
+	cell := cells[choice.Index]
+	p.expected, p.loadAge = choice.Expected, candidates[choice.Index].LoadAge
+	if p.offers >= offersWithPatience || choice.Next == 0 {
+		return cell, 0
+	}
+	next := choice.Next - candidates[choice.Index].Cost
+	return cell, max(next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
+}
+
+// cells returns the executors that may be asked.
+func (p *passage) cells() []*board.MeshCell {
+	var sound, suspected []*board.MeshCell
+	for _, cell := range p.entry.Board.Fleet.Load().ByService[p.call.Service] {
+		switch {
+		case slices.Contains(p.excluded, cell.Record.Instance):
+		case cell.Reach.Suspected():
+			suspected = append(suspected, cell)
+		default:
+			sound = append(sound, cell)
+		}
+	}
+	if len(sound) == 0 && !p.unreachable {
+		// One of them may be back; more than one question would only delay the
+		// refusal.
+		p.unreachable = true
+		return suspected
+	}
+	return sound
+}
+
+// usual returns the usual time of the call.
+func (p *passage) usual() time.Duration {
+	if d := p.entry.Board.Works.Of(p.call.Rule).Time(); d > 0 {
+		return d
+	}
+	return p.call.Objective.Sub(p.call.Received) / defaultWork
+}
+
+// candidate returns what is known of an executor.
+func (p *passage) candidate(cell *board.MeshCell, now time.Time) earliest.Candidate {
+	self := p.entry.Board.Self
+	c := earliest.Candidate{
+		Load:     estimate.Load{Running: int(cell.EstimatedInFlight()), Slots: cell.Record.Slots, Mean: p.usual()},
+		Failing:  cell.FailureShare(now),
+		Distance: sameDomainWay,
+	}
+	if cell.Record.Instance == self.Instance {
+		c.Distance = 0
+	} else if cell.Record.FailureDomain != self.FailureDomain {
+		c.Distance = otherDomainWay
+		c.Cost = time.Duration(p.entry.Board.Works.Of(p.call.Rule).Bytes()) * byteCost
+	}
+	c.LoadAge = -1
+	report := cell.LastReport()
+	if report == nil {
+		return c
+	}
+	c.LoadAge = now.Sub(report.ReceivedAt)
+	c.Load.Slots = int(report.Limit)
+	c.Load.Slowdown = float64(report.SlowdownPercent) / 100
+	if report.LatencyMicros > 0 {
+		c.Load.Mean = time.Duration(report.LatencyMicros) * time.Microsecond
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/mesh/server.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/h1"
+)
+
+const (
+	// unsafeMaxIdle is the longest idle time of a connection that carries a call
+	// which may run once only. A server may drop idle connections without
+	// notice, and such a call can't be repeated after a reset.
+	unsafeMaxIdle = time.Second
+	// wholeAnswer is the size in bytes up to which an answer is read whole
+	// before it is passed on, so that a broken one is not passed on at all.
+	wholeAnswer = 1 << 20
+)
+
+// send makes one request to the backend server.
+func (x *Executor) send(ctx context.Context, c *Call, server *board.Server) *Answer {
+	header := c.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	x.Codec.Outgoing(header, Outgoing{ID: c.ID, ServerID: server.ID, CallerService: c.CallerService, Left: time.Until(c.Deadline)})
+	maxIdle := x.Servers.IdleTimeout
+	if !c.Idempotent {
+		maxIdle = unsafeMaxIdle
+	}
+	got, err := x.Servers.Do(ctx, server.Addr, &h1.Call{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, MaxIdle: maxIdle,
+		Mine: func(h http.Header) bool { return x.Codec.Mine(h, c.ID) },
+	})
+	if err != nil {
+		return x.sendFailed(ctx, err, server)
+	}
+	return x.read(ctx, c, got)
+}
+
+// sendFailed classifies a send without an answer.
+func (x *Executor) sendFailed(ctx context.Context, err error, server *board.Server) *Answer {
+	var failed *h1.Error
+	if !errors.As(err, &failed) {
+		return unknown(board.ReasonConnectionLost)
+	}
+	if failed.Refused {
+		x.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerRefused, Server: *server})
+	}
+	if !failed.Sent {
+		if ctx.Err() != nil {
+			return notSent(board.ReasonCanceled)
+		}
+		return notSent(board.ReasonNoBackend)
+	}
+	if ctx.Err() != nil {
+		return unknown(board.ReasonCanceled)
+	}
+	return unknown(board.ReasonConnectionLost)
+}
+
+// read takes the backend server's answer.
+func (x *Executor) read(ctx context.Context, c *Call, got *h1.Answer) *Answer {
+	reading := x.Codec.Reading(got.Status, got.Header)
+	if reading.Load != nil {
+		x.Pulsed(*reading.Load)
+	}
+	if reading.NotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(got.Body, wholeAnswer))
+		_ = got.Body.Close()
+		reason := board.ReasonRejected
+		if reading.Other {
+			reason = board.ReasonOtherServer
+		}
+		return &Answer{Outcome: Rejected, Reason: reason}
+	}
+	if !reading.Signed && got.Status < http.StatusMultipleChoices {
+		// Not made by the backend server: the run is as open as without an answer.
+		_ = got.Body.Close()
+		return unknown(board.ReasonMalformedAnswer)
+	}
+	answer := &Answer{Outcome: Answered, Status: got.Status, Header: got.Header, Body: got.Body, Length: got.Length}
+	if answer.Length > wholeAnswer {
+		return answer
+	}
+	return x.readWhole(ctx, c, answer)
+}
+
+// readWhole reads the body, so that an incomplete one is told as such.
+func (x *Executor) readWhole(ctx context.Context, c *Call, answer *Answer) *Answer {
+	var buf bytes.Buffer
+	if answer.Length > 0 {
+		buf.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buf, io.LimitReader(answer.Body, wholeAnswer+1))
+	if err != nil {
+		answer.close()
+		if ctx.Err() != nil {
+			return unknown(board.ReasonCanceled)
+		}
+		return unknown(board.ReasonMalformedAnswer)
+	}
+	if n > wholeAnswer {
+		answer.Body = &rest{Reader: io.MultiReader(&buf, answer.Body), Closer: answer.Body}
+		return answer
+	}
+	_ = answer.Body.Close()
+	answer.Body, answer.Length, answer.whole = io.NopCloser(&buf), n, true
+	x.Board.Works.Of(c.Rule).AddBytes(n)
+	return answer
+}
+
+// rest is a body whose first part was read ahead.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// closer runs done once when a body is closed.
+type closer struct {
+	io.ReadCloser
+	done atomic.Pointer[func()]
+}
+
+// Close closes the body and runs what was to follow.
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	if done := c.done.Swap(nil); done != nil {
+		(*done)()
+	}
+	return err
+}
+
+// onClose runs done when the body is closed, or at once when there is none.
+func onClose(body io.ReadCloser, done func()) io.ReadCloser {
+	if body == nil {
+		done()
+		return nil
+	}
+	c := &closer{ReadCloser: body}
+	c.done.Store(&done)
+	return c
+}
