--- a/pkg/atmostonce/carry.go
+++ b/pkg/atmostonce/carry.go
@@ -197,7 +197,7 @@
 	switch answer.Status {
 	case wire.ClaimGranted:
 		c.unreachableSince = time.Time{}
-		return c.send(ctx, answer, executor)
+		return c.send(ctx, view, answer, executor)
 	case wire.ClaimRecorded:
 		return &Verdict{Outcome: answer.Record.Outcome, Reason: answer.Record.Reason, Record: answer.Record}
 	case wire.ClaimConflict:
@@ -238,7 +238,7 @@
 }
 
 // send uses a grant and returns nil when another one may be asked for.
-func (c *carrier) send(ctx context.Context, answer *wire.ClaimAnswer, executor board.InstanceID) *Verdict {
+func (c *carrier) send(ctx context.Context, view *board.EpochView, answer *wire.ClaimAnswer, executor board.InstanceID) *Verdict {
 	if c.attempts >= c.call.MaxAttempts {
 		// The grant is not used, so it is proof by itself.
 		return &Verdict{Outcome: board.OutcomeNotRun, Reason: c.last}
@@ -254,9 +254,14 @@
 	case board.OutcomeNotRun:
 		c.proven, c.claim.Unsettled = true, false
 		c.last = reason
-		if reason != board.ReasonStaleEpoch {
-			c.tried = append(c.tried, executor)
+		if reason == board.ReasonStaleEpoch {
+			// Epochs are changing, which takes all nodes some milliseconds. It is
+			// no fault of the executor and uses up no attempt.
+			c.attempts--
+			c.rest(ctx, view)
+			return nil
 		}
+		c.tried = append(c.tried, executor)
 		if c.attempts >= c.call.MaxAttempts {
 			return &Verdict{Outcome: outcome, Reason: reason}
 		}
--- a/pkg/atmostonce/once_test.go
+++ b/pkg/atmostonce/once_test.go
@@ -296,6 +296,29 @@
 	})
 }
 
+// Guards against a call that is refused because all its attempts fell into a
+// change of the epoch (node.TestStopUnderLoadCutsNothing failed so once).
+func TestStaleEpochsUseUpNoAttempts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFabric(t, names(4)...)
+		stale := 5
+		verdict := f.nodes["n0"].keeper.Carry(t.Context(), &atmostonce.Call{
+			ID: idOf(newKey()), Digest: "digest", RequestID: "request", Fresh: true, MaxAttempts: 3,
+			Pick: func([]board.InstanceID) (board.InstanceID, uint64, bool) {
+				return "n1", f.nodes["n1"].self.Incarnation, true
+			},
+			Send: func(context.Context, uint64, uint64, int) (board.Outcome, board.Reason) {
+				if stale--; stale >= 0 {
+					return board.OutcomeNotRun, board.ReasonStaleEpoch
+				}
+				return board.OutcomeSucceeded, ""
+			},
+		})
+		requireVerdict(t, verdict, board.OutcomeSucceeded, "")
+		require.Equal(t, -1, stale)
+	})
+}
+
 // Guards against runs on both sides of a partition: a minority without the
 // store stops after its epoch is not confirmed any more.
 func TestCutOffMinorityStops(t *testing.T) {
