--- a/examples/quickstart-platform/main.go
+++ b/examples/quickstart-platform/main.go
@@ -24,8 +24,10 @@
 	startLimit = 30 * time.Second
 	phaseTime  = 3 * time.Second
 	// callSpacing is the time between two calls of a caller.
-	callSpacing  = 10 * time.Millisecond
-	callersPer   = 2
+	callSpacing = 10 * time.Millisecond
+	callersPer  = 2
+	// bookEvery makes each third call a booking.
+	bookEvery    = 3
 	callerWait   = 2 * time.Second
 	routeTimeout = 1500 * time.Millisecond
 	drainLimit   = 2 * time.Second
@@ -138,24 +140,18 @@
 	l := &load{cancel: cancel}
 	for i, n := range site.Nodes {
 		for j := range callersPer {
-			l.callers.Go(func() { l.call(ctx, standin.NewCaller(n.Callers), fmt.Sprintf("%d-%d", i, j)) })
+			l.callers.Go(func() {
+				standin.NewCaller(n.Callers).Loop(ctx, fmt.Sprintf("%d-%d", i, j), bookEvery, callSpacing, callerWait, l.add)
+			})
 		}
 	}
 	return l
 }
 
-func (l *load) call(ctx context.Context, c *standin.Caller, name string) {
-	for number := 0; ctx.Err() == nil; number++ {
-		prefix := standin.ReadPrefix
-		if number%3 == 0 {
-			prefix = standin.BookPrefix
-		}
-		result := c.Send(context.WithoutCancel(ctx), fmt.Sprintf("%s-%d", name, number), prefix, callerWait)
-		l.mu.Lock()
-		l.results = append(l.results, result)
-		l.mu.Unlock()
-		time.Sleep(callSpacing)
-	}
+func (l *load) add(result standin.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, result)
 }
 
 func (l *load) end() {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -89,7 +89,7 @@
 	faultTime time.Duration
 }
 
-// promise collects broken promises.
+// promises collects broken promises.
 type promises struct{ broken []string }
 
 func (p *promises) add(format string, args ...any) {
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -27,7 +27,9 @@
 	// servers that drained or crashed may be missing.
 	leastServed = 0.8
 	callSpacing = 15 * time.Millisecond
-	drainTime   = 2 * time.Second
+	// bookEvery makes each second call a booking.
+	bookEvery = 2
+	drainTime = 2 * time.Second
 )
 
 // runSeed plays one seed and returns a summary and the first broken promise.
@@ -74,7 +76,9 @@
 	calling, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i, n := range s.site.Nodes {
-		callers.Go(func() { s.call(calling, standin.NewCaller(n.Callers), i) })
+		callers.Go(func() {
+			standin.NewCaller(n.Callers).Loop(calling, fmt.Sprintf("c%d", i), bookEvery, callSpacing, callerWait, s.add)
+		})
 	}
 	faults := s.inject(ctx, faultTime)
 	time.Sleep(recoveryTime)
@@ -88,20 +92,12 @@
 	return faults
 }
 
-func (s *soak) call(ctx context.Context, c *standin.Caller, number int) {
-	for i := 0; ctx.Err() == nil; i++ {
-		prefix := standin.ReadPrefix
-		if i%2 == 0 {
-			prefix = standin.BookPrefix
-		}
-		result := c.Send(context.WithoutCancel(ctx), fmt.Sprintf("c%d-%d", number, i), prefix, callerWait)
-		s.mu.Lock()
-		s.results = append(s.results, result)
-		if s.isCalm {
-			s.calm = append(s.calm, result)
-		}
-		s.mu.Unlock()
-		time.Sleep(callSpacing)
+func (s *soak) add(result standin.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results = append(s.results, result)
+	if s.isCalm {
+		s.calm = append(s.calm, result)
 	}
 }
 
