Remove dead fields; end a site that does not become ready

Large went with each call between nodes and nobody read it; Since of a node's cell was kept and never used, and with it a time that publish and refreshOwn took; the status line was built in two places; meshsite.Start left its node processes running when a site did not become ready. Change: the fields and parameters are gone, writeResponse calls httpStatus, Start stops the site before it returns the error.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -276,8 +276,6 @@
 	Record NodeRecord
 	*Figures
 	Reach *Reach
-	// Since is when this node first saw the backend server.
-	Since time.Time
 }
 
 // Reach is what this node knows about the way to another one.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -84,7 +84,7 @@
 		others: map[board.InstanceID]*entry{},
 		done:   make(chan board.InstanceID, exchangeQueue), busy: map[board.InstanceID]bool{},
 	}
-	c.publish(time.Now())
+	c.publish()
 	return c
 }
 
@@ -109,9 +109,9 @@
 		case event := <-c.board.Records.Events():
 			c.merge(ctx, event, time.Now())
 		case <-server:
-			c.refreshOwn(ctx, time.Now())
+			c.refreshOwn(ctx)
 		case <-stopping:
-			c.refreshOwn(ctx, time.Now())
+			c.refreshOwn(ctx)
 		case <-routes:
 			c.spread(ctx, []board.NodeRecord{c.own}, "")
 		case <-store:
@@ -119,7 +119,7 @@
 		case id := <-c.done:
 			delete(c.busy, id)
 		case now := <-ticker.C:
-			c.refreshOwn(ctx, now)
+			c.refreshOwn(ctx)
 			c.review(now)
 			c.askOthers(ctx)
 		}
@@ -127,7 +127,7 @@
 }
 
 // refreshOwn raises the own record when the backend server or the node changed.
-func (c *Controller) refreshOwn(ctx context.Context, now time.Time) {
+func (c *Controller) refreshOwn(ctx context.Context) {
 	next := c.own
 	server := c.board.Server.Load()
 	next.ServerID, next.Born, next.Slots, next.State = server.ID, server.Born, server.Slots, server.State
@@ -145,7 +145,7 @@
 	c.own = next
 	c.log.Info().Str("event", "own_record").Uint64("sequence", next.Sequence).Str("server", next.ServerID).
 		Str("state", next.State.String()).Bool("leaving", next.Leaving).Send()
-	c.publish(now)
+	c.publish()
 	c.spread(ctx, []board.NodeRecord{next}, "")
 }
 
@@ -161,7 +161,7 @@
 	if len(news) == 0 {
 		return
 	}
-	c.publish(now)
+	c.publish()
 	if event.From != "" {
 		c.spread(ctx, news, event.From)
 	}
@@ -177,14 +177,14 @@
 		return false
 	}
 	next := &entry{seen: now, alive: !record.Leaving, aliveAt: now}
-	cell := &board.MeshCell{Record: record, Figures: &board.Figures{}, Reach: &board.Reach{}, Since: now}
+	cell := &board.MeshCell{Record: record, Figures: &board.Figures{}, Reach: &board.Reach{}}
 	if known != nil {
 		next.seen = known.seen
 		cell.Reach = known.cell.Reach
 		// A restarted node counts its load reports anew.
 		if known.cell.Record.Incarnation == record.Incarnation && known.cell.Record.ServerID == record.ServerID &&
 			known.cell.Record.Born == record.Born {
-			cell.Figures, cell.Since = known.cell.Figures, known.cell.Since
+			cell.Figures = known.cell.Figures
 		}
 		if record.Incarnation != known.cell.Record.Incarnation || record.PeerAddr != known.cell.Record.PeerAddr {
 			cell.Reach = &board.Reach{}
@@ -247,20 +247,20 @@
 		}
 	}
 	if changed {
-		c.publish(now)
+		c.publish()
 	}
 }
 
 // publish makes a new view of the fleet.
-func (c *Controller) publish(now time.Time) {
+func (c *Controller) publish() {
 	next := &board.Fleet{
 		ByInstance: map[board.InstanceID]*board.MeshCell{}, ByService: map[string][]*board.MeshCell{}, Size: 1,
 	}
 	ownCell := c.writer.Load().ByInstance[c.own.Instance]
 	if ownCell == nil || ownCell.Record.ServerID != c.own.ServerID || ownCell.Record.Born != c.own.Born {
-		ownCell = &board.MeshCell{Figures: &board.Figures{}, Reach: &board.Reach{}, Since: now}
+		ownCell = &board.MeshCell{Figures: &board.Figures{}, Reach: &board.Reach{}}
 	}
-	own := &board.MeshCell{Record: c.own, Figures: ownCell.Figures, Reach: ownCell.Reach, Since: ownCell.Since}
+	own := &board.MeshCell{Record: c.own, Figures: ownCell.Figures, Reach: ownCell.Reach}
 	records := []board.NodeRecord{c.own}
 	add(next, own)
 	for _, e := range c.others {
--- a/pkg/h1/message.go
+++ b/pkg/h1/message.go
@@ -96,7 +96,7 @@
 		header = http.Header{}
 	}
 	RemoveHopHeaders(header)
-	start := "HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status)
+	start := "HTTP/1.1 " + httpStatus(r.Status)
 	if err := appendHead(&head, start, header); err != nil {
 		return err
 	}
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -34,7 +34,6 @@
 	Rule        string
 	Rank        int
 	Idempotent  bool
-	Large       bool
 	MaxAttempts int
 	Service     string
 	// CallerService is the service beside which the call began.
@@ -45,7 +44,7 @@
 
 func newCall(id string, rule *dynconf.Rule, service string) *Call {
 	return &Call{
-		ID: id, Rule: rule.Name, Rank: rule.Rank, Idempotent: rule.Idempotent, Large: rule.Large,
+		ID: id, Rule: rule.Name, Rank: rule.Rank, Idempotent: rule.Idempotent,
 		MaxAttempts: rule.MaxAttempts, Service: service,
 	}
 }
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -31,7 +31,6 @@
 	// any.
 	PatienceMicros int64  `cbor:"10,keyasint"`
 	Version        uint64 `cbor:"11,keyasint"`
-	Large          bool   `cbor:"12,keyasint"`
 	// Config is what the entry knows of the configuration, From its address.
 	Config board.ConfigWord `cbor:"13,keyasint"`
 	From   string           `cbor:"14,keyasint"`
@@ -70,14 +69,14 @@
 		ID: c.ID, Service: c.Service, ServerID: serverID, CallerService: c.CallerService, Rule: c.Rule,
 		Rank: c.Rank, Idempotent: c.Idempotent, LeftMicros: c.Deadline.Sub(now).Microseconds(),
 		ObjectiveMicros: c.Objective.Sub(now).Microseconds(), PatienceMicros: patience.Microseconds(),
-		Version: c.Version, Large: c.Large,
+		Version: c.Version,
 	}
 }
 
 func (h hop) call(now time.Time) *Call {
 	return &Call{
 		ID: h.ID, Service: h.Service, CallerService: h.CallerService, Rule: h.Rule, Rank: h.Rank,
-		Idempotent: h.Idempotent, Version: h.Version, Large: h.Large, Received: now,
+		Idempotent: h.Idempotent, Version: h.Version, Received: now,
 		Deadline:  now.Add(time.Duration(h.LeftMicros) * time.Microsecond),
 		Objective: now.Add(time.Duration(h.ObjectiveMicros) * time.Microsecond),
 	}
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -94,7 +94,11 @@
 		}
 		s.Nodes = append(s.Nodes, n)
 	}
-	return s, errors.Trace(s.awaitReady(ctx))
+	if err := s.awaitReady(ctx); err != nil {
+		s.Stop()
+		return nil, errors.Trace(err)
+	}
+	return s, nil
 }
 
 // Configure writes the next version of the configuration.
