Return the attempts that a call lent out when it ended

When a call ends while the attempts of its tree are lent to nested calls of a sibling, it reports its own as used; the last call of the tree then took back only as many as came with it, and the rest was lost with the tree. The budget was never exceeded. Change: the last call of a tree returns all that is left, so its count of used attempts may be negative and the sum over the calls is what was spent. The message carries a signed count; the answer to the caller stays at 0 or more.

--- a/pkg/board/tree.go
+++ b/pkg/board/tree.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,11 +91,14 @@
 }
 
 // Close takes back what is left of the attempts of a call and returns how many
-// of them were used.
+// of them were used. A call that ends while attempts of the tree are lent out
+// reports those as used; the tree's last call returns them, so that its result
+// may be negative and the sum over the calls of the tree is what was spent.
 func (t *Trees) Close(id string, tree *TreeBudget, attempts int) (used int) {
 	used = attempts - tree.Take(attempts)
 	if tree.refs.Add(-1) == 0 {
 		t.byID.CompareAndDelete(id, tree)
+		used -= tree.Take(math.MaxInt)
 	}
 	return used
 }
--- a/pkg/board/tree_test.go
+++ b/pkg/board/tree_test.go
@@ -71,3 +71,17 @@
 	require.Equal(t, 1, trees.Close("t", second, 1))
 	require.Nil(t, trees.Find("t"))
 }
+
+// Guards against attempts that are lost when a call ends while the attempts of
+// its tree are lent to a sibling's nested calls.
+func TestLastCallReturnsWhatWasLentOut(t *testing.T) {
+	var trees Trees
+	tree := trees.Open("t", 2, time.Time{})
+	trees.Open("t", 1, time.Time{})
+	lent := tree.Take(3)
+	require.Equal(t, 3, lent)
+	used := trees.Close("t", tree, 1)
+	tree.Give(lent)
+	used += trees.Close("t", tree, 2)
+	require.Zero(t, used, "no attempt was spent")
+}
--- a/pkg/call/attempts.go
+++ b/pkg/call/attempts.go
@@ -86,7 +86,7 @@
 	if result.Outcome == board.OutcomeUnknown && !result.answered {
 		return
 	}
-	used := max(0, min(a.lent, result.AttemptsUsed))
+	used := max(-maxCarried, min(a.lent, result.AttemptsUsed))
 	a.Request.attempts.Give(a.lent - used)
 	a.Request.used.Add(int64(used))
 }
--- a/pkg/call/codec.go
+++ b/pkg/call/codec.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -45,7 +46,10 @@
 	}
 }
 
-func clampByte(n int) uint8 { return uint8(max(0, min(n, 255))) }
+// maxCarried is the largest number of attempts that a message carries.
+const maxCarried = math.MaxUint8
+
+func clampByte(n int) uint8 { return uint8(max(0, min(n, math.MaxUint8))) }
 
 func encodeHeader(h http.Header) []wire.HeaderField {
 	fields := make([]wire.HeaderField, 0, len(h))
--- a/pkg/call/entry.go
+++ b/pkg/call/entry.go
@@ -91,7 +91,7 @@
 
 func (e *Entry) finish(record *board.RequestRecord, req *Request, result *Result, config *dynconf.Config) *Result {
 	result.ConfigVersion = config.Version
-	result.AttemptsUsed = int(req.used.Load())
+	result.AttemptsUsed = max(0, int(req.used.Load()))
 	e.traffic().Call(uint8(result.Outcome))
 	started := time.Time{}
 	if record != nil {
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -86,7 +86,7 @@
 		RequestID: message.RequestID, Outcome: result.Outcome, Reason: string(result.Reason),
 		Status: uint16(result.Status), Header: encodeHeader(result.Header),
 		ContentLength: result.ContentLength, Load: result.Load,
-		AttemptsUsed:  clampByte(result.AttemptsUsed),
+		AttemptsUsed:  int16(max(-maxCarried, min(result.AttemptsUsed, maxCarried))),
 		ConfigVersion: x.Board.Config.Load().Version,
 		Epoch:         x.epochOf(message),
 	}
--- a/pkg/wire/call.go
+++ b/pkg/wire/call.go
@@ -54,8 +54,9 @@
 	// ContentLength is the size of the body in bytes, -1 when not known.
 	ContentLength int64            `cbor:"6,keyasint,omitempty"`
 	Load          board.LoadReport `cbor:"7,keyasint"`
-	// AttemptsUsed counts the additional attempts that nested calls spent.
-	AttemptsUsed  uint8  `cbor:"8,keyasint,omitempty"`
+	// AttemptsUsed counts the additional attempts that nested calls spent. It is
+	// negative when the call returns attempts that a sibling reported as used.
+	AttemptsUsed  int16  `cbor:"8,keyasint,omitempty"`
 	ConfigVersion uint64 `cbor:"9,keyasint,omitempty"`
 	// Epoch is the executor's epoch of the service, so that an entry with an
 	// older one learns of the change.
