Share the verdict on crowding between nodes and keep it in the store

Change: a node tells its verdict in its record. Until a node has a verdict of its own, that of most nodes of its service counts. Three nodes of a service write it to the store, and a restarted node takes over what its former record says. Tests: TestVerdictOfOthersCountsUntilTheOwn, TestCrowdingOutlastsARestartOfAllNodes (neither compiles before).

--- a/bench/model/sim.go
+++ b/bench/model/sim.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/pick/earliest"
@@ -193,7 +194,7 @@
 
 func (m *model) limit(srv *server) int {
 	if m.policy.limits {
-		return srv.pace.Limit(m.scenario.slots, m.now)
+		return srv.pace.Limit(m.scenario.slots, board.CrowdingUnknown, m.now)
 	}
 	return m.scenario.slots
 }
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -241,8 +241,20 @@
 	State         ServerState `cbor:"11,keyasint" json:"state"`
 	// Leaving is set when the node itself stops.
 	Leaving bool `cbor:"12,keyasint" json:"leaving"`
+	// Crowding is what the node found out about its backend server.
+	Crowding Crowding `cbor:"13,keyasint,omitempty" json:"crowding"`
 }
 
+// Crowding says whether a backend server works slower when it is nearly full.
+type Crowding uint8
+
+// What is known about a backend server that is nearly full.
+const (
+	CrowdingUnknown Crowding = iota
+	CrowdingNone
+	CrowdingSlows
+)
+
 // Newer reports whether r replaces other.
 func (r NodeRecord) Newer(other NodeRecord) bool {
 	if r.Incarnation != other.Incarnation {
@@ -314,11 +326,14 @@
 	Size int
 	// Digests are equal for equal sets of records, see fleet.Digests.
 	Digests []uint32
+	// Crowding is what most nodes of the own service have found.
+	Crowding Crowding
 }
 
 // Pulse holds the newest load figures of the own backend server.
 type Pulse struct {
-	view atomic.Pointer[PulseView]
+	view     atomic.Pointer[PulseView]
+	crowding atomic.Uint32
 }
 
 // PulseView is one load report of a backend server.
@@ -332,6 +347,12 @@
 // Set stores a report.
 func (p *Pulse) Set(v PulseView) { p.view.Store(&v) }
 
+// SetCrowding stores what was found about the own backend server.
+func (p *Pulse) SetCrowding(c Crowding) { p.crowding.Store(uint32(c)) }
+
+// Crowding returns the newest finding.
+func (p *Pulse) Crowding() Crowding { return Crowding(p.crowding.Load()) }
+
 // Load returns the newest report, or nil.
 func (p *Pulse) Load() *PulseView { return p.view.Load() }
 
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 )
 
@@ -138,6 +139,9 @@
 		next.State = board.ServerUnknown
 	}
 	next.Leaving = c.board.Stopping.Load().Active
+	if found := c.board.Pulse.Crowding(); found != board.CrowdingUnknown {
+		next.Crowding = found
+	}
 	if next == c.own {
 		return
 	}
@@ -154,9 +158,13 @@
 func (c *Controller) merge(ctx context.Context, event board.RecordsEvent, now time.Time) {
 	var news []board.NodeRecord
 	for _, record := range event.Records {
-		if c.mergeOne(record, now) {
-			news = append(news, record)
+		if !c.mergeOne(record, now) {
+			continue
+		}
+		if record.Instance == c.own.Instance {
+			record = c.own
 		}
+		news = append(news, record)
 	}
 	if len(news) == 0 {
 		return
@@ -170,7 +178,7 @@
 // mergeOne takes a record and reports whether it is news.
 func (c *Controller) mergeOne(record board.NodeRecord, now time.Time) bool {
 	if record.Instance == c.own.Instance {
-		return c.refute(record)
+		return c.recall(record) || c.refute(record)
 	}
 	known := c.others[record.Instance]
 	if known != nil && !record.Newer(known.cell.Record) {
@@ -198,6 +206,18 @@
 	return true
 }
 
+// recall takes over what this node found out in an earlier life.
+func (c *Controller) recall(record board.NodeRecord) bool {
+	if c.own.Crowding != board.CrowdingUnknown || record.Crowding == board.CrowdingUnknown || record.Service != c.own.Service {
+		return false
+	}
+	c.refute(record)
+	c.own.Crowding = record.Crowding
+	c.own.Sequence++
+	c.log.Info().Str("event", "crowding_recalled").Uint8("crowding", uint8(record.Crowding)).Uint64("incarnation", record.Incarnation).Send()
+	return true
+}
+
 // refute raises the own incarnation above a record of an earlier life, which a
 // clock that went back may have left.
 func (c *Controller) refute(record board.NodeRecord) bool {
@@ -272,6 +292,10 @@
 		add(next, e.cell)
 	}
 	next.Digests = fleet.Digests(records)
+	next.Crowding = concurrency.Common(records, c.own.Service)
+	if next.Crowding == board.CrowdingUnknown {
+		next.Crowding = c.writer.Load().Crowding
+	}
 	c.writer.Publish(next)
 }
 
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -218,3 +218,37 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a fleet that loses what its nodes found out about their
+// backend servers when all of them restart.
+func TestCrowdingOutlastsARestartOfAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork()
+		nodes := fleetOf(ctx, n, 4)
+		nodes[0].board.Pulse.SetCrowding(board.CrowdingNone)
+		within(t, time.Second, "told to all", func() bool {
+			for _, node := range nodes {
+				if node.board.Fleet.Load().Crowding != board.CrowdingNone {
+					return false
+				}
+			}
+			return true
+		})
+		stored := nodes[0].board.Fleet.Load().ByInstance["n0"].Record
+		cancel()
+		synctest.Wait()
+		ctx, cancel = context.WithCancel(t.Context())
+		again := n.start(ctx, 0, 2)
+		synctest.Wait()
+		again.list(stored)
+		within(t, time.Second, "read from the store", func() bool {
+			return again.board.Fleet.Load().Crowding == board.CrowdingNone
+		})
+		own := again.board.Fleet.Load().ByInstance["n0"].Record
+		require.Equal(t, board.CrowdingNone, own.Crowding)
+		require.EqualValues(t, 2, own.Incarnation)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -14,6 +14,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/platform"
 )
 
@@ -129,7 +130,23 @@
 	}
 	was := c.written
 	return was.ServerID != own.ServerID || was.Born != own.Born || was.Leaving != own.Leaving ||
-		(was.State >= board.ServerDraining) != (own.State >= board.ServerDraining)
+		(was.State >= board.ServerDraining) != (own.State >= board.ServerDraining) ||
+		was.Crowding != own.Crowding && c.keepsCrowding()
+}
+
+// crowdingCopies is the number of nodes of a service that write what they found
+// about their backend server, so that it outlasts a restart of all nodes. The
+// others tell it with their next write.
+const crowdingCopies = 3
+
+func (c *Controller) keepsCrowding() bool {
+	var ids []board.InstanceID
+	for id, cell := range c.board.Fleet.Load().ByInstance {
+		if cell.Record.Service == c.board.Self.Service {
+			ids = append(ids, id)
+		}
+	}
+	return fleet.WatchRank(ids, c.board.Self.Instance) < crowdingCopies
 }
 
 func (c *Controller) listingDue(now time.Time) bool {
--- a/pkg/decide/concurrency/concurrency.go
+++ b/pkg/decide/concurrency/concurrency.go
@@ -3,7 +3,11 @@
 // calls with fewer at once. All functions are pure.
 package concurrency
 
-import "time"
+import (
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+)
 
 const (
 	// KneeShare is the share of slots above which a server counts as nearly
@@ -21,9 +25,10 @@
 	verdictTime = 60 * time.Second
 )
 
-// State is what is known about a server. The zero value knows nothing and keeps
-// below KneeShare until the work of calm times is known; then all slots are
-// tried, and the verdict holds for a while.
+// State is what is known about a server. The zero value knows nothing and, as
+// long as no other server of the service has a verdict, keeps below KneeShare
+// until the work of calm times is known; then all slots are tried, and the
+// verdict holds for a while.
 type State struct {
 	calm, full average
 	// limited is the verdict, until its end; decidedUntil is zero before the
@@ -87,9 +92,10 @@
 	return s
 }
 
-// Limit returns the number of calls that may run at once.
-func (s State) Limit(slots int, now time.Time) int {
-	below := s.calm.samples < leastSamples
+// Limit returns the number of calls that may run at once. Common is what other
+// servers of the service have shown.
+func (s State) Limit(slots int, common board.Crowding, now time.Time) int {
+	below := s.calm.samples < leastSamples && common != board.CrowdingNone
 	if now.Before(s.decidedUntil) {
 		below = s.limited
 	}
@@ -108,5 +114,34 @@
 	return s.full.value / s.calm.value
 }
 
+// Crowding returns the verdict as nodes tell it to each other.
+func (s State) Crowding() board.Crowding {
+	switch {
+	case s.decidedUntil.IsZero():
+		return board.CrowdingUnknown
+	case s.limited:
+		return board.CrowdingSlows
+	}
+	return board.CrowdingNone
+}
+
+// Common returns the verdict of most servers of a service. Single verdicts may
+// be wrong.
+func Common(records []board.NodeRecord, service string) board.Crowding {
+	var count [3]int
+	for _, r := range records {
+		if r.Service == service && r.Crowding <= board.CrowdingSlows {
+			count[r.Crowding]++
+		}
+	}
+	switch {
+	case count[board.CrowdingNone] > count[board.CrowdingSlows]:
+		return board.CrowdingNone
+	case count[board.CrowdingSlows] > 0:
+		return board.CrowdingSlows
+	}
+	return board.CrowdingUnknown
+}
+
 // Decided reports whether a verdict holds.
 func (s State) Decided(now time.Time) bool { return now.Before(s.decidedUntil) }
--- a/pkg/decide/concurrency/concurrency_test.go
+++ b/pkg/decide/concurrency/concurrency_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
 )
 
 // play runs calls on a server with 13 slots under lasting load, whose work
@@ -14,7 +16,7 @@
 	var state State
 	var limits []int
 	for range calls {
-		limit := state.Limit(13, now)
+		limit := state.Limit(13, board.CrowdingUnknown, now)
 		limits = append(limits, limit)
 		ratio := 1.0
 		if limit > 10 {
@@ -49,5 +51,22 @@
 		state = Next(state, Sample{Ratio: 7, Running: 13, Slots: 13, MostSlowdown: 7}, now)
 	}
 	require.False(t, state.Decided(now))
-	require.Equal(t, 13, state.Limit(13, now))
+	require.Equal(t, 13, state.Limit(13, board.CrowdingUnknown, now))
+}
+
+// Guards against a restarted node that leaves slots of its backend server empty
+// until it has found out again what the other nodes know, and against one wrong
+// verdict that is believed.
+func TestVerdictOfOthersCountsUntilTheOwn(t *testing.T) {
+	var fresh State
+	require.Equal(t, 10, fresh.Limit(13, board.CrowdingUnknown, time.Time{}))
+	require.Equal(t, 10, fresh.Limit(13, board.CrowdingSlows, time.Time{}))
+	require.Equal(t, 13, fresh.Limit(13, board.CrowdingNone, time.Time{}))
+	records := []board.NodeRecord{
+		{Service: "desk", Crowding: board.CrowdingNone}, {Service: "desk", Crowding: board.CrowdingSlows},
+		{Service: "desk", Crowding: board.CrowdingNone}, {Service: "desk"}, {Service: "vault", Crowding: board.CrowdingSlows},
+	}
+	require.Equal(t, board.CrowdingNone, Common(records, "desk"))
+	require.Equal(t, board.CrowdingSlows, Common(records, "vault"))
+	require.Equal(t, board.CrowdingUnknown, Common(records, "other"))
 }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -71,7 +71,9 @@
 }
 
 // limit returns the number of calls that the backend server runs at once.
-func (x *Executor) limit(server *board.Server) int { return x.runs.limit(server.Slots, time.Now()) }
+func (x *Executor) limit(server *board.Server) int {
+	return x.runs.limit(server.Slots, x.Board.Fleet.Load().Crowding, time.Now())
+}
 
 // usual returns the usual time of a call.
 func (x *Executor) usual(c *Call) time.Duration {
@@ -231,8 +233,9 @@
 		sample.Ratio = float64(worked) / float64(calm)
 		now := time.Now()
 		if verdict := x.runs.sample(sample, now); verdict != nil {
+			x.Board.Pulse.SetCrowding(verdict.Crowding())
 			x.Log.Info().Str("event", "concurrency").Float64("full_to_calm", verdict.Ratio()).
-				Int("limit", verdict.Limit(slots, now)).Int("slots", slots).Send()
+				Int("limit", verdict.Limit(slots, board.CrowdingUnknown, now)).Int("slots", slots).Send()
 		}
 	}
 }
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/queueing"
@@ -21,12 +22,12 @@
 }
 
 // limit returns the number of calls that may run at once.
-func (s *runs) limit(slots int, now time.Time) int {
+func (s *runs) limit(slots int, common board.Crowding, now time.Time) int {
 	var state concurrency.State
 	if pace := s.pace.Load(); pace != nil {
 		state = *pace
 	}
-	return state.Limit(slots, now)
+	return state.Limit(slots, common, now)
 }
 
 // sample takes a call that was answered and returns the state if it has brought
