Expect a cold or slow backend server to stay so

Cause: estimates took a host to be back at its usual speed (1.3) after 250 ms. A backend server that has just started works at half its speed for seconds, so in the windows after a power loss calls were taken that could not meet their objective, and their late answers kept others from being in time. Change: an executor follows the least slowdown of the last one to two 600 ms windows, which is that of the server itself without the noise of its host. It is told with the load. Estimates settle at it instead of at 1.3 alone, and a waiting call is refused when what is left is too short at that speed. Tests: TestFloorTellsColdServersFromNoise and TestColdServersTakeOnlyWhatTheyCanAnswer (neither compiles before).

--- a/bench/model/sim.go
+++ b/bench/model/sim.go
@@ -157,7 +157,7 @@
 		last := len(c.asked)+1 >= m.policy.offers
 		job := c.job
 		if !last {
-			job.Patience = estimate.Work(c.kind.work, estimate.UsualSlowdown) + 5*way
+			job.Patience = estimate.Speed{}.Work(c.kind.work) + 5*way
 		}
 		if verdict := queueing.Judge(job, load, m.now); verdict.Refusal != queueing.Accepted {
 			m.refuse(c, srv, verdict, last)
@@ -188,7 +188,7 @@
 
 func (m *model) loadOf(srv *server) estimate.Load {
 	return estimate.Load{
-		Running: len(srv.running), Waiting: len(srv.waiting), Slots: m.limit(srv), Slowdown: srv.slowdown, Mean: m.meanWork(),
+		Running: len(srv.running), Waiting: len(srv.waiting), Slots: m.limit(srv), Speed: estimate.Speed{Slowdown: srv.slowdown}, Mean: m.meanWork(),
 	}
 }
 
--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -27,6 +27,9 @@
 	// SlowdownPercent is how long work takes at the instance now, 100 as usual; 0
 	// when it is not known.
 	SlowdownPercent uint32 `cbor:"8,keyasint,omitempty" json:"slowdown_percent"`
+	// FloorPercent is the least slowdown lately, which lasts; 0 when it is not
+	// known.
+	FloorPercent uint32 `cbor:"9,keyasint,omitempty" json:"floor_percent"`
 	// ReceivedAt is set by the entry that received the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -341,7 +341,9 @@
 	Running, Waiting, Slots int
 	// Slowdown is how long work takes relative to the usual time.
 	Slowdown float64
-	At       time.Time
+	// Floor is the least slowdown lately.
+	Floor float64
+	At    time.Time
 }
 
 // Set stores a report.
--- a/pkg/decide/estimate/estimate.go
+++ b/pkg/decide/estimate/estimate.go
@@ -14,42 +14,103 @@
 	// SpeedMemory is the age at which a reported speed says little: two periods
 	// of SpeedHold.
 	SpeedMemory = 2 * SpeedHold
+	// FloorMemory is the age at which a reported floor says little. Backend
+	// servers are cold or slow for seconds.
+	FloorMemory = 1500 * time.Millisecond
 	// UsualSlowdown is the slowdown to assume where none is known. A host that
 	// is slowed sevenfold for a quarter of the time has about this mean.
 	UsualSlowdown = 1.3
 )
 
-// Load is the load of a backend server as it is known at some moment.
-type Load struct {
-	// Running and Waiting count its calls, Slots those it runs at once.
-	Running, Waiting, Slots int
-	// Slowdown is how long work takes relative to the usual time.
+// Speed is how fast a backend server works. The zero value is an unknown speed.
+type Speed struct {
+	// Slowdown is how long work takes now relative to the usual time.
 	Slowdown float64
-	// Mean is the mean time of its calls at usual speed.
-	Mean time.Duration
+	// Floor is the least slowdown lately: that of the backend server itself,
+	// while its host is not disturbed. Up to 1 is usual.
+	Floor float64
 }
 
-// Aged returns the slowdown to expect when a report of it has the age.
-func Aged(slowdown float64, age time.Duration) float64 {
-	if slowdown <= 0 {
-		return UsualSlowdown
+// Settled returns the slowdown to expect in the long run.
+func (s Speed) Settled() float64 { return UsualSlowdown * max(1, s.Floor) }
+
+// Now returns the slowdown now.
+func (s Speed) Now() float64 {
+	if s.Slowdown <= 0 {
+		return s.Settled()
 	}
-	trust := math.Exp(-float64(age) / float64(SpeedMemory))
-	return UsualSlowdown + (slowdown-UsualSlowdown)*trust
+	return s.Slowdown
 }
 
-// Work returns how long work of the usual time takes when it starts at the
-// slowdown and the host changes its speed after SpeedHold.
-func Work(usual time.Duration, slowdown float64) time.Duration {
-	if slowdown <= 0 {
-		slowdown = UsualSlowdown
+// Aged returns the speed to expect when a report of it has the age.
+func (s Speed) Aged(age time.Duration) Speed {
+	aged := Speed{Floor: 1 + (max(1, s.Floor)-1)*trust(age, FloorMemory)}
+	if s.Slowdown > 0 {
+		settled := aged.Settled()
+		aged.Slowdown = settled + (s.Slowdown-settled)*trust(age, SpeedMemory)
 	}
+	return aged
+}
+
+func trust(age, memory time.Duration) float64 {
+	return math.Exp(-float64(max(0, age)) / float64(memory))
+}
+
+// Work returns how long work of the usual time takes when it starts at the
+// speed and the host changes its own after SpeedHold.
+func (s Speed) Work(usual time.Duration) time.Duration {
+	slowdown := s.Now()
 	stretched := time.Duration(float64(usual) * slowdown)
 	if stretched <= SpeedHold {
 		return stretched
 	}
 	done := time.Duration(float64(SpeedHold) / slowdown)
-	return SpeedHold + time.Duration(float64(usual-done)*UsualSlowdown)
+	return SpeedHold + time.Duration(float64(usual-done)*s.Settled())
+}
+
+// floorWindow is the time over which the floor is taken. It is longer than
+// hosts with noisy neighbours keep a speed.
+const floorWindow = 600 * time.Millisecond
+
+// Floor follows the least slowdown of the last one to two windows. The zero
+// value has seen nothing.
+type Floor struct {
+	started, window  time.Time
+	current, earlier float64
+}
+
+// Add returns the floor after a report.
+func (f Floor) Add(slowdown float64, now time.Time) Floor {
+	switch {
+	case now.Sub(f.window) >= 2*floorWindow:
+		return Floor{started: now, window: now, current: slowdown}
+	case now.Sub(f.window) >= floorWindow:
+		f.window, f.earlier, f.current = now, f.current, slowdown
+	}
+	f.current = min(f.current, slowdown)
+	return f
+}
+
+// Value returns the floor, and assumes no more than most until it has seen a
+// whole window.
+func (f Floor) Value(most float64, now time.Time) float64 {
+	value := f.current
+	if f.earlier > 0 {
+		value = min(value, f.earlier)
+	}
+	if now.Sub(f.started) < floorWindow {
+		value = min(value, most)
+	}
+	return value
+}
+
+// Load is the load of a backend server as it is known at some moment.
+type Load struct {
+	// Running and Waiting count its calls, Slots those it runs at once.
+	Running, Waiting, Slots int
+	Speed
+	// Mean is the mean time of its calls at usual speed.
+	Mean time.Duration
 }
 
 // Wait returns how long a new call waits for a slot.
@@ -59,11 +120,10 @@
 	if ahead <= 0 {
 		return 0
 	}
-	perSlot := Work(l.Mean, l.Slowdown)
-	return time.Duration(float64(perSlot) * float64(ahead) / float64(slots))
+	return time.Duration(float64(l.Work(l.Mean)) * float64(ahead) / float64(slots))
 }
 
 // Finish returns how long a new call takes from its arrival to its answer.
 func Finish(l Load, usual time.Duration) time.Duration {
-	return Wait(l) + Work(usual, l.Slowdown)
+	return Wait(l) + l.Work(usual)
 }
--- a/pkg/decide/estimate/estimate_test.go
+++ b/pkg/decide/estimate/estimate_test.go
@@ -12,19 +12,19 @@
 // Guards against a slow host that is taken to stay slow for ever, and against
 // an old report that is believed.
 func TestSlowHostsRecover(t *testing.T) {
-	require.Equal(t, 100*ms, Work(100*ms, 1))
-	slow := Work(100*ms, 7)
+	require.Equal(t, 100*ms, Speed{Slowdown: 1}.Work(100*ms))
+	slow := Speed{Slowdown: 7}.Work(100 * ms)
 	require.Greater(t, slow, 300*ms)
 	require.Less(t, slow, 700*ms)
-	require.InDelta(t, 7, Aged(7, 0), 0.01)
-	require.InDelta(t, UsualSlowdown, Aged(7, 5*time.Second), 0.1)
-	require.InDelta(t, UsualSlowdown, Aged(0, 0), 0)
+	require.InDelta(t, 7, Speed{Slowdown: 7}.Aged(0).Now(), 0.01)
+	require.InDelta(t, UsualSlowdown, Speed{Slowdown: 7}.Aged(5*time.Second).Now(), 0.1)
+	require.InDelta(t, UsualSlowdown, Speed{}.Aged(0).Now(), 0)
 }
 
 // Guards against a wait that is expected while a slot is free, and against one
 // that does not grow with the calls ahead.
 func TestWaitGrowsWithTheCallsAhead(t *testing.T) {
-	load := Load{Running: 3, Slots: 4, Slowdown: 1, Mean: 100 * ms}
+	load := Load{Running: 3, Slots: 4, Speed: Speed{Slowdown: 1}, Mean: 100 * ms}
 	require.Zero(t, Wait(load))
 	load.Running = 4
 	one := Wait(load)
@@ -32,3 +32,29 @@
 	load.Waiting = 4
 	require.Equal(t, 5*one, Wait(load))
 }
+
+// Guards against a cold backend server that is expected to reach its usual
+// speed within milliseconds, and against one that is warm and counts as cold.
+func TestFloorTellsColdServersFromNoise(t *testing.T) {
+	now := time.Unix(0, 0)
+	var floor Floor
+	report := func(slowdown float64, during time.Duration) {
+		for end := now.Add(during); now.Before(end); now = now.Add(50 * ms) {
+			floor = floor.Add(slowdown, now)
+		}
+	}
+	report(14, 200*ms)
+	require.InDelta(t, 2, floor.Value(2, now), 0, "assumed until a window has passed")
+	report(2, 500*ms)
+	report(14, 500*ms)
+	require.InDelta(t, 2, floor.Value(1, now), 0, "cold, and disturbed now")
+	cold := Speed{Slowdown: 14, Floor: floor.Value(1, now)}
+	require.Greater(t, cold.Work(220*ms), 700*ms)
+	require.Less(t, Speed{Slowdown: 7, Floor: 1}.Work(220*ms), 500*ms)
+	require.InDelta(t, 2*UsualSlowdown, cold.Aged(SpeedMemory).Settled(), 0.8)
+	report(1, 100*ms)
+	require.InDelta(t, 1, floor.Value(2, now), 0, "warm")
+	now = now.Add(3 * time.Second)
+	report(7, 100*ms)
+	require.InDelta(t, 1, floor.Value(1, now), 0, "nothing is known after a pause")
+}
--- a/pkg/decide/hedge/hedge.go
+++ b/pkg/decide/hedge/hedge.go
@@ -48,10 +48,10 @@
 
 // Worthwhile reports whether a second send at a host of usual speed is expected
 // to meet an objective that the run is expected to miss.
-func Worthwhile(r Run, slowdown float64, objectiveLeft time.Duration) bool {
+func Worthwhile(r Run, speed estimate.Speed, objectiveLeft time.Duration) bool {
 	left := max(0, r.Usual-r.Done)
-	finish := estimate.Work(left, slowdown)
-	again := estimate.Work(r.Usual, 1)
+	finish := speed.Work(left)
+	again := estimate.Speed{Slowdown: 1}.Work(r.Usual)
 	return finish > objectiveLeft && again <= objectiveLeft &&
 		finish-again > time.Duration(leastGain*float64(r.Usual))
 }
--- a/pkg/decide/hedge/hedge_test.go
+++ b/pkg/decide/hedge/hedge_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/decide/estimate"
 )
 
 const ms = time.Millisecond
@@ -20,9 +22,9 @@
 func TestWorthwhile(t *testing.T) {
 	run := Run{Usual: 200 * ms}.Advance(100*ms, 1)
 	require.Equal(t, 100*ms, run.Done)
-	require.True(t, Worthwhile(run, 7, 250*ms))
-	require.False(t, Worthwhile(run, 1, 250*ms), "it will be in time")
-	require.False(t, Worthwhile(run, 7, 150*ms), "the second send would be late")
+	require.True(t, Worthwhile(run, estimate.Speed{Slowdown: 7}, 250*ms))
+	require.False(t, Worthwhile(run, estimate.Speed{Slowdown: 1}, 250*ms), "it will be in time")
+	require.False(t, Worthwhile(run, estimate.Speed{Slowdown: 7}, 150*ms), "the second send would be late")
 	nearly := Run{Usual: 200 * ms, Done: 190 * ms}
-	require.False(t, Worthwhile(nearly, 7, 60*ms), "it is nearly done")
+	require.False(t, Worthwhile(nearly, estimate.Speed{Slowdown: 7}, 60*ms), "it is nearly done")
 }
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -32,7 +32,7 @@
 // the candidate, with penalties.
 func Expected(c Candidate, usual time.Duration) time.Duration {
 	l := c.Load
-	l.Slowdown = estimate.Aged(l.Slowdown, c.LoadAge)
+	l.Speed = l.Aged(c.LoadAge)
 	total := estimate.Finish(l, usual) + 2*c.Distance + c.Cost
 	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
 }
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -12,7 +12,7 @@
 const ms = time.Millisecond
 
 func candidate(running int, slowdown float64) Candidate {
-	return Candidate{Load: estimate.Load{Running: running, Slots: 4, Slowdown: slowdown, Mean: 100 * ms}}
+	return Candidate{Load: estimate.Load{Running: running, Slots: 4, Speed: estimate.Speed{Slowdown: slowdown}, Mean: 100 * ms}}
 }
 
 // Guards against calls for a full, slow, failing or distant backend server
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -12,8 +12,10 @@
 type Job struct {
 	// Rank orders jobs, 0 first.
 	Rank int
-	// Usual is its time at usual speed.
+	// Usual is its time at usual speed, Floor the least slowdown of the backend
+	// server lately; up to 1 is usual.
 	Usual time.Duration
+	Floor float64
 	// Objective is when its answer loses most of its value, Deadline when nobody
 	// waits for it any more. Both are points in time of the executor.
 	Objective time.Time
@@ -81,7 +83,7 @@
 const leastShare = 0.6
 
 func leastWork(job Job) time.Duration {
-	return time.Duration(leastShare * float64(job.Usual))
+	return time.Duration(leastShare * max(1, job.Floor) * float64(job.Usual))
 }
 
 // likelyShare is the share of its expected time that a job is given when a
@@ -89,7 +91,7 @@
 const likelyShare = 0.9
 
 func likelyWork(job Job, load estimate.Load) time.Duration {
-	return time.Duration(likelyShare * float64(estimate.Work(job.Usual, load.Slowdown)))
+	return time.Duration(likelyShare * float64(load.Work(job.Usual)))
 }
 
 // busyShare is the share of slots in use from which on a late answer is likely
--- a/pkg/decide/queueing/queueing_test.go
+++ b/pkg/decide/queueing/queueing_test.go
@@ -18,7 +18,7 @@
 }
 
 func load(running, waiting int, slowdown float64) estimate.Load {
-	return estimate.Load{Running: running, Waiting: waiting, Slots: 4, Slowdown: slowdown, Mean: 100 * ms}
+	return estimate.Load{Running: running, Waiting: waiting, Slots: 4, Speed: estimate.Speed{Slowdown: slowdown}, Mean: 100 * ms}
 }
 
 // Guards against calls that take the place of others though they can't be in
@@ -69,3 +69,14 @@
 	require.Equal(t, leastRetryAfter, RetryAfter(0, 300*ms, time.Second, 100*ms))
 	require.Equal(t, mostRetryAfter, RetryAfter(time.Hour, 0, time.Hour, 100*ms))
 }
+
+// Guards against a slot for a call that a cold backend server can't answer in
+// time.
+func TestColdServersTakeOnlyWhatTheyCanAnswer(t *testing.T) {
+	one := job(1, 370*ms)
+	cold := load(4, 0, 4)
+	require.Equal(t, Accepted, Judge(one, cold, now).Refusal)
+	cold.Floor, one.Floor = 2, 2
+	require.Equal(t, TooLate, Judge(one, cold, now).Refusal)
+	require.Equal(t, now.Add(250*ms), Expires(one))
+}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -50,24 +50,30 @@
 // Load returns a report for other nodes.
 func (x *Executor) Load() board.LoadReport {
 	server := x.Board.Server.Load()
+	speed := x.speed(server, time.Now())
 	return board.LoadReport{
 		InFlight: uint32(x.gate.running.Load()), Queued: uint32(x.gate.waiting.Load()),
 		Limit: uint32(x.limit(server)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
 		Draining: !server.Takes() || x.Board.Stopping.Load().Active, Sequence: x.reports.Add(1),
-		SlowdownPercent: uint32(100 * x.slowdown(server, time.Now())),
+		SlowdownPercent: uint32(100 * speed.Now()), FloorPercent: uint32(100 * max(1, speed.Floor)),
 	}
 }
 
-// slowdown returns how long work takes now relative to the usual time. The load
-// reports of a backend server include the time after its start.
-func (x *Executor) slowdown(server *board.Server, now time.Time) float64 {
+// speed returns how fast the backend server works now. Its load reports include
+// the time after its start.
+func (x *Executor) speed(server *board.Server, now time.Time) estimate.Speed {
 	if pulse := x.Board.Pulse.Load(); pulse != nil {
-		return estimate.Aged(pulse.Slowdown, now.Sub(pulse.At))
+		return estimate.Speed{Slowdown: pulse.Slowdown, Floor: pulse.Floor}.Aged(now.Sub(pulse.At))
 	}
+	return estimate.Speed{Floor: assumedFloor(server, now)}
+}
+
+// assumedFloor returns the floor of a backend server without load reports.
+func assumedFloor(server *board.Server, now time.Time) float64 {
 	if now.Before(server.WarmUntil) {
-		return coldSlowdown * estimate.UsualSlowdown
+		return coldSlowdown
 	}
-	return estimate.UsualSlowdown
+	return 1
 }
 
 // limit returns the number of calls that the backend server runs at once.
@@ -115,11 +121,12 @@
 	if reason := refusal(server, c, serverID); reason != "" {
 		return notSent(reason)
 	}
+	now := time.Now()
+	speed := x.speed(server, now)
 	job := queueing.Job{
-		Rank: c.Rank, Usual: x.usual(c), Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
+		Rank: c.Rank, Usual: x.usual(c), Floor: speed.Floor, Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
 	}
-	now := time.Now()
-	load := x.gate.load(job, estimate.Load{Slots: x.limit(server), Slowdown: x.slowdown(server, now), Mean: x.meanOr(job.Usual)})
+	load := x.gate.load(job, estimate.Load{Slots: x.limit(server), Speed: speed, Mean: x.meanOr(job.Usual)})
 	verdict := queueing.Judge(job, load, now)
 	if verdict.Refusal != queueing.Accepted {
 		answer := notSent(reasonOf(verdict.Refusal))
@@ -201,7 +208,7 @@
 		x.gate.release(slots)
 		return notSent(board.ReasonDraining)
 	}
-	run := x.runs.begin(job, x.slowdown(server, now), now, from.Slow)
+	run := x.runs.begin(job, x.speed(server, now).Now(), now, from.Slow)
 	beside := x.gate.running.Load()
 	answer := x.send(ctx, c, server)
 	worked := x.runs.end(run, time.Now())
@@ -243,8 +250,8 @@
 // Pulsed takes a load report of the backend server.
 func (x *Executor) Pulsed(view board.PulseView) {
 	view.At = time.Now()
+	view.Floor = x.runs.pulse(view.Slowdown, assumedFloor(x.Board.Server.Load(), view.At), view.At).Floor
 	x.Board.Pulse.Set(view)
-	x.runs.pulse(x.slowdown(x.Board.Server.Load(), view.At), view.At)
 }
 
 // HandleHop answers a call of another node.
--- a/pkg/mesh/place.go
+++ b/pkg/mesh/place.go
@@ -48,7 +48,7 @@
 		return cell, 0
 	}
 	next := choice.Next - candidates[choice.Index].Cost
-	return cell, max(next, estimate.Work(usual, estimate.UsualSlowdown)) + patienceMargin
+	return cell, max(next, estimate.Speed{}.Work(usual)) + patienceMargin
 }
 
 // cells returns the executors that may be asked.
@@ -101,7 +101,7 @@
 	}
 	c.LoadAge = now.Sub(report.ReceivedAt)
 	c.Load.Slots = int(report.Limit)
-	c.Load.Slowdown = float64(report.SlowdownPercent) / 100
+	c.Load.Speed = estimate.Speed{Slowdown: float64(report.SlowdownPercent) / 100, Floor: float64(report.FloorPercent) / 100}
 	if report.LatencyMicros > 0 {
 		c.Load.Mean = time.Duration(report.LatencyMicros) * time.Microsecond
 	}
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -7,6 +7,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
+	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 )
@@ -19,6 +20,8 @@
 
 	// pace is replaced as a whole with each call that ends.
 	pace atomic.Pointer[concurrency.State]
+
+	floor estimate.Floor
 }
 
 // limit returns the number of calls that may run at once.
@@ -104,13 +107,16 @@
 	return r.state.Done
 }
 
-// pulse advances all calls to a load report.
-func (s *runs) pulse(slowdown float64, now time.Time) {
+// pulse advances all calls to a load report and returns the speed with the
+// floor, of which no more than most is assumed at first.
+func (s *runs) pulse(slowdown, most float64, now time.Time) estimate.Speed {
 	var late []*run
 	s.mu.Lock()
+	s.floor = s.floor.Add(slowdown, now)
+	speed := estimate.Speed{Slowdown: slowdown, Floor: s.floor.Value(most, now)}
 	for r := range s.active {
 		r.advance(slowdown, now)
-		if !r.told && hedge.Worthwhile(r.state, slowdown, r.objective.Sub(now)) {
+		if !r.told && hedge.Worthwhile(r.state, speed, r.objective.Sub(now)) {
 			r.told = true
 			late = append(late, r)
 		}
@@ -119,4 +125,5 @@
 	for _, r := range late {
 		r.tell()
 	}
+	return speed
 }
