Do not call a node whose address another node has

Cause: a machine was replaced by another one of another service at the same address (replace_with_reuse). Its record stayed in the fleet, because exchanges with the address were answered, though by the new node. The log of a refused call showed it (from its id to the executor that refused it). Change: the answer to an exchange or an offer names the node that gives it; another name ends the record. A new record also puts the earlier nodes at its address in doubt until they answer, so that all nodes know at once; contact has the last word, since incarnations come from clocks. Tests: TestAddressOfAnotherNodeIsNotTheOldOne fails before with the record kept, with a clock that is right and one that is behind; TestOtherNodeAtTheAddressIsNotAskedAgain; a row of TestAlive.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -296,6 +296,7 @@
 	// answer since then.
 	heard    atomic.Pointer[time.Time]
 	failures atomic.Int32
+	replaced atomic.Bool
 }
 
 // Heard notes an answer of the node.
@@ -304,6 +305,12 @@
 	r.failures.Store(0)
 }
 
+// SetReplaced notes that another node answers at the node's address.
+func (r *Reach) SetReplaced() { r.replaced.Store(true) }
+
+// Replaced reports whether another node answers at the node's address.
+func (r *Reach) Replaced() bool { return r.replaced.Load() }
+
 // Failed notes an exchange that got no answer.
 func (r *Reach) Failed() { r.failures.Add(1) }
 
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -69,6 +69,9 @@
 	seen    time.Time
 	alive   bool
 	aliveAt time.Time
+	// overtakenAt is when a later node was found to have the same address, until
+	// this one answers.
+	overtakenAt time.Time
 	// unlisted is set when the store does not list the node and it was not heard
 	// lately; it is asked before it is given up.
 	unlisted bool
@@ -200,12 +203,31 @@
 	}
 	next.cell = cell
 	c.others[record.Instance] = next
+	c.overtake(record, now)
 	c.log.Info().Str("event", "node_record").Str("node", string(record.Instance)).Uint64("incarnation", record.Incarnation).
 		Uint64("sequence", record.Sequence).Str("service", record.Service).Str("server", record.ServerID).
 		Str("state", record.State.String()).Bool("leaving", record.Leaving).Send()
 	return true
 }
 
+// overtake doubts the earlier nodes at the address of a record. Incarnations
+// are times of day, so that contact has the last word.
+func (c *Controller) overtake(record board.NodeRecord, now time.Time) {
+	for id, e := range c.others {
+		known := e.cell.Record
+		if id != record.Instance && known.PeerAddr == record.PeerAddr && known.Incarnation < record.Incarnation {
+			e.overtakenAt, e.alive = now, false
+			c.log.Info().Str("event", "node_overtaken").Str("node", string(id)).Str("by", string(record.Instance)).
+				Str("addr", record.PeerAddr).Send()
+		}
+	}
+}
+
+// overtaken reports whether a later node has the address, as far as is known.
+func (e *entry) overtaken() bool {
+	return !e.overtakenAt.IsZero() && !e.cell.Reach.HeardSince(e.overtakenAt)
+}
+
 // recall takes over what this node found out in an earlier life.
 func (c *Controller) recall(record board.NodeRecord) bool {
 	if c.own.Crowding != board.CrowdingUnknown || record.Crowding == board.CrowdingUnknown || record.Service != c.own.Service {
@@ -250,7 +272,7 @@
 		alive := fleet.Alive(fleet.Evidence{
 			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
 			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
-			Left:  e.cell.Record.Leaving, SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
+			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken(), SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
 		})
 		e.unlisted = settled && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
 		if alive {
@@ -310,10 +332,10 @@
 func (c *Controller) askOthers(ctx context.Context) {
 	var ids, doubtful []board.InstanceID
 	for id, e := range c.others {
-		if e.cell.Record.Leaving {
+		if e.cell.Record.Leaving || e.cell.Reach.Replaced() {
 			continue
 		}
-		if e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
+		if e.overtaken() || e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
 			doubtful = append(doubtful, id)
 		}
 		ids = append(ids, id)
@@ -375,7 +397,12 @@
 		}
 		return
 	}
-	cell.Reach.Heard(time.Now())
+	if answer.From != cell.Record.Instance {
+		cell.Reach.SetReplaced()
+		c.log.Info().Str("event", "node_replaced").Str("node", string(cell.Record.Instance)).Str("by", string(answer.From)).Send()
+	} else {
+		cell.Reach.Heard(time.Now())
+	}
 	Take(c.board, answer)
 }
 
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -60,13 +60,20 @@
 }
 
 func (n *network) start(ctx context.Context, number int, incarnation uint64) *testNode {
-	addr := fmt.Sprintf("addr-%d", number)
-	b := board.NewMesh(board.Self{Instance: board.InstanceID(fmt.Sprintf("n%d", number)), Service: "desk", PeerAddr: addr})
+	name := board.InstanceID(fmt.Sprintf("n%d", number))
+	return n.startAt(ctx, number, incarnation, board.Self{Instance: name, Service: "desk"})
+}
+
+// startAt starts a node at the address of a number.
+func (n *network) startAt(ctx context.Context, number int, incarnation uint64, self board.Self) *testNode {
+	self.PeerAddr = fmt.Sprintf("addr-%d", number)
+	addr := self.PeerAddr
+	b := board.NewMesh(self)
 	n.mu.Lock()
 	n.boards[addr] = b
 	n.mu.Unlock()
 	t := &testNode{board: b, server: b.Server.Claim("test"), store: b.Store.Claim("test")}
-	t.server.Publish(&board.Server{ID: fmt.Sprintf("s%d", number), State: board.ServerReady, Service: "desk", Slots: 4})
+	t.server.Publish(&board.Server{ID: fmt.Sprintf("s%d", number), State: board.ServerReady, Service: self.Service, Slots: 4})
 	c := New(b, incarnation, n.exchanger(addr), func() board.LoadReport { return board.LoadReport{} }, zerolog.Nop())
 	go c.Run(ctx)
 	return t
@@ -252,3 +259,34 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against calls for a node that is gone and whose address another one
+// has: the address answers, but not for the service.
+func TestAddressOfAnotherNodeIsNotTheOldOne(t *testing.T) {
+	for name, incarnation := range map[string]uint64{"newer": 2, "clock behind": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				n := newNetwork()
+				nodes := fleetOf(ctx, n, 4)
+				within(t, 2*time.Second, "start", all(nodes, 4))
+				gone, end := context.WithCancel(ctx)
+				lost := n.start(gone, 4, 1)
+				synctest.Wait()
+				lost.list(nodes[0].board.Fleet.Load().ByInstance["n0"].Record)
+				within(t, 2*time.Second, "joined", all(nodes, 5))
+				end()
+				synctest.Wait()
+				next := n.startAt(ctx, 4, incarnation, board.Self{Instance: "next", Service: "vault"})
+				synctest.Wait()
+				next.list(nodes[0].board.Fleet.Load().ByInstance["n0"].Record)
+				within(t, 3*time.Second, "the old node is gone", all(nodes, 4))
+				time.Sleep(5 * time.Second)
+				within(t, 0+tick, "and stays so", all(nodes, 4))
+				require.Len(t, nodes[1].board.Fleet.Load().ByService["vault"], 1)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -33,6 +33,8 @@
 	Unanswered bool
 	// Left is true when the node said that it leaves.
 	Left bool
+	// Replaced is true when another node has its address.
+	Replaced bool
 	// SeenFor is how long the node is known.
 	SeenFor time.Duration
 }
@@ -42,7 +44,7 @@
 // the store decides, and while the store cannot tell, a known node is kept.
 func Alive(e Evidence) bool {
 	switch {
-	case e.Left:
+	case e.Left, e.Replaced:
 		return false
 	case e.Heard:
 		return true
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 		"silent and missing after the return":    {Evidence{ListingFresh: true, Unanswered: true, SeenFor: time.Minute}, false},
 		"missing after the return, not asked":    {Evidence{ListingFresh: true, SeenFor: time.Minute}, true},
 		"new, not listed yet":                    {Evidence{ListingFresh: true, Unanswered: true, SeenFor: time.Second}, true},
+		"listed, but another one answers":        {Evidence{Listed: true, Heard: true, Replaced: true}, false},
 		"left, its record is still in the store": {Evidence{Listed: true, Heard: true, Left: true}, false},
 	} {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.alive, Alive(c.evidence)) })
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -93,11 +93,16 @@
 		return unknown(board.ReasonMalformedAnswer)
 	}
 	p.entry.Board.HeardConfig(told.Config, cell.Record.PeerAddr, time.Now())
-	load := told.Load
 	a := &Answer{
-		Outcome: told.Outcome, Reason: told.Reason, Load: &load,
+		Outcome: told.Outcome, Reason: told.Reason, Load: &told.Load,
 		Work: time.Duration(told.WorkMicros) * time.Microsecond, Wait: time.Duration(told.WaitMicros) * time.Microsecond,
 	}
+	if told.Executor != cell.Record.Instance {
+		cell.Reach.SetReplaced()
+		a.Load = nil
+		p.entry.Log.Info().Str("event", "node_replaced").Str("id", p.call.ID).Str("node", string(cell.Record.Instance)).
+			Str("by", string(told.Executor)).Send()
+	}
 	if a.Outcome != Answered {
 		_ = got.Body.Close()
 		return a
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -281,7 +281,7 @@
 	response.Header.Set(headerHop, encodeHop(hopAnswer{
 		Outcome: answer.Outcome, Reason: answer.Reason, Load: *answer.Load,
 		WorkMicros: answer.Work.Microseconds(), WaitMicros: answer.Wait.Microseconds(),
-		Config: x.Board.ConfigWord(time.Now()),
+		Config: x.Board.ConfigWord(time.Now()), Executor: x.Board.Self.Instance,
 	}))
 	return response
 }
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -45,6 +45,9 @@
 	WaitMicros int64            `cbor:"5,keyasint"`
 	// Config is what the executor knows of the configuration.
 	Config board.ConfigWord `cbor:"6,keyasint"`
+	// Executor is the node that answers, which may be another one than that
+	// which had the address before.
+	Executor board.InstanceID `cbor:"7,keyasint"`
 }
 
 func encodeHop(v any) string {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -453,3 +453,18 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.Status)
 	require.NotEmpty(t, answer.Header.Get("Retry-After"))
 }
+
+// Guards against calls for a node that is gone and whose address another one
+// has.
+func TestOtherNodeAtTheAddressIsNotAskedAgain(t *testing.T) {
+	server := startBackend(t, ok)
+	nodes := startFleet(t, server, startBackend(t, ok))
+	gone := *nodes[1]
+	gone.record.Instance, gone.record.ServerID = "gone", "s-gone"
+	nodes[0].know([]*node{&gone})
+	resp, _ := nodes[0].send(t, http.MethodGet, "/read/1", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	cell := nodes[0].board.Fleet.Load().ByInstance["gone"]
+	require.True(t, cell.Reach.Replaced())
+	require.Nil(t, cell.LastReport(), "the load is that of another backend server")
+}
--- a/pkg/mesh/place.go
+++ b/pkg/mesh/place.go
@@ -56,7 +56,7 @@
 	var sound, suspected []*board.MeshCell
 	for _, cell := range p.entry.Board.Fleet.Load().ByService[p.call.Service] {
 		switch {
-		case slices.Contains(p.excluded, cell.Record.Instance):
+		case slices.Contains(p.excluded, cell.Record.Instance), cell.Reach.Replaced():
 		case cell.Reach.Suspected():
 			suspected = append(suspected, cell)
 		default:
