Pace large answers to the link of the machine

A node beside a backend server of bundles (90 kB, up to 540 kB) wrote them as fast as it could; offers and short answers waited behind them on its link for longer than the 130 ms in which an executor has to accept. Change: a node knows the rate of its link (setting link_mbps). Answers from 16 kB on leave in pieces of 4 kB at that rate, all others at once. A node tells how long its link is busy with answers under way or expected, and its rate in its record; the choice of an executor counts the wait and the transfer, so that thin links get fewer bundles. Tests: TestLargeAnswersLeaveRoomForShortOnes, TestBundlesAvoidBusyLinks, TestReserve, TestWait (none compiles before).

--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -30,6 +30,9 @@
 	// FloorPercent is the least slowdown lately, which lasts; 0 when it is not
 	// known.
 	FloorPercent uint32 `cbor:"9,keyasint,omitempty" json:"floor_percent"`
+	// LinkMicros is how long the link of the machine is busy with answers that
+	// are under way or expected, in microseconds.
+	LinkMicros uint32 `cbor:"10,keyasint,omitempty" json:"link_us"`
 	// ReceivedAt is set by the entry that received the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -35,6 +35,8 @@
 	// Pulse holds the figures of the own backend server that change with each
 	// call.
 	Pulse *Pulse
+	// Link follows what goes out on the machine's link.
+	Link *Link
 	// Works holds what calls of each rule cost.
 	Works *Works
 	// Budgets holds the additional attempts that are left for each service.
@@ -63,6 +65,9 @@
 	PeerAddr string
 	// ServerAddr is where the node reaches its backend server.
 	ServerAddr string
+	// LinkRate is the rate of the machine's link to plan with in bytes per
+	// second, 0 when not known.
+	LinkRate float64
 }
 
 // NewMesh returns a board with empty sections.
@@ -75,6 +80,7 @@
 		Store:         NewSection("store", &StoreView{}),
 		Stopping:      NewSection("stopping", &Stopping{}),
 		Pulse:         &Pulse{},
+		Link:          NewLink(self.LinkRate),
 		Works:         &Works{},
 		Budgets:       NewAttemptBudgets(time.Now()),
 		Confirmed:     &Confirmation{},
@@ -243,6 +249,9 @@
 	Leaving bool `cbor:"12,keyasint" json:"leaving"`
 	// Crowding is what the node found out about its backend server.
 	Crowding Crowding `cbor:"13,keyasint,omitempty" json:"crowding"`
+	// LinkRate is that of the node's machine in bytes per second, 0 when not
+	// known.
+	LinkRate float64 `cbor:"14,keyasint,omitempty" json:"link_rate"`
 }
 
 // Crowding says whether a backend server works slower when it is nearly full.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -83,7 +83,7 @@
 		board: b, exchange: exchange, load: load, log: log, writer: b.Fleet.Claim("directory"),
 		own: board.NodeRecord{
 			Instance: b.Self.Instance, Incarnation: incarnation, Sequence: 1, PeerAddr: b.Self.PeerAddr,
-			Region: b.Self.Region, FailureDomain: b.Self.FailureDomain, Service: b.Self.Service,
+			Region: b.Self.Region, FailureDomain: b.Self.FailureDomain, Service: b.Self.Service, LinkRate: b.Self.LinkRate,
 		},
 		others: map[board.InstanceID]*entry{},
 		done:   make(chan board.InstanceID, exchangeQueue), busy: map[board.InstanceID]bool{},
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/pacing"
 )
 
 // Candidate is one backend server as its caller's node knows it.
@@ -19,6 +20,11 @@
 	Failing float64
 	// Cost is what the bytes of an answer cost on the way, as a time.
 	Cost time.Duration
+	// Bytes is the size of the answer, LinkRate the rate of the machine's link in
+	// bytes per second and Backlog how long it is busy, as old as the load.
+	Bytes    int64
+	LinkRate float64
+	Backlog  time.Duration
 	// Excluded candidates are used only when there is no other.
 	Excluded bool
 }
@@ -33,7 +39,8 @@
 func Expected(c Candidate, usual time.Duration) time.Duration {
 	l := c.Load
 	l.Speed = l.Aged(c.LoadAge)
-	total := estimate.Finish(l, usual) + 2*c.Distance + c.Cost
+	finish := estimate.Finish(l, usual)
+	total := finish + 2*c.Distance + c.Cost + pacing.Wait(c.Backlog-max(0, c.LoadAge), finish, c.Bytes, c.LinkRate)
 	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
 }
 
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -57,3 +57,20 @@
 	choice, _ = Choose([]Candidate{excluded}, 100*ms, ms, 0)
 	require.Equal(t, 0, choice.Index)
 }
+
+// Guards against a bundle that is placed behind others on a thin link, and
+// against wide links that get no more than thin ones.
+func TestBundlesAvoidBusyLinks(t *testing.T) {
+	thin, wide := candidate(0, 1), candidate(1, 1)
+	thin.Bytes, thin.LinkRate = 90_000, 1.66e6
+	wide.Bytes, wide.LinkRate = 90_000, 24e6
+	choice, _ := Choose([]Candidate{thin, wide}, 100*ms, 0, 0)
+	require.Equal(t, 1, choice.Index)
+	busy := candidate(0, 1)
+	busy.Backlog = 400 * ms
+	choice, _ = Choose([]Candidate{busy, thin}, 100*ms, 0, 0)
+	require.Equal(t, 1, choice.Index)
+	busy.LoadAge = time.Second
+	choice, _ = Choose([]Candidate{busy, thin}, 100*ms, 0, 0)
+	require.Equal(t, 0, choice.Index, "the backlog has gone since")
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -117,7 +117,7 @@
 		cancel()
 		return response
 	}
-	response.Body = onClose(a.Body, cancel)
+	response.Body = onClose(pace(e.Board.Link, a.Body, a.Length), cancel)
 	return response
 }
 
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -56,6 +56,7 @@
 		Limit: uint32(x.limit(server)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
 		Draining: !server.Takes() || x.Board.Stopping.Load().Active, Sequence: x.reports.Add(1),
 		SlowdownPercent: uint32(100 * speed.Now()), FloorPercent: uint32(100 * max(1, speed.Floor)),
+		LinkMicros: uint32(x.Board.Link.Backlog(time.Now()).Microseconds()),
 	}
 }
 
@@ -210,7 +211,10 @@
 	}
 	run := x.runs.begin(job, x.speed(server, now).Now(), now, from.Slow)
 	beside := x.gate.running.Load()
+	expected := x.Board.Works.Of(c.Rule).Bytes()
+	x.Board.Link.Owe(expected)
 	answer := x.send(ctx, c, server)
+	x.Board.Link.Owe(-expected)
 	worked := x.runs.end(run, time.Now())
 	beside = (beside + x.gate.running.Load() + 1) / 2
 	if answer.whole || answer.Body == nil {
@@ -271,7 +275,9 @@
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	h1.RemoveHopHeaders(c.Header)
 	answer := x.Serve(ctx, c, h.ServerID, time.Duration(h.PatienceMicros)*time.Microsecond, remoteTake{r})
-	response := &h1.Response{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: answer.Length}
+	response := &h1.Response{
+		Status: answer.Status, Header: answer.Header, Body: pace(x.Board.Link, answer.Body, answer.Length), Length: answer.Length,
+	}
 	if answer.Outcome != Answered {
 		response.Status = http.StatusServiceUnavailable
 	}
--- a/pkg/mesh/place.go
+++ b/pkg/mesh/place.go
@@ -96,9 +96,15 @@
 	}
 	c.LoadAge = -1
 	report := cell.LastReport()
+	if cell.Record.Instance != self.Instance {
+		c.Bytes, c.LinkRate = p.entry.Board.Works.Of(p.call.Rule).Bytes(), cell.Record.LinkRate
+	}
 	if report == nil {
 		return c
 	}
+	if cell.Record.Instance != self.Instance {
+		c.Backlog = time.Duration(report.LinkMicros) * time.Microsecond
+	}
 	c.LoadAge = now.Sub(report.ReceivedAt)
 	c.Load.Slots = int(report.Limit)
 	c.Load.Speed = estimate.Speed{Slowdown: float64(report.SlowdownPercent) / 100, Floor: float64(report.FloorPercent) / 100}
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -21,6 +21,7 @@
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/decide/attempts"
+	"mangostand.example/mangostand/pkg/decide/pacing"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/mesh"
@@ -84,7 +85,7 @@
 	n := &Node{settings: s, log: log, listeners: map[string]net.Listener{}}
 	n.board = board.NewMesh(board.Self{
 		Instance: board.InstanceID(s.Instance), Region: s.Region, FailureDomain: s.FailureDomain,
-		Service: s.Service, PeerAddr: s.AdvertisePeers, ServerAddr: s.Server,
+		Service: s.Service, PeerAddr: s.AdvertisePeers, ServerAddr: s.Server, LinkRate: pacing.Rate(s.LinkMbps),
 	})
 	n.stopping = n.board.Stopping.Claim("meshnode")
 	scope, handler, closer := metrics.New(map[string]string{"node": s.Instance})
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -21,6 +21,8 @@
 	LogLevel string
 	// Memory is the limit of the process in MB; 0 means none.
 	Memory int
+	// LinkMbps is the rate of the machine's link in Mbit/s; 0 means not known.
+	LinkMbps float64
 
 	// Callers is the address for callers, Peers that for other nodes, Local that
 	// for the backend server's announcements and Readiness that for the
@@ -137,6 +139,8 @@
 			inifile.String("failure_domain", &m.FailureDomain).Because("Failure domain of the instance. Required."),
 			inifile.Choice("log_level", &m.LogLevel, "debug", "info", "warn", "error").Because("Least level of log lines."),
 			inifile.Int("memory_mb", &m.Memory, 0, maxMemoryMB).Because("Memory limit of the process in MB; 0 means none."),
+			inifile.Float("link_mbps", &m.LinkMbps, 0, maxLinkMbps).
+				Because("Rate of the machine's link in Mbit/s; 0 means not known. Large answers are paced to it."),
 		}
 	case "listen":
 		return []inifile.Field{
@@ -172,3 +176,6 @@
 
 // maxMemoryMB bounds the memory limit to what an instance can have.
 const maxMemoryMB = 1 << 20
+
+// maxLinkMbps bounds the rate of a link to what an instance can have.
+const maxLinkMbps = 1e6
