Let a stopping node run calls of other nodes for 2 s

Change: the node is not ready at once, as before, but tells that it leaves after 2 s (a third of what a shorter grace time leaves), in time for calls to end before it exits.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -29,7 +29,7 @@
 	Fleet *Section[*Fleet]
 	// Store is written by control/registration.
 	Store *Section[*StoreView]
-	// Stopping is written by control/shutdown.
+	// Stopping is written by the node itself.
 	Stopping *Section[*Stopping]
 
 	// Pulse holds the figures of the own backend server that change with each
@@ -145,6 +145,9 @@
 	Active bool
 	// Since is when the order came.
 	Since time.Time
+	// Leaving is set when the backend server gets no more calls through this
+	// node, some time after the order.
+	Leaving bool
 }
 
 // StoreView is what this node knows about the platform's store.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -141,7 +141,7 @@
 	if server.Down {
 		next.State = board.ServerUnknown
 	}
-	next.Leaving = c.board.Stopping.Load().Active
+	next.Leaving = c.board.Stopping.Load().Leaving
 	if found := c.board.Pulse.Crowding(); found != board.CrowdingUnknown {
 		next.Crowding = found
 	}
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -290,3 +290,22 @@
 		})
 	}
 }
+
+// Guards against a backend server that is idle while only its node restarts,
+// and against calls for a node that is about to exit.
+func TestStoppingNodeExecutesUntilItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		nodes := fleetOf(ctx, newNetwork(), 3)
+		within(t, 2*time.Second, "start", all(nodes, 3))
+		stopping := nodes[2].board.Stopping.Claim("test")
+		stopping.Publish(&board.Stopping{Active: true, Since: time.Now()})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, 3, takers(nodes[0]))
+		stopping.Publish(&board.Stopping{Active: true, Since: time.Now(), Leaving: true})
+		within(t, time.Second, "told", all(nodes, 2))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -54,7 +54,7 @@
 	return board.LoadReport{
 		InFlight: uint32(x.gate.running.Load()), Queued: uint32(x.gate.waiting.Load()),
 		Limit: uint32(x.limit(server)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
-		Draining: !server.Takes() || x.Board.Stopping.Load().Active, Sequence: x.reports.Add(1),
+		Draining: !server.Takes() || x.Board.Stopping.Load().Leaving, Sequence: x.reports.Add(1),
 		SlowdownPercent: uint32(100 * speed.Now()), FloorPercent: uint32(100 * max(1, speed.Floor)),
 		LinkMicros: uint32(x.Board.Link.Backlog(time.Now()).Microseconds()),
 	}
--- a/pkg/meshnode/stop.go
+++ b/pkg/meshnode/stop.go
@@ -4,15 +4,10 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/fleet"
 )
 
 const (
-	// acceptAfterStop is how long a stopping node takes new calls: until the
-	// platform has noticed twice, a second apart, that it is not ready.
-	acceptAfterStop = 3 * time.Second
-	// stopMargin is left before the platform's kill to withdraw from the store
-	// and to write the last lines of the log.
-	stopMargin = 900 * time.Millisecond
 	// stopPoll spaces the looks at what is unanswered.
 	stopPoll = 20 * time.Millisecond
 	// quietStop is the time without any call after which a stopping node that
@@ -20,16 +15,18 @@
 	quietStop = 300 * time.Millisecond
 )
 
-// stop ends the node without cutting a call: it says that it is not ready,
-// refuses calls of other nodes for its backend server, answers its callers and
-// ends their connections with their last answers.
+// stop ends the node without cutting a call: it says that it is not ready, runs
+// calls of other nodes for a while, answers its callers and ends their
+// connections with their last answers.
 func (n *Node) stop() {
 	started := time.Now()
+	plan := fleet.PlanStop(n.settings.Bounds.Grace)
 	n.stopping.Publish(&board.Stopping{Active: true, Since: started})
 	n.callers.Drain()
 	n.log.Info().Str("event", "stopping").Int("unanswered", n.entry.Active()+n.executor.InFlight()).
 		Dur("grace", n.settings.Bounds.Grace).Send()
-	last := started.Add(n.settings.Bounds.Grace - stopMargin)
+	last := started.Add(plan.Last)
+	leaving := false
 	var quietSince time.Time
 	for now := started; now.Before(last); now = time.Now() {
 		busy := n.callers.Active() > 0 || n.peerServer.Active() > 0 || n.executor.InFlight() > 0
@@ -39,7 +36,11 @@
 		case quietSince.IsZero():
 			quietSince = now
 		}
-		if now.Sub(started) > acceptAfterStop {
+		if !leaving && now.Sub(started) >= plan.Execute {
+			leaving = true
+			n.stopping.Publish(&board.Stopping{Active: true, Since: started, Leaving: true})
+		}
+		if now.Sub(started) > plan.Accept {
 			_ = n.listeners["callers"].Close()
 			open := n.callers.CloseIdle()
 			if open == 0 && !quietSince.IsZero() && now.Sub(quietSince) > quietStop {
