Let changes of many nodes share messages; exchange within the domain first

Change: changes of other nodes that arrive within 50 ms are passed on in one message; the first one still goes at once. Three of four random exchanges stay in the failure domain.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -23,8 +23,14 @@
 	randomExchanges = 1
 	// doubtfulExchanges bounds the questions to silent nodes in each tick.
 	doubtfulExchanges = 6
+	// sameDomainShare is the part of the random exchanges that stay in the
+	// failure domain, where bytes cost nothing.
+	sameDomainShare = 0.75
 	// fanout is the number of nodes that a change is passed on to at once.
 	fanout = 4
+	// spreadGap spaces the messages that pass on changes of other nodes. Changes
+	// that arrive meanwhile share a message.
+	spreadGap = 50 * time.Millisecond
 	// exchangeTimeout bounds an exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// leftMemory is how long a node that left is remembered, so that older
@@ -58,6 +64,11 @@
 
 	own    board.NodeRecord
 	others map[board.InstanceID]*entry
+	// news holds records of other nodes that are to be passed on when flush
+	// fires; spreadAt is when that was done last.
+	news     []board.NodeRecord
+	flush    <-chan time.Time
+	spreadAt time.Time
 	// busy holds the nodes with an exchange under way.
 	done chan board.InstanceID
 	busy map[board.InstanceID]bool
@@ -117,11 +128,13 @@
 		case <-stopping:
 			c.refreshOwn(ctx)
 		case <-routes:
-			c.spread(ctx, []board.NodeRecord{c.own}, "")
+			c.spread(ctx, []board.NodeRecord{c.own})
 		case <-store:
 			c.takeListing(ctx, time.Now())
 		case id := <-c.done:
 			delete(c.busy, id)
+		case now := <-c.flush:
+			c.passOn(ctx, now)
 		case now := <-ticker.C:
 			c.refreshOwn(ctx)
 			c.review(now)
@@ -153,7 +166,7 @@
 	c.log.Info().Str("event", "own_record").Uint64("sequence", next.Sequence).Str("server", next.ServerID).
 		Str("state", next.State.String()).Bool("leaving", next.Leaving).Send()
 	c.publish()
-	c.spread(ctx, []board.NodeRecord{next}, "")
+	c.spread(ctx, []board.NodeRecord{next})
 }
 
 // merge takes records of another node or of the store and passes on the newer
@@ -173,11 +186,24 @@
 		return
 	}
 	c.publish()
-	if event.From != "" {
-		c.spread(ctx, news, event.From)
+	if event.From == "" {
+		return
+	}
+	c.news = append(c.news, news...)
+	switch wait := spreadGap - now.Sub(c.spreadAt); {
+	case wait <= 0:
+		c.passOn(ctx, now)
+	case c.flush == nil:
+		c.flush = time.After(wait)
 	}
 }
 
+// passOn spreads the news of other nodes.
+func (c *Controller) passOn(ctx context.Context, now time.Time) {
+	c.spread(ctx, c.news)
+	c.news, c.flush, c.spreadAt = nil, nil, now
+}
+
 // mergeOne takes a record and reports whether it is news.
 func (c *Controller) mergeOne(record board.NodeRecord, now time.Time) bool {
 	if record.Instance == c.own.Instance {
@@ -330,7 +356,7 @@
 
 // askOthers exchanges with random nodes and with those that did not answer.
 func (c *Controller) askOthers(ctx context.Context) {
-	var ids, doubtful []board.InstanceID
+	var near, far, doubtful []board.InstanceID
 	for id, e := range c.others {
 		if e.cell.Record.Leaving || e.cell.Reach.Replaced() {
 			continue
@@ -338,7 +364,15 @@
 		if e.overtaken() || e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
 			doubtful = append(doubtful, id)
 		}
-		ids = append(ids, id)
+		if e.cell.Record.FailureDomain == c.own.FailureDomain {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	ids := far
+	if len(far) == 0 || len(near) > 0 && rand.Float64() < sameDomainShare {
+		ids = near
 	}
 	shuffle(ids)
 	shuffle(doubtful)
@@ -353,10 +387,10 @@
 }
 
 // spread passes news on to some nodes at once.
-func (c *Controller) spread(ctx context.Context, news []board.NodeRecord, except board.InstanceID) {
+func (c *Controller) spread(ctx context.Context, news []board.NodeRecord) {
 	var ids []board.InstanceID
 	for id, e := range c.others {
-		if id != except && e.alive && !e.cell.Record.Leaving {
+		if e.alive && !e.cell.Record.Leaving && !c.busy[id] {
 			ids = append(ids, id)
 		}
 	}
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,8 @@
 	mu     sync.Mutex
 	boards map[string]*board.Mesh
 	cut    map[string]bool
+	// exchanges counts the answered ones.
+	exchanges atomic.Int64
 }
 
 func (n *network) set(addr string, cut bool) {
@@ -49,6 +52,7 @@
 			<-ctx.Done()
 			return nil, errors.Trace(ctx.Err())
 		}
+		n.exchanges.Add(1)
 		return Answer(to, m, board.LoadReport{}), nil
 	}
 }
@@ -309,3 +313,33 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against traffic that grows with the square of the fleet when many
+// nodes change at once.
+func TestChangesOfManyNodesShareMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork()
+		nodes := fleetOf(ctx, n, 8)
+		within(t, 2*time.Second, "start", all(nodes, 8))
+		time.Sleep(time.Second)
+		before := n.exchanges.Load()
+		for i := range 40 {
+			record := board.NodeRecord{Instance: board.InstanceID(fmt.Sprint("new-", i)), Incarnation: 1, Sequence: 1, PeerAddr: fmt.Sprint("nowhere-", i), Service: "other"}
+			nodes[0].board.Records.Post(board.RecordsEvent{Records: []board.NodeRecord{record}, From: "n1"})
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+		}
+		require.Less(t, n.exchanges.Load()-before, int64(80), "answered messages in 40 ms")
+		within(t, 2*time.Second, "told to all", func() bool {
+			for _, node := range nodes {
+				if node.board.Fleet.Load().Size < 40 {
+					return false
+				}
+			}
+			return true
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
