Read an old listing when the first one was fresh

Cause: the time of a fresh listing was noted before the call, and the time at which the store was first reached after it, so each node read a second fresh listing after 10 s. A fresh one costs as much as ten old ones. The controller had no test. Change: the time is noted after the call. Test: TestCallsOfACalmNode, 2 fresh listings before and 1 after in 25 s; it also counts renewals, the write of a verdict, and calls while the store is away.

--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -70,8 +70,7 @@
 	listings  int
 	// relist is the time between listings while no other node is known.
 	relist time.Duration
-	// settled is set after a listing that was read ReturnTime after the store
-	// came back.
+	// settledAt is when the last fresh listing ended.
 	settledAt time.Time
 }
 
@@ -230,7 +229,7 @@
 	c.listedAt = now
 	c.listings++
 	if fresh {
-		c.settledAt = now
+		c.settledAt = time.Now()
 	}
 	next := *c.writer.Load()
 	next.Listed = map[board.InstanceID]board.NodeRecord{}
--- /dev/null
+++ b/pkg/control/registration/registration_test.go
@@ -0,0 +1,133 @@
+package registration
+
+import (
+	"context"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/platform"
+)
+
+// One processor: the race detector of Go 1.26 crashes when two threads run
+// timers of one synctest bubble at the same time.
+func init() { runtime.GOMAXPROCS(1) }
+
+// countingStore answers after some time and counts calls.
+type countingStore struct {
+	mu    sync.Mutex
+	calls map[string]int
+	away  bool
+}
+
+var errAway = errors.New("away")
+
+func (s *countingStore) call(name string) error {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[name]++
+	if s.away {
+		return errAway
+	}
+	return nil
+}
+
+func (s *countingStore) set(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// take returns the counts and starts again.
+func (s *countingStore) take() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.calls
+	s.calls = map[string]int{}
+	return counts
+}
+
+func (s *countingStore) Put(context.Context, string, []byte, string) (uint64, error) {
+	return 1, s.call("put")
+}
+
+func (s *countingStore) List(context.Context, string) ([]platform.Entry, error) {
+	return nil, s.call("list")
+}
+
+func (s *countingStore) ListStale(context.Context, string) ([]platform.Entry, error) {
+	return nil, s.call("stale")
+}
+
+func (s *countingStore) GrantLease(context.Context, time.Duration) (platform.Lease, error) {
+	return platform.Lease{ID: "1"}, s.call("grant")
+}
+
+func (s *countingStore) RenewLease(context.Context, string) error { return s.call("renew") }
+
+func (s *countingStore) RevokeLease(context.Context, string) error { return s.call("revoke") }
+
+// startNode runs the controller of a node that knows another one from the first
+// call of publish on.
+func startNode(ctx context.Context, store Store, record *board.NodeRecord) (publish func()) {
+	b := board.NewMesh(board.Self{Instance: "n0", Service: "desk"})
+	writer := b.Fleet.Claim("test")
+	publish = func() {
+		writer.Publish(&board.Fleet{Size: 2, ByInstance: map[board.InstanceID]*board.MeshCell{
+			"n0": {Record: *record}, "n1": {Record: board.NodeRecord{Instance: "n1", Service: "desk"}},
+		}})
+	}
+	writer.Publish(&board.Fleet{Size: 1, ByInstance: map[board.InstanceID]*board.MeshCell{"n0": {Record: *record}}})
+	go New(b, store, zerolog.Nop()).Run(ctx)
+	return publish
+}
+
+// Guards against calls that are paid for without need: a fresh listing costs as
+// much as ten old ones.
+func TestCallsOfACalmNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &countingStore{calls: map[string]int{}}
+		record := &board.NodeRecord{Instance: "n0", Service: "desk", ServerID: "s", PeerAddr: "a"}
+		publish := startNode(ctx, store, record)
+		time.Sleep(50 * time.Millisecond)
+		publish()
+		time.Sleep(25 * time.Second)
+		counts := store.take()
+		require.Equal(t, map[string]int{"list": 1, "stale": 2, "grant": 1, "put": 1, "renew": counts["renew"]}, counts)
+		require.LessOrEqual(t, counts["renew"], 8)
+
+		record.Crowding = board.CrowdingNone
+		publish()
+		time.Sleep(time.Second)
+		require.Equal(t, 1, store.take()["put"], "what was found out is kept")
+
+		store.set(true)
+		time.Sleep(5 * time.Second)
+		require.LessOrEqual(t, len(store.take()), 2, "only the call that is due is repeated")
+		store.set(false)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, store.take()["list"], "one fresh listing after the return")
+		store.take()
+		cancel()
+		time.Sleep(time.Second)
+		require.Equal(t, map[string]int{"revoke": 1}, store.take())
+	})
+}
+
+// Guards against a record that is taken though it can't be used.
+func TestDecodeRecord(t *testing.T) {
+	_, err := DecodeRecord([]byte(strings.Repeat("x", 10)))
+	require.Error(t, err)
+	_, err = DecodeRecord([]byte{0xa0})
+	require.ErrorContains(t, err, "without instance or address")
+}
