Take the answers of nodes that do not name themselves

Cause: found in the last read: an answer to an offer that names no node, as nodes of earlier versions send it, would end the record of that node during an upgrade in turn. Change: only another name ends a record. Run: tests of pkg/mesh and pkg/control/directory with the race detector.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -298,7 +298,8 @@
 		alive := fleet.Alive(fleet.Evidence{
 			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
 			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
-			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken(), SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
+			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken(),
+			SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
 		})
 		e.unlisted = settled && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
 		if alive {
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -97,7 +97,7 @@
 		Outcome: told.Outcome, Reason: told.Reason, Load: &told.Load,
 		Work: time.Duration(told.WorkMicros) * time.Microsecond, Wait: time.Duration(told.WaitMicros) * time.Microsecond,
 	}
-	if told.Executor != cell.Record.Instance {
+	if told.Executor != "" && told.Executor != cell.Record.Instance {
 		cell.Reach.SetReplaced()
 		a.Load = nil
 		p.entry.Log.Info().Str("event", "node_replaced").Str("id", p.call.ID).Str("node", string(cell.Record.Instance)).
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -46,7 +46,7 @@
 	// Config is what the executor knows of the configuration.
 	Config board.ConfigWord `cbor:"6,keyasint"`
 	// Executor is the node that answers, which may be another one than that
-	// which had the address before.
+	// which had the address before; "" from nodes of earlier versions.
 	Executor board.InstanceID `cbor:"7,keyasint"`
 }
 
