Keep a seed of the soak that failed on a stalled machine

The logs of its six node processes show that all of them stood still at the same time, for 3.45, 2.18 and 1.76 s, and that timers fired up to 10 s late (a call with 1.2 s left ended after 10.45 s); no fault of the seed stops a process. It is kept and runs first.

--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -26,7 +26,9 @@
 var keptSeeds = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{231, "all processes of the machine stood still together, for 3.5 s at the longest, at a load of 38 on 6 cores"},
+}
 
 func main() {
 	options := soakOptions{binary: "build/mangostandd", nodes: 6, faultTime: 8 * time.Second}
