Do not let the age of an unknown load overflow the wait for a link

The choice of an executor subtracted an age from the backlog and then the work, which overflows for the age that stands for "not known"; the expected time became negative. The backlog is now 0 at least before the work is taken off.

--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -40,7 +40,8 @@
 	l := c.Load
 	l.Speed = l.Aged(c.LoadAge)
 	finish := estimate.Finish(l, usual)
-	total := finish + 2*c.Distance + c.Cost + pacing.Wait(c.Backlog-max(0, c.LoadAge), finish, c.Bytes, c.LinkRate)
+	backlog := max(0, c.Backlog-max(0, c.LoadAge))
+	total := finish + 2*c.Distance + c.Cost + pacing.Wait(backlog, finish, c.Bytes, c.LinkRate)
 	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
 }
 
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -1,6 +1,7 @@
 package earliest
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -74,3 +75,13 @@
 	choice, _ = Choose([]Candidate{busy, thin}, 100*ms, 0, 0)
 	require.Equal(t, 0, choice.Index, "the backlog has gone since")
 }
+
+// Guards against a load of unknown age that overflows the wait for the link.
+func TestOldestLoadHasNoBacklog(t *testing.T) {
+	known, unknown := candidate(6, 1), candidate(0, 1)
+	unknown.LoadAge = math.MaxInt64
+	choice, _ := Choose([]Candidate{known, unknown}, 100*ms, 0, 0)
+	require.Equal(t, 1, choice.Index)
+	require.Positive(t, choice.Expected)
+	require.Less(t, choice.Expected, time.Second)
+}
