Follow the exclusions in a test of stale epochs

Its picker always returned n1, also when n1 was excluded because it is the home of the key, which is drawn anew in each run. The product's pickers follow the exclusions. Change: the picker returns n2 when n1 is excluded.

--- a/pkg/atmostonce/once_test.go
+++ b/pkg/atmostonce/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -304,8 +305,13 @@
 		stale := 5
 		verdict := f.nodes["n0"].keeper.Carry(t.Context(), &atmostonce.Call{
 			ID: idOf(newKey()), Digest: "digest", RequestID: "request", Fresh: true, MaxAttempts: 3,
-			Pick: func([]board.InstanceID) (board.InstanceID, uint64, bool) {
-				return "n1", f.nodes["n1"].self.Incarnation, true
+			// The home of the key is excluded, and may be any node.
+			Pick: func(exclude []board.InstanceID) (board.InstanceID, uint64, bool) {
+				id := board.InstanceID("n1")
+				if slices.Contains(exclude, id) {
+					id = "n2"
+				}
+				return id, f.nodes[id].self.Incarnation, true
 			},
 			Send: func(context.Context, uint64, uint64, int) (board.Outcome, board.Reason) {
 				if stale--; stale >= 0 {
