Use one piece of code where two did the same; drop dead fields

Found in a last read of the change; behaviour stays as it is. - Entry and executor read a body whole in two ways: Answer.readWhole serves both, each with its own bound and its own reason for a broken one. - usualTime serves the entry and the executor. - The choice of an executor looked up the rule's work two or three times for each candidate; now once for each choice. - fleet.Instances serves the two orders of nodes (watcher, copies of verdicts); control.Start serves both kinds of node in place of RunAll and a channel. - The clock is read once for a load report; runs.pulse returns the floor alone. - Stopping.Since and TableHint.Document were never read.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -143,8 +143,6 @@
 type Stopping struct {
 	// Active is set by the order to stop.
 	Active bool
-	// Since is when the order came.
-	Since time.Time
 	// Leaving is set when the backend server gets no more calls through this
 	// node, some time after the order.
 	Leaving bool
@@ -291,8 +289,6 @@
 type TableHint struct {
 	From    string
 	Version uint64
-	// Document is the table itself when it was pulled.
-	Document []byte
 }
 
 // MeshCell is one node of the fleet with its figures.
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -16,12 +16,17 @@
 	Run(ctx context.Context)
 }
 
-// RunAll runs the controllers, each on its own goroutine, until ctx ends and
-// all of them have returned.
-func RunAll(ctx context.Context, controllers ...Controller) {
+// Start runs the controllers, each on its own goroutine, until ctx ends. The
+// channel is closed when all of them have returned.
+func Start(ctx context.Context, controllers ...Controller) <-chan struct{} {
 	var wg sync.WaitGroup
 	for _, c := range controllers {
 		wg.Go(func() { c.Run(ctx) })
 	}
-	wg.Wait()
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	return done
 }
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -139,13 +139,9 @@
 const crowdingCopies = 3
 
 func (c *Controller) keepsCrowding() bool {
-	var ids []board.InstanceID
-	for id, cell := range c.board.Fleet.Load().ByInstance {
-		if cell.Record.Service == c.board.Self.Service {
-			ids = append(ids, id)
-		}
-	}
-	return fleet.WatchRank(ids, c.board.Self.Instance) < crowdingCopies
+	self := c.board.Self
+	ids := fleet.Instances(c.board.Fleet.Load(), func(r board.NodeRecord) bool { return r.Service == self.Service })
+	return fleet.WatchRank(ids, self.Instance) < crowdingCopies
 }
 
 func (c *Controller) listingDue(now time.Time) bool {
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -169,13 +169,7 @@
 // watchRank returns the place of this node in the order of those that follow
 // the store; 0 is the watcher.
 func (c *Controller) watchRank() int {
-	view := c.board.Fleet.Load()
-	ids := make([]board.InstanceID, 0, len(view.ByInstance))
-	for id, cell := range view.ByInstance {
-		if !cell.Record.Leaving {
-			ids = append(ids, id)
-		}
-	}
+	ids := fleet.Instances(c.board.Fleet.Load(), func(r board.NodeRecord) bool { return !r.Leaving })
 	if len(ids) <= 1 && time.Since(c.started) < aloneLimit {
 		// A node that has just started knows no other one yet.
 		return backups
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -99,6 +99,17 @@
 	return own[bucket] != other[bucket]
 }
 
+// Instances returns the nodes of a view whose records are to be kept.
+func Instances(view *board.Fleet, keep func(board.NodeRecord) bool) []board.InstanceID {
+	ids := make([]board.InstanceID, 0, len(view.ByInstance))
+	for id, cell := range view.ByInstance {
+		if keep(cell.Record) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // WatchRank returns the place of a node in an order of all nodes that is the
 // same wherever the same nodes are known.
 func WatchRank(ids []board.InstanceID, self board.InstanceID) int {
--- a/pkg/mesh/exchange.go
+++ b/pkg/mesh/exchange.go
@@ -1,9 +1,7 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -111,21 +109,13 @@
 	if a.Length < 0 || a.Length > shortAnswer {
 		return a
 	}
-	return readShort(a)
+	if a.readWhole(shortAnswer) != nil {
+		return &Answer{Outcome: Unknown, Reason: board.ReasonResponseCut, Load: a.Load}
+	}
+	return a
 }
 
 // shortAnswer is the size in bytes up to which the entry reads an answer whole
 // before it passes it on. A longer one that breaks off ends the caller's
 // connection, with all answers that are due on it.
 const shortAnswer = 64 << 10
-
-func readShort(a *Answer) *Answer {
-	var buf bytes.Buffer
-	_, err := buf.ReadFrom(a.Body)
-	_ = a.Body.Close()
-	if err != nil {
-		return &Answer{Outcome: Unknown, Reason: board.ReasonResponseCut, Load: a.Load}
-	}
-	a.Body, a.Length, a.whole = io.NopCloser(&buf), int64(buf.Len()), true
-	return a
-}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -49,14 +49,14 @@
 
 // Load returns a report for other nodes.
 func (x *Executor) Load() board.LoadReport {
-	server := x.Board.Server.Load()
-	speed := x.speed(server, time.Now())
+	server, now := x.Board.Server.Load(), time.Now()
+	speed := x.speed(server, now)
 	return board.LoadReport{
 		InFlight: uint32(x.gate.running.Load()), Queued: uint32(x.gate.waiting.Load()),
 		Limit: uint32(x.limit(server)), LatencyMicros: uint32(x.mean.Time().Microseconds()),
 		Draining: !server.Takes() || x.Board.Stopping.Load().Leaving, Sequence: x.reports.Add(1),
 		SlowdownPercent: uint32(100 * speed.Now()), FloorPercent: uint32(100 * max(1, speed.Floor)),
-		LinkMicros: uint32(x.Board.Link.Backlog(time.Now()).Microseconds()),
+		LinkMicros: uint32(x.Board.Link.Backlog(now).Microseconds()),
 	}
 }
 
@@ -82,14 +82,6 @@
 	return x.runs.limit(server.Slots, x.Board.Fleet.Load().Crowding, time.Now())
 }
 
-// usual returns the usual time of a call.
-func (x *Executor) usual(c *Call) time.Duration {
-	if d := x.Board.Works.Of(c.Rule).Time(); d > 0 {
-		return d
-	}
-	return c.Objective.Sub(c.Received) / defaultWork
-}
-
 // Serve checks a call, admits it and runs it. The answer carries the load.
 func (x *Executor) Serve(ctx context.Context, c *Call, serverID string, patience time.Duration, admitted taker) *Answer {
 	server := x.Board.Server.Load()
@@ -125,7 +117,7 @@
 	now := time.Now()
 	speed := x.speed(server, now)
 	job := queueing.Job{
-		Rank: c.Rank, Usual: x.usual(c), Floor: speed.Floor, Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
+		Rank: c.Rank, Usual: usualTime(x.Board.Works, c), Floor: speed.Floor, Objective: c.Objective, Deadline: c.Deadline, Patience: patience,
 	}
 	load := x.gate.load(job, estimate.Load{Slots: x.limit(server), Speed: speed, Mean: x.meanOr(job.Usual)})
 	verdict := queueing.Judge(job, load, now)
@@ -254,7 +246,7 @@
 // Pulsed takes a load report of the backend server.
 func (x *Executor) Pulsed(view board.PulseView) {
 	view.At = time.Now()
-	view.Floor = x.runs.pulse(view.Slowdown, assumedFloor(x.Board.Server.Load(), view.At), view.At).Floor
+	view.Floor = x.runs.pulse(view.Slowdown, assumedFloor(x.Board.Server.Load(), view.At), view.At)
 	x.Board.Pulse.Set(view)
 }
 
--- a/pkg/mesh/place.go
+++ b/pkg/mesh/place.go
@@ -36,10 +36,10 @@
 		return nil, 0
 	}
 	now := time.Now()
-	usual := p.usual()
+	usual, bytes := p.usual(), p.entry.Board.Works.Of(p.call.Rule).Bytes()
 	candidates := make([]earliest.Candidate, len(cells))
 	for i, cell := range cells {
-		candidates[i] = p.candidate(cell, now)
+		candidates[i] = p.candidate(cell, usual, bytes, now)
 	}
 	choice, _ := earliest.Choose(candidates, usual, placeTolerance, rand.Uint64())
 	cell := cells[choice.Index]
@@ -73,38 +73,40 @@
 }
 
 // usual returns the usual time of the call.
-func (p *passage) usual() time.Duration {
-	if d := p.entry.Board.Works.Of(p.call.Rule).Time(); d > 0 {
+func (p *passage) usual() time.Duration { return usualTime(p.entry.Board.Works, p.call) }
+
+// usualTime returns the usual time of a call.
+func usualTime(works *board.Works, c *Call) time.Duration {
+	if d := works.Of(c.Rule).Time(); d > 0 {
 		return d
 	}
-	return p.call.Objective.Sub(p.call.Received) / defaultWork
+	return c.Objective.Sub(c.Received) / defaultWork
 }
 
-// candidate returns what is known of an executor.
-func (p *passage) candidate(cell *board.MeshCell, now time.Time) earliest.Candidate {
+// candidate returns what is known of an executor for a call with the usual time
+// and bytes of its rule.
+func (p *passage) candidate(cell *board.MeshCell, usual time.Duration, bytes int64, now time.Time) earliest.Candidate {
 	self := p.entry.Board.Self
+	report := cell.LastReport()
 	c := earliest.Candidate{
-		Load:     estimate.Load{Running: int(cell.EstimatedInFlight()), Slots: cell.Record.Slots, Mean: p.usual()},
-		Failing:  cell.FailureShare(now),
-		Distance: sameDomainWay,
+		Load:    estimate.Load{Running: int(cell.EstimatedInFlight()), Slots: cell.Record.Slots, Mean: usual},
+		LoadAge: -1,
+		Failing: cell.FailureShare(now),
 	}
-	if cell.Record.Instance == self.Instance {
-		c.Distance = 0
-	} else if cell.Record.FailureDomain != self.FailureDomain {
-		c.Distance = otherDomainWay
-		c.Cost = time.Duration(p.entry.Board.Works.Of(p.call.Rule).Bytes()) * byteCost
-	}
-	c.LoadAge = -1
-	report := cell.LastReport()
 	if cell.Record.Instance != self.Instance {
-		c.Bytes, c.LinkRate = p.entry.Board.Works.Of(p.call.Rule).Bytes(), cell.Record.LinkRate
+		c.Distance = sameDomainWay
+		c.Bytes, c.LinkRate = bytes, cell.Record.LinkRate
+		if cell.Record.FailureDomain != self.FailureDomain {
+			c.Distance = otherDomainWay
+			c.Cost = time.Duration(bytes) * byteCost
+		}
+		if report != nil {
+			c.Backlog = time.Duration(report.LinkMicros) * time.Microsecond
+		}
 	}
 	if report == nil {
 		return c
 	}
-	if cell.Record.Instance != self.Instance {
-		c.Backlog = time.Duration(report.LinkMicros) * time.Microsecond
-	}
 	c.LoadAge = now.Sub(report.ReceivedAt)
 	c.Load.Slots = int(report.Limit)
 	c.Load.Speed = estimate.Speed{Slowdown: float64(report.SlowdownPercent) / 100, Floor: float64(report.FloorPercent) / 100}
--- a/pkg/mesh/runs.go
+++ b/pkg/mesh/runs.go
@@ -107,9 +107,9 @@
 	return r.state.Done
 }
 
-// pulse advances all calls to a load report and returns the speed with the
-// floor, of which no more than most is assumed at first.
-func (s *runs) pulse(slowdown, most float64, now time.Time) estimate.Speed {
+// pulse advances all calls to a load report and returns the floor, of which no
+// more than most is assumed at first.
+func (s *runs) pulse(slowdown, most float64, now time.Time) float64 {
 	var late []*run
 	s.mu.Lock()
 	s.floor = s.floor.Add(slowdown, now)
@@ -125,5 +125,5 @@
 	for _, r := range late {
 		r.tell()
 	}
-	return speed
+	return speed.Floor
 }
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -95,28 +95,39 @@
 
 // readWhole reads the body, so that an incomplete one is told as such.
 func (x *Executor) readWhole(ctx context.Context, c *Call, answer *Answer) *Answer {
-	var buf bytes.Buffer
-	if answer.Length > 0 {
-		buf.Grow(int(answer.Length) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buf, io.LimitReader(answer.Body, wholeAnswer+1))
-	if err != nil {
-		answer.close()
+	if err := answer.readWhole(wholeAnswer); err != nil {
 		if ctx.Err() != nil {
 			return unknown(board.ReasonCanceled)
 		}
 		return unknown(board.ReasonMalformedAnswer)
 	}
-	if n > wholeAnswer {
-		answer.Body = &rest{Reader: io.MultiReader(&buf, answer.Body), Closer: answer.Body}
-		return answer
+	if answer.whole {
+		x.Board.Works.Of(c.Rule).AddBytes(answer.Length)
 	}
-	_ = answer.Body.Close()
-	answer.Body, answer.Length, answer.whole = io.NopCloser(&buf), n, true
-	x.Board.Works.Of(c.Rule).AddBytes(n)
 	return answer
 }
 
+// readWhole reads the body up to a limit in bytes. A longer one stays to be
+// read.
+func (a *Answer) readWhole(limit int64) error {
+	var buf bytes.Buffer
+	if a.Length > 0 {
+		buf.Grow(int(a.Length) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buf, io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		a.close()
+		return errors.Trace(err)
+	}
+	if n > limit {
+		a.Body = &rest{Reader: io.MultiReader(&buf, a.Body), Closer: a.Body}
+		return nil
+	}
+	_ = a.Body.Close()
+	a.Body, a.Length, a.whole = io.NopCloser(&buf), n, true
+	return nil
+}
+
 // rest is a body whose first part was read ahead.
 type rest struct {
 	io.Reader
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -199,11 +199,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	controllersDone := make(chan struct{})
-	go func() {
-		control.RunAll(work, n.controllers...)
-		close(controllersDone)
-	}()
+	controllersDone := control.Start(work, n.controllers...)
 	failed := make(chan error, len(n.listeners))
 	go func() { failed <- n.callers.Serve(n.listeners["callers"]) }()
 	go func() { failed <- n.peerServer.Serve(n.listeners["peers"]) }()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -224,11 +224,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	controllersDone := make(chan struct{})
-	go func() {
-		control.RunAll(work, n.controllers...)
-		close(controllersDone)
-	}()
+	controllersDone := control.Start(work, n.controllers...)
 	failed := make(chan error, len(n.listeners)+1)
 	go func() { failed <- n.peers.Serve(work, n.handlers()) }()
 	for _, l := range n.listeners {
