Ask both nodes at a contested address at once

Change: a record puts every other node at its address to the question, in either order of the incarnations; only an earlier one is taken out meanwhile.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -80,9 +80,10 @@
 	seen    time.Time
 	alive   bool
 	aliveAt time.Time
-	// overtakenAt is when a later node was found to have the same address, until
-	// this one answers.
-	overtakenAt time.Time
+	// contestedAt is when another node was found to have the same address, and
+	// overtaken whether that one is later; they count until this one answers.
+	contestedAt time.Time
+	overtaken   bool
 	// unlisted is set when the store does not list the node and it was not heard
 	// lately; it is asked before it is given up.
 	unlisted bool
@@ -229,29 +230,34 @@
 	}
 	next.cell = cell
 	c.others[record.Instance] = next
-	c.overtake(record, now)
+	c.contest(record, now)
 	c.log.Info().Str("event", "node_record").Str("node", string(record.Instance)).Uint64("incarnation", record.Incarnation).
 		Uint64("sequence", record.Sequence).Str("service", record.Service).Str("server", record.ServerID).
 		Str("state", record.State.String()).Bool("leaving", record.Leaving).Send()
 	return true
 }
 
-// overtake doubts the earlier nodes at the address of a record. Incarnations
-// are times of day, so that contact has the last word.
-func (c *Controller) overtake(record board.NodeRecord, now time.Time) {
+// contest doubts the other nodes at the address of a record. The later one is
+// believed, but incarnations are times of day, so that contact has the last
+// word and both are asked.
+func (c *Controller) contest(record board.NodeRecord, now time.Time) {
 	for id, e := range c.others {
 		known := e.cell.Record
-		if id != record.Instance && known.PeerAddr == record.PeerAddr && known.Incarnation < record.Incarnation {
-			e.overtakenAt, e.alive = now, false
+		if id == record.Instance || known.PeerAddr != record.PeerAddr {
+			continue
+		}
+		e.contestedAt, e.overtaken = now, known.Incarnation < record.Incarnation
+		if e.overtaken {
+			e.alive = false
 			c.log.Info().Str("event", "node_overtaken").Str("node", string(id)).Str("by", string(record.Instance)).
 				Str("addr", record.PeerAddr).Send()
 		}
 	}
 }
 
-// overtaken reports whether a later node has the address, as far as is known.
-func (e *entry) overtaken() bool {
-	return !e.overtakenAt.IsZero() && !e.cell.Reach.HeardSince(e.overtakenAt)
+// contested reports whether another node may have the address.
+func (e *entry) contested() bool {
+	return !e.contestedAt.IsZero() && !e.cell.Reach.HeardSince(e.contestedAt)
 }
 
 // recall takes over what this node found out in an earlier life.
@@ -298,7 +304,7 @@
 		alive := fleet.Alive(fleet.Evidence{
 			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
 			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
-			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken(),
+			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken && e.contested(),
 			SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
 		})
 		e.unlisted = settled && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
@@ -362,7 +368,7 @@
 		if e.cell.Record.Leaving || e.cell.Reach.Replaced() {
 			continue
 		}
-		if e.overtaken() || e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
+		if e.contested() || e.unlisted || e.cell.Reach.Suspected() || !e.cell.Reach.HeardSince(time.Time{}) {
 			doubtful = append(doubtful, id)
 		}
 		if e.cell.Record.FailureDomain == c.own.FailureDomain {
