Quarantine requests that crash backend servers on the platform's path

Cause: only the product's own path refused a request that crashes each backend server that runs it. On the platform's path such a request, sent again at each node, crashed a backend server each time: 36 crashes within 12 s in TestCrashingRequestOnThePlatform (six node processes, backend servers that are back after 1 s).

Change: executors report calls whose connection broke; control/quarantine counts those that broke within 10 s of the end of the backend server; nodes compare digests of their suspicions in each exchange and pass a quarantine on at once. Entries refuse with 503 and the rest of the quarantine, executors refuse as not sent. The decisions are those of the product's own path (decide/quarantine), which gained Share, Merge, News and ServerEnded; the bookkeeping that both controllers need is now one type.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -13,6 +13,8 @@
 	heartbeatInboxSize = 64
 	recordsInboxSize   = 256
 	tableInboxSize     = 64
+	executionInboxSize = 256
+	suspicionInboxSize = 64
 )
 
 // Mesh is the blackboard of a node that runs on the users' platform: calls have
@@ -31,6 +33,8 @@
 	Store *Section[*StoreView]
 	// Stopping is written by the node itself.
 	Stopping *Section[*Stopping]
+	// Quarantine is written by control/quarantine.
+	Quarantine *Section[*Quarantine]
 
 	// Pulse holds the figures of the own backend server that change with each
 	// call.
@@ -52,6 +56,10 @@
 	Records *Inbox[RecordsEvent]
 	// Tables carries the route tables of other nodes to control/routefeed.
 	Tables *Inbox[TableHint]
+	// Executions and Suspicions carry what the executor and other nodes found out
+	// about requests that crash backend servers to control/quarantine.
+	Executions *Inbox[Execution]
+	Suspicions *Inbox[[]Suspicion]
 }
 
 // Self identifies a node.
@@ -79,6 +87,7 @@
 		Fleet:         NewSection("fleet", &Fleet{ByService: map[string][]*MeshCell{}, ByInstance: map[InstanceID]*MeshCell{}}),
 		Store:         NewSection("store", &StoreView{}),
 		Stopping:      NewSection("stopping", &Stopping{}),
+		Quarantine:    NewSection("quarantine", &Quarantine{}),
 		Pulse:         &Pulse{},
 		Link:          NewLink(self.LinkRate),
 		Works:         &Works{},
@@ -87,6 +96,8 @@
 		Announcements: NewInbox[ServerEvent](heartbeatInboxSize),
 		Records:       NewInbox[RecordsEvent](recordsInboxSize),
 		Tables:        NewInbox[TableHint](tableInboxSize),
+		Executions:    NewInbox[Execution](executionInboxSize),
+		Suspicions:    NewInbox[[]Suspicion](suspicionInboxSize),
 	}
 }
 
--- a/pkg/board/quarantine.go
+++ b/pkg/board/quarantine.go
@@ -26,6 +26,24 @@
 // quarantine controller writes it; entry and executor read it for each call.
 type Quarantine struct {
 	Entries map[string]QuarantineEntry
+	// Shared is what other nodes on the platform are told, and Digests tells it
+	// apart from what they know.
+	Shared  []Suspicion
+	Digests []uint32
+}
+
+// Suspicion is what nodes on the platform tell each other about one request.
+type Suspicion struct {
+	Digest  string `cbor:"1,keyasint"`
+	Summary string `cbor:"2,keyasint"`
+	// Deaths are all incarnations that ended under the request, Cleared those
+	// that do not count any more.
+	Deaths  []ServerIncarnation `cbor:"3,keyasint"`
+	Cleared []ServerIncarnation `cbor:"4,keyasint,omitempty"`
+	// Until is when the suspicion ends by the clock of this node. It is not sent:
+	// LeftMillis, the time until then, is, since clocks differ.
+	Until      time.Time `cbor:"-"`
+	LeftMillis int64     `cbor:"5,keyasint"`
 }
 
 // Empty reports whether no request is suspected, so that no digest is needed.
--- a/pkg/call/digest.go
+++ b/pkg/call/digest.go
@@ -1,52 +1,22 @@
 package call
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
-
+	"mangostand.example/mangostand/pkg/decide/quarantine"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
-const (
-	// digestSize is the part of the SHA-256 that is used, in bytes. 128 bits
-	// keep two requests apart and rumors short.
-	digestSize = 16
-	// maxSummary bounds the summary of a request in bytes.
-	maxSummary = 200
-)
-
-// contentDigest identifies a request for the quarantine by its service, method,
-// path, query and body. The key is left out, since one key never runs twice: a
-// request that crashes backend servers reaches a second one only under another
-// key. The caller is left out, since the content is what crashes a backend
-// server: the same request of two callers counts as one.
-func contentDigest(service, method, path, query string, body []byte) string {
-	parts := [][]byte{[]byte(service), []byte(method), []byte(path), []byte(query), body}
-	h := sha256.New()
-	var size [8]byte
-	for _, part := range parts {
-		// The length keeps the parts apart.
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		h.Write(size[:])
-		h.Write(part)
-	}
-	return hex.EncodeToString(h.Sum(nil)[:digestSize])
-}
-
 // digestOf returns the digest of a request at its entry.
 func digestOf(r *Request) string {
-	return contentDigest(r.Service, r.Method, r.Path, r.Query, r.Body)
+	return quarantine.Digest(r.Service, r.Method, r.Path, r.Query, r.Body)
 }
 
 // digestOfCall returns the digest of a call at its executor. It is equal to
 // that at the entry.
 func digestOfCall(m *wire.Call) string {
-	return contentDigest(m.Service, m.Method, m.Path, m.Query, m.Body)
+	return quarantine.Digest(m.Service, m.Method, m.Path, m.Query, m.Body)
 }
 
 // summaryOf names a call for operators.
 func summaryOf(m *wire.Call) string {
-	summary := m.Method + " /" + m.Service + m.Path
-	return summary[:min(len(summary), maxSummary)]
+	return quarantine.Summary(m.Method, m.Service, m.Path)
 }
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -13,6 +13,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/fleet"
+	decide "mangostand.example/mangostand/pkg/decide/quarantine"
 )
 
 const (
@@ -49,6 +50,10 @@
 	Config board.ConfigWord `cbor:"5,keyasint"`
 	// Load is the sender's load.
 	Load board.LoadReport `cbor:"6,keyasint"`
+	// Suspicions concern requests that crash backend servers; SuspicionDigests
+	// are those of all that the sender knows.
+	Suspicions       []board.Suspicion `cbor:"7,keyasint,omitempty"`
+	SuspicionDigests []uint32          `cbor:"8,keyasint,omitempty"`
 }
 
 // Exchanger sends a message to a node and returns its answer.
@@ -69,6 +74,8 @@
 	news     []board.NodeRecord
 	flush    <-chan time.Time
 	spreadAt time.Time
+	// refused is the number of quarantined requests that others were told of.
+	refused int
 	// busy holds the nodes with an exchange under way.
 	done chan board.InstanceID
 	busy map[board.InstanceID]bool
@@ -116,6 +123,7 @@
 	stopping := c.board.Stopping.Subscribe()
 	store := c.board.Store.Subscribe()
 	routes := c.board.Routes.Subscribe()
+	quarantine := c.board.Quarantine.Subscribe()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -130,6 +138,8 @@
 			c.refreshOwn(ctx)
 		case <-routes:
 			c.spread(ctx, []board.NodeRecord{c.own})
+		case <-quarantine:
+			c.spreadQuarantine(ctx, time.Now())
 		case <-store:
 			c.takeListing(ctx, time.Now())
 		case id := <-c.done:
@@ -407,6 +417,16 @@
 	}
 }
 
+// spreadQuarantine tells some nodes at once when more requests are refused.
+// Suspicions that refuse nothing yet wait for the exchanges of each tick.
+func (c *Controller) spreadQuarantine(ctx context.Context, now time.Time) {
+	refused := len(decide.Refused(c.board.Quarantine.Load(), now))
+	if refused > c.refused {
+		c.spread(ctx, []board.NodeRecord{c.own})
+	}
+	c.refused = refused
+}
+
 // ask starts an exchange with a node. Its answer comes back through the inbox.
 func (c *Controller) ask(ctx context.Context, e *entry, records []board.NodeRecord) {
 	id := e.cell.Record.Instance
@@ -414,9 +434,11 @@
 		return
 	}
 	c.busy[id] = true
+	now, suspects := time.Now(), c.board.Quarantine.Load()
 	message := &Message{
 		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digests: c.writer.Load().Digests,
-		Config: c.board.ConfigWord(time.Now()), Load: c.load(),
+		Config: c.board.ConfigWord(now), Load: c.load(),
+		Suspicions: decide.Refused(suspects, now), SuspicionDigests: suspects.Digests,
 	}
 	go c.run(ctx, e.cell, message)
 }
@@ -452,6 +474,9 @@
 	if len(m.Records) > 0 {
 		b.Records.Post(board.RecordsEvent{Records: m.Records, From: m.From})
 	}
+	if len(m.Suspicions) > 0 {
+		b.Suspicions.Post(m.Suspicions)
+	}
 	b.HeardConfig(m.Config, m.PeerAddr, time.Now())
 	if cell := b.Fleet.Load().ByInstance[m.From]; cell != nil {
 		m.Load.ReceivedAt = time.Now()
@@ -463,10 +488,11 @@
 // records in which the two may differ.
 func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
 	Take(b, m)
-	view := b.Fleet.Load()
+	now, view, suspects := time.Now(), b.Fleet.Load(), b.Quarantine.Load()
 	answer := &Message{
 		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digests: view.Digests,
-		Config: b.ConfigWord(time.Now()), Load: load,
+		Config: b.ConfigWord(now), Load: load,
+		Suspicions: decide.News(suspects, m.SuspicionDigests, now), SuspicionDigests: suspects.Digests,
 	}
 	for id, cell := range view.ByInstance {
 		if fleet.Differs(id, view.Digests, m.Digests) {
--- /dev/null
+++ b/pkg/control/quarantine/mesh.go
@@ -0,0 +1,94 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/board"
+	decide "mangostand.example/mangostand/pkg/decide/quarantine"
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// Mesh is the controller of a node on the users' platform. Suspicions travel
+// with the exchanges between nodes, see control/directory.
+type Mesh struct {
+	board   *board.Mesh
+	writer  *board.Writer[*board.Quarantine]
+	bounds  dynconf.Quarantine
+	changed <-chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	tracker
+	server *board.Server
+}
+
+// NewMesh claims the Quarantine section.
+func NewMesh(b *board.Mesh, bounds dynconf.Quarantine, log zerolog.Logger) *Mesh {
+	return &Mesh{
+		board: b, writer: b.Quarantine.Claim("quarantine"), bounds: bounds, changed: b.Server.Subscribe(),
+		tracker: newTracker(log), server: b.Server.Load(),
+	}
+}
+
+// Name returns the name of the controller.
+func (c *Mesh) Name() string { return "quarantine" }
+
+// Run keeps the suspected requests until ctx ends.
+func (c *Mesh) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.board.Executions.Events():
+			changed = c.handleExecution(e, time.Now())
+		case <-c.changed:
+			changed = c.handleServer(time.Now())
+		case event := <-c.board.Suspicions.Events():
+			changed = c.state.Merge(event, time.Now(), c.bounds.TTL)
+		case now := <-ticker.C:
+			changed = c.expire(now)
+		}
+		if changed {
+			next := c.state.Snapshot(c.bounds.Deaths)
+			next.Shared = c.state.Share()
+			next.Digests = decide.Digests(next.Shared)
+			c.logChanges(c.writer.Load(), next)
+			c.writer.Publish(next)
+		}
+	}
+}
+
+func (c *Mesh) handleExecution(e board.Execution, now time.Time) bool {
+	if e.Kind == board.ExecutionCompleted {
+		return c.completed(e, now)
+	}
+	return c.lose(e, now) && c.accuse([]board.Execution{e}, now)
+}
+
+// handleServer looks for the end of an incarnation of the backend server.
+func (c *Mesh) handleServer(now time.Time) bool {
+	old := c.server
+	c.server = c.board.Server.Load()
+	incarnation, ended := decide.ServerEnded(old, c.server)
+	if !ended {
+		return false
+	}
+	c.ended[incarnation] = now
+	return c.accuse(decide.SuspectsOf(incarnation, c.lost, nil, now), now)
+}
+
+func (c *Mesh) accuse(suspects []board.Execution, now time.Time) bool {
+	return len(c.died(suspects, c.board.Self.Instance, now.Add(c.bounds.TTL))) > 0
+}
+
+// completed clears a suspect that completed on another backend server.
+func (c *Mesh) completed(e board.Execution, now time.Time) bool {
+	entry, found := c.writer.Load().Entries[e.Digest]
+	on := board.ServerIncarnation{Instance: c.board.Self.Instance, ServerIncarnation: e.ServerIncarnation}
+	return found && decide.Elsewhere(entry.Deaths, on) && c.state.Clear(e.Digest, entry.Deaths, now.Add(c.bounds.TTL))
+}
--- a/pkg/control/quarantine/quarantine.go
+++ b/pkg/control/quarantine/quarantine.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,12 +26,8 @@
 	dial      Dialer
 
 	// The fields below belong to the goroutine of Run.
-	state decide.State
-	local *board.Local
-	lost  []decide.Lost
-	// ended are the incarnations of the backend server that ended lately. Calls that
-	// notice the death later than the controller are suspects too.
-	ended   map[uint64]time.Time
+	tracker
+	local   *board.Local
 	probing bool
 	probed  chan struct{}
 }
@@ -46,7 +41,7 @@
 	return &Controller{
 		board: b, writer: b.Quarantine.Claim("quarantine"), log: log,
 		localWake: b.Local.Subscribe(), dial: dial,
-		state: decide.State{}, local: b.Local.Load(), ended: map[uint64]time.Time{},
+		tracker: newTracker(log), local: b.Local.Load(),
 		probed: make(chan struct{}, 1),
 	}
 }
@@ -83,17 +78,8 @@
 }
 
 func (c *Controller) publish() {
-	old, next := c.writer.Load(), c.state.Snapshot(c.board.Config.Load().Quarantine.Deaths)
-	for digest, entry := range next.Entries {
-		if entry.Quarantined && !old.Entries[digest].Quarantined {
-			c.log.Warn().Str("digest", digest).Str("request", entry.Summary).Int("deaths", len(entry.Deaths)).Msg("request quarantined")
-		}
-	}
-	for digest, entry := range old.Entries {
-		if entry.Quarantined && !next.Entries[digest].Quarantined {
-			c.log.Info().Str("digest", digest).Str("request", entry.Summary).Msg("quarantine ended")
-		}
-	}
+	next := c.state.Snapshot(c.board.Config.Load().Quarantine.Deaths)
+	c.logChanges(c.writer.Load(), next)
 	c.writer.Publish(next)
 }
 
@@ -101,13 +87,9 @@
 	if e.Kind == board.ExecutionCompleted {
 		return c.completed(e, now)
 	}
-	if _, found := c.ended[e.ServerIncarnation]; found {
+	if c.lose(e, now) {
 		return c.accuse([]board.Execution{e}, now)
 	}
-	c.lost = append(c.lost, decide.Lost{Execution: e, At: now})
-	if len(c.lost) > decide.MaxLost {
-		c.lost = slices.Delete(c.lost, 0, len(c.lost)-decide.MaxLost)
-	}
 	c.probe(ctx, e)
 	return false
 }
@@ -134,21 +116,14 @@
 // accuse records the death of the backend server under the suspects and tells
 // the other nodes.
 func (c *Controller) accuse(suspects []board.Execution, now time.Time) bool {
-	changed := false
 	until := now.Add(c.board.Config.Load().Quarantine.TTL)
-	for _, e := range suspects {
-		incarnation := c.incarnationOf(e)
-		if !c.state.Died(e.Digest, e.Summary, []board.ServerIncarnation{incarnation}, until) {
-			continue
-		}
-		changed = true
-		c.log.Warn().Str("digest", e.Digest).Str("request", e.Summary).Uint64("server_incarnation", incarnation.ServerIncarnation).
-			Msg("backend server died under a request")
-		c.tell(rumorID("death", e.Digest, incarnation), until, wire.QuarantineRumor{
-			Digest: e.Digest, Summary: e.Summary, Deaths: []board.ServerIncarnation{incarnation},
+	died := c.died(suspects, c.board.Members.Load().Self, until)
+	for _, s := range died {
+		c.tell(rumorID("death", s.Digest, s.Deaths[0]), until, wire.QuarantineRumor{
+			Digest: s.Digest, Summary: s.Summary, Deaths: s.Deaths,
 		})
 	}
-	return changed
+	return len(died) > 0
 }
 
 func (c *Controller) incarnationOf(e board.Execution) board.ServerIncarnation {
@@ -207,14 +182,3 @@
 	cleared := c.state.Clear(payload.Digest, payload.Cleared, until)
 	return died || cleared
 }
-
-// expire drops what has ended.
-func (c *Controller) expire(now time.Time) bool {
-	c.lost = slices.DeleteFunc(c.lost, func(l decide.Lost) bool { return now.Sub(l.At) > decide.SuspectWindow })
-	for incarnation, at := range c.ended {
-		if now.Sub(at) > decide.SuspectWindow {
-			delete(c.ended, incarnation)
-		}
-	}
-	return c.state.Expire(now)
-}
--- a/pkg/decide/quarantine/death.go
+++ b/pkg/decide/quarantine/death.go
@@ -32,6 +32,16 @@
 	return old.Incarnation, ended
 }
 
+// ServerEnded is Ended for the backend server of a node on the platform, whose
+// incarnation is the time of its start.
+func ServerEnded(old, next *board.Server) (uint64, bool) {
+	if old.ID == "" || old.Down {
+		return 0, false
+	}
+	ended := next.Down || old.ID != next.ID || (old.Born != next.Born && old.Born != 0)
+	return uint64(old.Born), ended
+}
+
 // SuspectsOf returns the executions that ended with an incarnation: those lost
 // within SuspectWindow and those still running, each digest once.
 func SuspectsOf(incarnation uint64, lost []Lost, running []board.Execution, now time.Time) []board.Execution {
--- a/pkg/decide/quarantine/quarantine.go
+++ b/pkg/decide/quarantine/quarantine.go
@@ -110,12 +110,14 @@
 			incarnations = append(incarnations, incarnation)
 		}
 	}
-	slices.SortFunc(incarnations, func(a, b board.ServerIncarnation) int {
-		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.ServerIncarnation, b.ServerIncarnation))
-	})
+	slices.SortFunc(incarnations, compareIncarnations)
 	return incarnations
 }
 
+func compareIncarnations(a, b board.ServerIncarnation) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.ServerIncarnation, b.ServerIncarnation))
+}
+
 // Expire drops the entries whose time has passed. It reports whether there
 // were any.
 func (s State) Expire(now time.Time) bool {
--- /dev/null
+++ b/pkg/decide/quarantine/share.go
@@ -0,0 +1,104 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
+)
+
+// digestBuckets is the number of suspicions groups that nodes compare. A crash
+// of a fifth of 600 backend servers leaves about 700 suspicions.
+const digestBuckets = 32
+
+// Share returns what other nodes are told, in the order of the digests.
+func (s State) Share() []board.Suspicion {
+	shared := make([]board.Suspicion, 0, len(s))
+	for digest, suspect := range s {
+		shared = append(shared, board.Suspicion{
+			Digest: digest, Summary: suspect.Summary, Until: suspect.Until,
+			Deaths: sortedIncarnations(suspect.Deaths), Cleared: sortedIncarnations(suspect.Cleared),
+		})
+	}
+	slices.SortFunc(shared, func(a, b board.Suspicion) int { return cmp.Compare(a.Digest, b.Digest) })
+	return shared
+}
+
+func sortedIncarnations(set map[board.ServerIncarnation]bool) []board.ServerIncarnation {
+	return slices.SortedFunc(maps.Keys(set), compareIncarnations)
+}
+
+// Merge takes what another node tells. A suspicion lasts for ttl at most. It
+// reports whether the state changed.
+func (s State) Merge(told []board.Suspicion, now time.Time, ttl time.Duration) bool {
+	changed := false
+	for _, t := range told {
+		left := min(time.Duration(t.LeftMillis)*time.Millisecond, ttl)
+		if t.Digest == "" || left <= 0 {
+			continue
+		}
+		until := now.Add(left)
+		died := s.Died(t.Digest, t.Summary, t.Deaths, until)
+		cleared := s.Clear(t.Digest, t.Cleared, until)
+		changed = changed || died || cleared
+	}
+	return changed
+}
+
+// Digests returns numbers that are equal for equal suspicions, nil for none.
+func Digests(shared []board.Suspicion) []uint32 {
+	if len(shared) == 0 {
+		return nil
+	}
+	digests := make([]uint32, digestBuckets)
+	for _, s := range shared {
+		text := []byte(s.Digest)
+		for _, set := range [][]board.ServerIncarnation{s.Deaths, s.Cleared} {
+			for _, incarnation := range set {
+				text = append(append(text, ' '), incarnation.Instance...)
+				text = strconv.AppendUint(append(text, ' '), incarnation.ServerIncarnation, 10)
+			}
+			text = append(text, ';')
+		}
+		digests[bucketOf(s.Digest)] ^= uint32(hashing.String(string(text)))
+	}
+	return digests
+}
+
+func bucketOf(digest string) uint64 { return hashing.String(digest) % digestBuckets }
+
+// News returns the suspicions that a node with other digests may not know.
+func News(own *board.Quarantine, other []uint32, now time.Time) []board.Suspicion {
+	var news []board.Suspicion
+	for _, s := range own.Shared {
+		bucket := bucketOf(s.Digest)
+		if len(other) == digestBuckets && own.Digests[bucket] == other[bucket] {
+			continue
+		}
+		news = appendLeft(news, s, now)
+	}
+	return news
+}
+
+// Refused returns the suspicions of the requests that are quarantined.
+func Refused(own *board.Quarantine, now time.Time) []board.Suspicion {
+	var refused []board.Suspicion
+	for _, s := range own.Shared {
+		if own.Refuses(s.Digest, now) {
+			refused = appendLeft(refused, s, now)
+		}
+	}
+	return refused
+}
+
+func appendLeft(list []board.Suspicion, s board.Suspicion, now time.Time) []board.Suspicion {
+	s.LeftMillis = s.Until.Sub(now).Milliseconds()
+	if s.LeftMillis <= 0 {
+		return list
+	}
+	return append(list, s)
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -76,6 +76,9 @@
 	c.CallerService, c.Version = e.Board.Self.Service, table.Version
 	h1.RemoveHopHeaders(c.Header)
 	c.Header.Del(headerHop)
+	if wait := refusedFor(e.Board, c, r.Received); wait > 0 {
+		return e.refuse(id, http.StatusServiceUnavailable, board.ReasonQuarantined, wait)
+	}
 	e.Board.Budgets.Call(service, e.AttemptWindow, time.Now())
 	return e.answer(ctx, c)
 }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -133,6 +133,9 @@
 	if body != nil {
 		c.Body = body
 	}
+	if refusedFor(x.Board, c, now) > 0 {
+		return notSent(board.ReasonQuarantined)
+	}
 	if reason := x.acquire(ctx, job, x.limit(server)); reason != "" {
 		return notSent(reason)
 	}
@@ -206,6 +209,7 @@
 	expected := x.Board.Works.Of(c.Rule).Bytes()
 	x.Board.Link.Owe(expected)
 	answer := x.send(ctx, c, server)
+	reportExecution(x.Board, c, server, answer)
 	x.Board.Link.Owe(-expected)
 	worked := x.runs.end(run, time.Now())
 	beside = (beside + x.gate.running.Load() + 1) / 2
--- a/pkg/mesh/passage.go
+++ b/pkg/mesh/passage.go
@@ -73,6 +73,8 @@
 		p.excluded = append(p.excluded, cell.Record.Instance)
 	}
 	switch a.Outcome {
+	case NotSent:
+		return a.Reason == board.ReasonQuarantined && p.doubtful == nil
 	case Answered:
 		if a.Status < http.StatusInternalServerError || !p.call.Idempotent {
 			return true
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -18,10 +18,12 @@
 	"mangostand.example/mangostand/pkg/control/directory"
 	"mangostand.example/mangostand/pkg/control/ownserver"
 	"mangostand.example/mangostand/pkg/control/pulse"
+	"mangostand.example/mangostand/pkg/control/quarantine"
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/decide/pacing"
+	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/logging"
 	"mangostand.example/mangostand/pkg/mesh"
@@ -135,6 +137,7 @@
 		ownserver.New(n.board, n.log),
 		n.executor,
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.Load, n.log),
+		quarantine.NewMesh(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullTable, n.log),
 		&pulse.Controller{
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -37,6 +37,9 @@
 	Work    time.Duration
 	// Timeout is that of the routes.
 	Timeout time.Duration
+	// CrashTime is how long a backend server is away after the request that
+	// crashes it; 0 means that none does.
+	CrashTime time.Duration
 }
 
 // Site is a running site.
@@ -68,6 +71,9 @@
 	settings string
 	control  string
 
+	// Crashes counts the ends of the backend server by a request.
+	Crashes atomic.Int64
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
@@ -206,6 +212,16 @@
 func (n *Node) StartServer(id, addr string) error {
 	o := n.site.options
 	n.Server = &standin.Server{ID: id, Service: o.Service, Slots: o.Slots, Work: o.Work, Log: n.site.Log, Control: n.control}
+	if o.CrashTime > 0 {
+		n.Server.Crashed = func() {
+			n.Crashes.Add(1)
+			time.AfterFunc(o.CrashTime, func() {
+				if err := n.StartServer(id, addr); err != nil {
+					panic(err)
+				}
+			})
+		}
+	}
 	return errors.Trace(n.Server.Start(addr, func(string) (string, error) { return n.ServerRelay.Addr(), nil }))
 }
 
--- /dev/null
+++ b/test/processes/platform_test.go
@@ -0,0 +1,57 @@
+//go:build processes
+
+package processes_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/standin/meshsite"
+	"mangostand.example/mangostand/platform/standin"
+)
+
+// TestCrashingRequestOnThePlatform guards against a request that crashes more
+// than three backend servers when its caller sends it again at each node, and
+// against other callers that are refused because of it. The platform allows
+// three crashes and a time in which all nodes learn of them.
+func TestCrashingRequestOnThePlatform(t *testing.T) {
+	bin := os.Getenv("MANGOSTAND_BIN")
+	require.NotEmpty(t, bin, "MANGOSTAND_BIN is not set; use make faults")
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	site, err := meshsite.Start(ctx, meshsite.Options{
+		Binary: filepath.Join(bin, "mangostandd"), Dir: t.TempDir(), Nodes: 6, Service: service, Slots: 6,
+		Work: 10 * time.Millisecond, Timeout: 800 * time.Millisecond, CrashTime: time.Second,
+	})
+	require.NoError(t, err)
+	defer site.Stop()
+	crashes := func() (total int64) {
+		for _, n := range site.Nodes {
+			total += n.Crashes.Load()
+		}
+		return total
+	}
+	wait := time.Second
+	for round := range 4 {
+		for i, n := range site.Nodes {
+			id := fmt.Sprintf("crash-%d-%d", round, i)
+			standin.NewCaller(n.Callers).SendTo(ctx, id, standin.ReadPrefix, standin.CrashPath, wait)
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+	require.NotZero(t, crashes())
+	require.LessOrEqual(t, crashes(), int64(3))
+	last := standin.NewCaller(site.Nodes[0].Callers).SendTo(ctx, "crash-last", standin.ReadPrefix, standin.CrashPath, wait)
+	require.Equal(t, standin.NotRun, last.Verdict)
+	require.Greater(t, last.RetryAfter, time.Minute)
+	for i, n := range site.Nodes {
+		result := standin.NewCaller(n.Callers).Send(ctx, fmt.Sprintf("read-%d", i), standin.ReadPrefix, wait)
+		require.Equal(t, standin.Served, result.Verdict)
+	}
+}
