Measure the control of nodes on the platform's path

Cause: make capacity knew nodes with their own store keys only; what control costs on the platform's path was not measured apart from calls.

Relays count the bytes that they forward.

--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,8 @@
 
 # Measures the cost of a node against the size of the fleet, with up to 200 node
 # processes; takes about 3 min (docs/CAPACITY.md). CAPACITY_ARGS adds options:
-# make capacity CAPACITY_ARGS="--sizes 10,40 --window 10s".
+# make capacity CAPACITY_ARGS="--sizes 10,40 --window 10s", or --platform for
+# nodes on the users' platform.
 capacity: build
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./bench/capacity
 	@$(BIN)/capacity --bin $(BIN) $(CAPACITY_ARGS)
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -45,6 +45,8 @@
 	settle time.Duration
 	window time.Duration
 	calls  int
+	// platform measures nodes on the users' platform.
+	platform bool
 }
 
 func init() {
@@ -66,6 +68,7 @@
 	parser.Duration(&o.settle, "", "settle", "time from the full fleet to the start of a window")
 	parser.Duration(&o.window, "w", "window", "time over which a size is measured")
 	parser.Int(&o.calls, "", "calls", "non-idempotent calls that measure the bytes of a call")
+	parser.Bool(&o.platform, "p", "platform", "measure the control of nodes on the users' platform, without calls")
 	err := parser.ParseArgs(os.Args[1:])
 	if err == nil {
 		o.sizes, err = parseSizes(sizes)
@@ -107,9 +110,7 @@
 	started := time.Now()
 	fmt.Println(machineState())
 	table := &results{}
-	measureBoard(table)
-	measureKeyRecords(table)
-	failure := measureFleet(ctx, o, dir, table)
+	failure := measureAll(ctx, o, dir, table)
 	if failure != nil {
 		fmt.Println("settings and logs:", dir)
 	} else {
@@ -128,6 +129,15 @@
 	return errors.Trace(failure)
 }
 
+func measureAll(ctx context.Context, o options, dir string, table *results) error {
+	if o.platform {
+		return measurePlatform(ctx, o, dir, table)
+	}
+	measureBoard(table)
+	measureKeyRecords(table)
+	return measureFleet(ctx, o, dir, table)
+}
+
 // measureFleet grows one fleet through the sizes and measures each.
 func measureFleet(ctx context.Context, o options, dir string, table *results) error {
 	f, err := newFleet(ctx, o, dir)
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// PID returns the id of the node's process.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process.Process.Pid
+}
+
 // Wait waits until the node's process has ended and reports whether it did.
 func (n *Node) Wait(limit time.Duration) bool {
 	n.mu.Lock()
--- a/pkg/standin/tcprelay/tcprelay.go
+++ b/pkg/standin/tcprelay/tcprelay.go
@@ -29,6 +29,7 @@
 	listener net.Listener
 	target   string
 	harm     atomic.Pointer[Harm]
+	bytes    atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -52,6 +53,9 @@
 // Set changes the harm for all connections.
 func (r *Relay) Set(h Harm) { r.harm.Store(&h) }
 
+// Bytes returns the bytes that were forwarded so far, in both directions.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Reset resets all open connections.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -135,6 +139,7 @@
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
 			}
+			r.bytes.Add(int64(n))
 		}
 		if err != nil {
 			if tcp, ok := to.(*net.TCPConn); ok {
