Expect backend servers without news to be as cold as the others

All backend servers are cold then and work at half their speed, but an entry took those without a new report for warm, so that it asked these first, and took the others for slower than they are.

Change: what is expected where a report is missing or old is the median floor of the known ones by the trust in their age (estimate.CommonFloor). One cold or a few slow backend servers do not move it.

The executor's own speed ages towards the assumed floor of its backend server in the same way.

--- a/pkg/decide/estimate/estimate.go
+++ b/pkg/decide/estimate/estimate.go
@@ -3,7 +3,9 @@
 package estimate
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -42,9 +44,11 @@
 	return s.Slowdown
 }
 
-// Aged returns the speed to expect when a report of it has the age.
-func (s Speed) Aged(age time.Duration) Speed {
-	aged := Speed{Floor: 1 + (max(1, s.Floor)-1)*trust(age, FloorMemory)}
+// Aged returns the speed to expect when a report of it has the age and backend
+// servers of its service have a floor in common, see CommonFloor.
+func (s Speed) Aged(age time.Duration, common float64) Speed {
+	common = max(1, common)
+	aged := Speed{Floor: common + (max(1, s.Floor)-common)*trust(age, FloorMemory)}
 	if s.Slowdown > 0 {
 		settled := aged.Settled()
 		aged.Slowdown = settled + (s.Slowdown-settled)*trust(age, SpeedMemory)
@@ -52,6 +56,37 @@
 	return aged
 }
 
+// KnownFloor is a reported floor and the age of its report.
+type KnownFloor struct {
+	Floor float64
+	Age   time.Duration
+}
+
+// usualFloorWeight is the weight of the assumption that backend servers work at
+// their usual speed, in fresh reports. Two reports that say otherwise outweigh it.
+const usualFloorWeight = 1.5
+
+// CommonFloor returns the floor to expect where none is known: the median of
+// the known ones by the trust in their age. After a loss of power all backend
+// servers are cold at once.
+func CommonFloor(known []KnownFloor) float64 {
+	sorted := slices.SortedFunc(slices.Values(known), func(a, b KnownFloor) int { return cmp.Compare(a.Floor, b.Floor) })
+	total := usualFloorWeight
+	for _, k := range sorted {
+		total += trust(k.Age, FloorMemory)
+	}
+	sum := usualFloorWeight
+	floor := 1.0
+	for _, k := range sorted {
+		if 2*sum >= total {
+			break
+		}
+		sum += trust(k.Age, FloorMemory)
+		floor = max(1, k.Floor)
+	}
+	return floor
+}
+
 func trust(age, memory time.Duration) float64 {
 	return math.Exp(-float64(max(0, age)) / float64(memory))
 }
--- a/pkg/decide/estimate/estimate_test.go
+++ b/pkg/decide/estimate/estimate_test.go
@@ -16,9 +16,9 @@
 	slow := Speed{Slowdown: 7}.Work(100 * ms)
 	require.Greater(t, slow, 300*ms)
 	require.Less(t, slow, 700*ms)
-	require.InDelta(t, 7, Speed{Slowdown: 7}.Aged(0).Now(), 0.01)
-	require.InDelta(t, UsualSlowdown, Speed{Slowdown: 7}.Aged(5*time.Second).Now(), 0.1)
-	require.InDelta(t, UsualSlowdown, Speed{}.Aged(0).Now(), 0)
+	require.InDelta(t, 7, Speed{Slowdown: 7}.Aged(0, 1).Now(), 0.01)
+	require.InDelta(t, UsualSlowdown, Speed{Slowdown: 7}.Aged(5*time.Second, 1).Now(), 0.1)
+	require.InDelta(t, UsualSlowdown, Speed{}.Aged(0, 1).Now(), 0)
 }
 
 // Guards against a wait that is expected while a slot is free, and against one
@@ -51,10 +51,30 @@
 	cold := Speed{Slowdown: 14, Floor: floor.Value(1, now)}
 	require.Greater(t, cold.Work(220*ms), 700*ms)
 	require.Less(t, Speed{Slowdown: 7, Floor: 1}.Work(220*ms), 500*ms)
-	require.InDelta(t, 2*UsualSlowdown, cold.Aged(SpeedMemory).Settled(), 0.8)
+	require.InDelta(t, 2*UsualSlowdown, cold.Aged(SpeedMemory, 1).Settled(), 0.8)
 	report(1, 100*ms)
 	require.InDelta(t, 1, floor.Value(2, now), 0, "warm")
 	now = now.Add(3 * time.Second)
 	report(7, 100*ms)
 	require.InDelta(t, 1, floor.Value(1, now), 0, "nothing is known after a pause")
 }
+
+// Guards against a few slow backend servers that make all look slow, and
+// against cold ones that look warm as soon as a report is old.
+func TestCommonFloor(t *testing.T) {
+	floors := func(age time.Duration, values ...float64) (known []KnownFloor) {
+		for _, v := range values {
+			known = append(known, KnownFloor{v, age})
+		}
+		return known
+	}
+	require.InDelta(t, 1, CommonFloor(nil), 0)
+	require.InDelta(t, 1, CommonFloor(floors(0, 2)), 0)
+	require.InDelta(t, 2, CommonFloor(floors(0, 2, 2.1)), 0)
+	require.InDelta(t, 1, CommonFloor(floors(0, 1, 4, 1, 1, 4, 1)), 0)
+	require.InDelta(t, 1, CommonFloor(floors(time.Minute, 2, 2, 2, 2)), 0)
+	warm := append(floors(0, 1, 1, 1), floors(2*FloorMemory, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2)...)
+	require.InDelta(t, 1, CommonFloor(warm), 0)
+	require.InDelta(t, 2, Speed{Floor: 1}.Aged(time.Minute, 2).Floor, 0.01)
+	require.InDelta(t, 1, Speed{Floor: 1}.Aged(0, 2).Floor, 0.01)
+}
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -35,16 +35,36 @@
 const failurePenalty = 4
 
 // Expected returns how long a call with the usual time is expected to take at
-// the candidate, with penalties.
-func Expected(c Candidate, usual time.Duration) time.Duration {
+// the candidate, with penalties. The floor is what to expect of a candidate
+// without a new report.
+func Expected(c Candidate, usual time.Duration, floor float64) time.Duration {
 	l := c.Load
-	l.Speed = l.Aged(c.LoadAge)
+	age := c.LoadAge
+	if age < 0 {
+		age = neverReported
+	}
+	l.Speed = l.Aged(age, floor)
 	finish := estimate.Finish(l, usual)
 	backlog := max(0, c.Backlog-max(0, c.LoadAge))
 	total := finish + 2*c.Distance + c.Cost + pacing.Wait(backlog, finish, c.Bytes, c.LinkRate)
 	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
 }
 
+// neverReported is the age of the load of a candidate that has told none: far
+// more than any report is trusted for.
+const neverReported = time.Hour
+
+// commonFloor returns the floor of most candidates.
+func commonFloor(candidates []Candidate) float64 {
+	known := make([]estimate.KnownFloor, 0, len(candidates))
+	for _, c := range candidates {
+		if c.LoadAge >= 0 && c.Load.Floor > 0 {
+			known = append(known, estimate.KnownFloor{Floor: c.Load.Floor, Age: c.LoadAge})
+		}
+	}
+	return estimate.CommonFloor(known)
+}
+
 // Choice is the chosen candidate.
 type Choice struct {
 	Index int
@@ -63,8 +83,9 @@
 	times := make([]time.Duration, len(candidates))
 	allowed := allowedCandidates(candidates)
 	best := time.Duration(-1)
+	floor := commonFloor(candidates)
 	for _, i := range allowed {
-		times[i] = Expected(candidates[i], usual)
+		times[i] = Expected(candidates[i], usual, floor)
 		if best < 0 || times[i] < best {
 			best = times[i]
 		}
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -85,3 +85,20 @@
 	require.Positive(t, choice.Expected)
 	require.Less(t, choice.Expected, time.Second)
 }
+
+// Guards against offers that go to backend servers without a report, one after
+// the other, while those that are known tell that all are cold.
+func TestUnknownServersAreAsColdAsTheOthers(t *testing.T) {
+	unknown := candidate(0, 0)
+	unknown.LoadAge = -1
+	cold := candidate(0, 2)
+	cold.Load.Floor = 2
+	choice, _ := Choose([]Candidate{unknown, cold, cold, cold}, 100*ms, ms, 0)
+	require.NotZero(t, choice.Index)
+	old := candidate(0, 2)
+	old.Load.Floor, old.LoadAge = 2, 10*time.Second
+	choice, _ = Choose([]Candidate{old, cold, cold, cold}, 100*ms, ms, 0)
+	require.NotZero(t, choice.Index)
+	choice, _ = Choose([]Candidate{unknown, cold, candidate(0, 7)}, 100*ms, ms, 0)
+	require.Zero(t, choice.Index, "one cold backend server says little of the others")
+}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -64,7 +64,7 @@
 // the time after its start.
 func (x *Executor) speed(server *board.Server, now time.Time) estimate.Speed {
 	if pulse := x.Board.Pulse.Load(); pulse != nil {
-		return estimate.Speed{Slowdown: pulse.Slowdown, Floor: pulse.Floor}.Aged(now.Sub(pulse.At))
+		return estimate.Speed{Slowdown: pulse.Slowdown, Floor: pulse.Floor}.Aged(now.Sub(pulse.At), assumedFloor(server, now))
 	}
 	return estimate.Speed{Floor: assumedFloor(server, now)}
 }
