Wake idle nodes less often and share the listings of the store

Each node looked at its load 40 times a second, also without calls, and at the confirmation and the registration 10 times each. Each node read all records every 10 s, so that the bytes grow with the square of the fleet. Nodes that came after a node's newest listing were asked again and again: 14 exchanges per second and node in a fleet of 40 that knows one record of the store, where 4 are planned.

Change: pulse looks each 100 ms while no call has run for a second; routefeed sleeps until the confirmation may be too old, 250 ms at most; registration looks each 200 ms. fleet.ListingDue: a fleet lists once a second as a whole, a node with a silent node or after a loss of the store each 10 s as before. A node counts as unlisted only by a listing that is newer than the node. The suspicions of one message are bounded.

--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.addStore(table, callsBefore, callsAfter, time.Since(storeFrom).Seconds())
+	addStore(table, len(f.nodes), callsBefore, callsAfter, time.Since(storeFrom).Seconds())
 	return f.addNodes(table, before, after)
 }
 
@@ -124,12 +124,12 @@
 }
 
 // addStore adds the rates of the store's calls, for the whole fleet.
-func (f *fleet) addStore(table *results, before, after store.Calls, seconds float64) {
+func addStore(table *results, nodes int, before, after store.Calls, seconds float64) {
 	for kind, n := range after.ByKind {
-		table.single(fmt.Sprintf("store calls/%s", kind), "per s, fleet", len(f.nodes), float64(n-before.ByKind[kind])/seconds)
+		table.single(fmt.Sprintf("store calls/%s", kind), "per s, fleet", nodes, float64(n-before.ByKind[kind])/seconds)
 	}
-	table.single("store watches waiting", "fleet", len(f.nodes), float64(after.Waiting))
-	table.single("store calls rejected", "per s, fleet", len(f.nodes), float64(after.Rejected-before.Rejected)/seconds)
+	table.single("store watches waiting", "fleet", nodes, float64(after.Waiting))
+	table.single("store calls rejected", "per s, fleet", nodes, float64(after.Rejected-before.Rejected)/seconds)
 }
 
 func isCounter(name string) bool {
--- a/bench/capacity/platform.go
+++ b/bench/capacity/platform.go
@@ -37,6 +37,7 @@
 	for _, size := range o.sizes {
 		if err := measureSite(ctx, o, meshsite.Options{
 			Binary: binary, Dir: dir, Nodes: size, Service: serviceName(0), Slots: siteSlots, Work: siteWork, Timeout: siteTimeout,
+			Processors: 1,
 		}, table); err != nil {
 			return errors.Annotatef(err, "site of %d", size)
 		}
@@ -55,6 +56,7 @@
 	if err := pause(ctx, o.settle); err != nil {
 		return errors.Trace(err)
 	}
+	callsBefore, storeFrom := s.Store.Calls(), time.Now()
 	before, err := readSite(s)
 	if err != nil {
 		return errors.Trace(err)
@@ -66,6 +68,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	addStore(table, len(after), callsBefore, s.Store.Calls(), time.Since(storeFrom).Seconds())
 	addSite(table, before, after)
 	return nil
 }
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -311,13 +311,14 @@
 	changed := false
 	for id, e := range c.others {
 		_, listed := view.Listed[id]
+		fresh := settled && view.ListedAt.After(e.seen)
 		alive := fleet.Alive(fleet.Evidence{
-			Listed: listed, ListingFresh: settled && view.ListedAt.After(e.seen),
+			Listed: listed, ListingFresh: fresh,
 			Heard: e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit)),
 			Left:  e.cell.Record.Leaving, Replaced: e.cell.Reach.Replaced() || e.overtaken && e.contested(),
 			SeenFor: now.Sub(e.seen), Unanswered: e.cell.Reach.Suspected(),
 		})
-		e.unlisted = settled && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
+		e.unlisted = fresh && !listed && !e.cell.Reach.HeardSince(now.Add(-fleet.SilenceLimit))
 		if alive {
 			e.aliveAt = now
 		}
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -343,3 +343,20 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against nodes that are asked again and again because they came after
+// the newest listing of the store, which may be minutes old.
+func TestNodesAfterTheListingAreNotDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork()
+		fleetOf(ctx, n, 40)
+		time.Sleep(10 * time.Second)
+		n.exchanges.Store(0)
+		time.Sleep(10 * time.Second)
+		perNode := float64(n.exchanges.Load()) / 40 / 10
+		require.Less(t, perNode, 1.5*randomExchanges/tick.Seconds())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/control/pulse/pulse.go
+++ b/pkg/control/pulse/pulse.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// interval spaces the looks at the age of the load.
-	interval = 25 * time.Millisecond
+	// interval spaces the looks at the age of the load while calls run, and
+	// quietInterval those while none has for quietAfter: each look wakes the
+	// process.
+	interval      = 25 * time.Millisecond
+	quietInterval = 100 * time.Millisecond
 	// freshFor is the age up to which a load needs no question. Hosts change
 	// their speed about every 500 ms.
 	freshFor = 100 * time.Millisecond
@@ -51,7 +54,17 @@
 
 // Run asks until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	control.Every(ctx, interval, func(now time.Time) { c.step(ctx, now) })
+	for control.Sleep(ctx, c.wait(time.Now())) {
+		c.step(ctx, time.Now())
+	}
+}
+
+// wait returns the time until the next look.
+func (c *Controller) wait(now time.Time) time.Duration {
+	if now.Sub(c.busyAt) < quietAfter {
+		return interval
+	}
+	return quietInterval
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -29,8 +29,6 @@
 	// retryEvery spaces calls while the store does not answer. Refused calls
 	// are paid for as well.
 	retryEvery = 600 * time.Millisecond
-	// listEvery spaces the listings, which may be old.
-	listEvery = 10 * time.Second
 	// serverWait is how long the first record waits for the backend server, so
 	// that one write tells both. Until then other nodes know this one from its
 	// exchanges with those it finds.
@@ -40,7 +38,7 @@
 	secondListing = time.Second
 	secondJitter  = time.Second
 	// tick is the resolution of the above.
-	tick = 100 * time.Millisecond
+	tick = 200 * time.Millisecond
 )
 
 // Store is what the controller needs of the store.
@@ -148,7 +146,22 @@
 	if c.alone() && now.Sub(c.listedAt) >= c.relist {
 		return true
 	}
-	return now.Sub(c.listedAt) >= listEvery
+	view := c.writer.Load()
+	return fleet.ListingDue(fleet.Listing{
+		Age: now.Sub(c.listedAt), Size: c.board.Fleet.Load().Size,
+		Unsettled: c.settledAt.Before(view.Since), Doubtful: c.doubtful(now),
+	})
+}
+
+// doubtful reports whether a node has been silent for so long that its record
+// has ended if it is gone.
+func (c *Controller) doubtful(now time.Time) bool {
+	for _, cell := range c.board.Fleet.Load().ByInstance {
+		if cell.Reach.Suspected() && !cell.Reach.HeardSince(now.Add(-ttl)) {
+			return true
+		}
+	}
+	return false
 }
 
 // alone reports whether no other node is known.
--- a/pkg/control/registration/registration_test.go
+++ b/pkg/control/registration/registration_test.go
@@ -83,10 +83,10 @@
 	writer := b.Fleet.Claim("test")
 	publish = func() {
 		writer.Publish(&board.Fleet{Size: 2, ByInstance: map[board.InstanceID]*board.MeshCell{
-			"n0": {Record: *record}, "n1": {Record: board.NodeRecord{Instance: "n1", Service: "desk"}},
+			"n0": {Record: *record, Reach: &board.Reach{}}, "n1": {Record: board.NodeRecord{Instance: "n1", Service: "desk"}, Reach: &board.Reach{}},
 		}})
 	}
-	writer.Publish(&board.Fleet{Size: 1, ByInstance: map[board.InstanceID]*board.MeshCell{"n0": {Record: *record}}})
+	writer.Publish(&board.Fleet{Size: 1, ByInstance: map[board.InstanceID]*board.MeshCell{"n0": {Record: *record, Reach: &board.Reach{}}}})
 	go New(b, store, zerolog.Nop()).Run(ctx)
 	return publish
 }
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -35,8 +35,9 @@
 	// aloneLimit is the age up to which a node that knows no other one does not
 	// take itself for the watcher.
 	aloneLimit = 3 * time.Second
-	// pollEvery spaces the looks at the time of the confirmation.
-	pollEvery = 100 * time.Millisecond
+	// pollEvery spaces the looks at the time of the confirmation and at the
+	// fleet, which may make this node the watcher.
+	pollEvery = 250 * time.Millisecond
 	// retryEvery spaces calls while the store does not answer.
 	retryEvery = 600 * time.Millisecond
 	// watchGap spaces watches when versions come in quick succession.
@@ -143,8 +144,8 @@
 		if rank <= backups {
 			limit = backupLimit
 		}
-		if !watcher && c.board.Confirmed.Age(time.Now()) < limit {
-			control.Sleep(ctx, pollEvery)
+		if age := c.board.Confirmed.Age(time.Now()); !watcher && age < limit {
+			control.Sleep(ctx, min(pollEvery, limit-age))
 			continue
 		}
 		asked := time.Now()
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -20,6 +20,35 @@
 	SilenceLimit = 3 * time.Second
 )
 
+const (
+	// ListEvery spaces the listings of a node that needs one, and of a small
+	// fleet.
+	ListEvery = 10 * time.Second
+	// listShare is the time between two listings of the whole fleet in calm
+	// times. Exchanges spread what any of them finds.
+	listShare = time.Second
+)
+
+// Listing is what decides whether a node reads the records in the store again.
+type Listing struct {
+	// Age is that of the newest listing.
+	Age time.Duration
+	// Size is the number of nodes.
+	Size int
+	// Unsettled is true when the store was lost since the newest listing that was
+	// up to date, Doubtful when a node has not answered for a lease's life.
+	Unsettled, Doubtful bool
+}
+
+// ListingDue reports whether it is time to read the records again. What a
+// listing costs grows with the fleet, so that nodes share the work.
+func ListingDue(l Listing) bool {
+	if l.Unsettled || l.Doubtful {
+		return l.Age >= ListEvery
+	}
+	return l.Age >= max(ListEvery, time.Duration(l.Size)*listShare)
+}
+
 // Evidence is what is known about one node at a moment.
 type Evidence struct {
 	// Listed is true when the newest listing of the store has the node.
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -66,3 +66,14 @@
 	require.Less(t, differing, 20)
 	require.True(t, Differs("any", own, own[:1]))
 }
+
+// Guards against listings whose bytes grow with the square of the fleet, and
+// against a doubt or a return of the store that waits for the next turn.
+func TestListingsAreShared(t *testing.T) {
+	require.True(t, ListingDue(Listing{Age: ListEvery, Size: 9}))
+	require.False(t, ListingDue(Listing{Age: ListEvery, Size: 600}))
+	require.True(t, ListingDue(Listing{Age: ListEvery, Size: 600, Doubtful: true}))
+	require.True(t, ListingDue(Listing{Age: ListEvery, Size: 600, Unsettled: true}))
+	require.False(t, ListingDue(Listing{Age: ListEvery - 1, Size: 600, Unsettled: true, Doubtful: true}))
+	require.True(t, ListingDue(Listing{Age: 10 * time.Minute, Size: 600}))
+}
--- a/pkg/decide/quarantine/share.go
+++ b/pkg/decide/quarantine/share.go
@@ -71,10 +71,19 @@
 
 func bucketOf(digest string) uint64 { return hashing.String(digest) % digestBuckets }
 
-// News returns the suspicions that a node with other digests may not know.
+// maxNews bounds the suspicions of one message, about 100 bytes each. What is
+// left follows with the next exchanges, a quarter of a second apart.
+const maxNews = 64
+
+// News returns suspicions that a node with other digests may not know. The time
+// decides where it begins, so that all have their turn.
 func News(own *board.Quarantine, other []uint32, now time.Time) []board.Suspicion {
 	var news []board.Suspicion
-	for _, s := range own.Shared {
+	for i := range own.Shared {
+		s := own.Shared[(int(now.UnixMilli())+i)%len(own.Shared)]
+		if len(news) >= maxNews {
+			break
+		}
 		bucket := bucketOf(s.Digest)
 		if len(other) == digestBuckets && own.Digests[bucket] == other[bucket] {
 			continue
--- a/pkg/decide/quarantine/share_test.go
+++ b/pkg/decide/quarantine/share_test.go
@@ -29,8 +29,12 @@
 		s.Died(fmt.Sprint("d", n/2), "GET /s/a", []board.ServerIncarnation{incarnation(n)}, epoch.Add(time.Hour))
 	}
 	one.Clear("d3", []board.ServerIncarnation{incarnation(6)}, epoch.Add(time.Hour))
-	require.True(t, one.Merge(News(view(other), view(one).Digests, epoch), epoch, time.Hour))
-	require.True(t, other.Merge(News(view(one), view(other).Digests, epoch), epoch, time.Hour))
+	for turn := range 8 {
+		now := epoch.Add(time.Duration(31*turn) * time.Millisecond)
+		require.LessOrEqual(t, len(News(view(one), nil, now)), maxNews)
+		one.Merge(News(view(other), view(one).Digests, now), now, time.Hour)
+		other.Merge(News(view(one), view(other).Digests, now), now, time.Hour)
+	}
 	require.Equal(t, view(one).Digests, view(other).Digests)
 	require.Equal(t, view(one).Entries, view(other).Entries)
 	require.Empty(t, News(view(one), view(other).Digests, epoch))
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -37,6 +37,9 @@
 	Work    time.Duration
 	// Timeout is that of the routes.
 	Timeout time.Duration
+	// Processors bounds the processors that a node uses, 0 for all. The platform
+	// gives a node one.
+	Processors int
 	// CrashTime is how long a backend server is away after the request that
 	// crashes it; 0 means that none does.
 	CrashTime time.Duration
@@ -233,6 +236,9 @@
 	}
 	process := exec.Command(n.site.options.Binary, "platform", "--settings", n.settings)
 	process.Stdout, process.Stderr = log, log
+	if limit := n.site.options.Processors; limit > 0 {
+		process.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", limit))
+	}
 	if err := process.Start(); err != nil {
 		_ = log.Close()
 		return errors.Trace(err)
