Use one piece of code for digests of buckets, messages and suspects

The suspicions compared digests of buckets with code that decide/fleet had already. ask and Answer of the directory built the same message field by field. Both controllers of the quarantine looked for harmless suspects on their own. CommonFloor computed each weight twice per choice. Two readers of a process and two means over nodes stood in bench/capacity.

Change: hashing.Bucket, AddEntry and Differs serve fleet and quarantine; newMessage serves both ends of an exchange; the tracker knows its instance and says which suspects are harmless; a call keeps its digest; Quarantine.Suspects serves both call paths; readProcess and results.addNodes serve both kinds of fleet. Execution.Addr, which nothing read, is gone. Behaviour is unchanged, and so is every test.

--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -71,24 +71,31 @@
 	for i, n := range f.nodes {
 		// The processor times are read first: the answer with the metrics costs
 		// the node more than a second of its control work.
-		r := &readings[i]
 		var err error
-		if r.cpu, err = processSeconds(n.cmd.Process.Pid); err != nil {
-			return nil, errors.Annotate(err, n.name)
-		}
-		r.at = time.Now()
-		if r.resident, err = residentBytes(n.cmd.Process.Pid); err != nil {
+		if readings[i], err = readProcess(n.cmd.Process.Pid); err != nil {
 			return nil, errors.Annotate(err, n.name)
 		}
 		data, err := f.request(ctx, http.MethodGet, "http://"+n.operators+"/metrics", nil)
 		if err != nil {
 			return nil, errors.Annotate(err, n.name)
 		}
-		r.metrics = parseMetrics(data)
+		readings[i].metrics = parseMetrics(data)
 	}
 	return readings, nil
 }
 
+// readProcess reads what the system tells of a process.
+func readProcess(pid int) (reading, error) {
+	var r reading
+	var err error
+	if r.cpu, err = processSeconds(pid); err != nil {
+		return r, errors.Trace(err)
+	}
+	r.at = time.Now()
+	r.resident, err = residentBytes(pid)
+	return r, errors.Trace(err)
+}
+
 // addNodes adds the figures per node.
 func (f *fleet) addNodes(table *results, before, after []reading) error {
 	values := map[string][]float64{}
@@ -115,7 +122,7 @@
 		resident += last.resident
 	}
 	for figure, list := range values {
-		table.add(point{figure: figure, unit: units[figure], nodes: len(f.nodes), mean: sum(list) / float64(len(f.nodes)), max: largest(list)})
+		table.addNodes(figure, units[figure], list)
 	}
 	if resident > maxResident {
 		return errors.Errorf("%d nodes take %.1f GiB of memory", len(f.nodes), resident/(1<<30))
--- a/bench/capacity/platform.go
+++ b/bench/capacity/platform.go
@@ -22,8 +22,7 @@
 
 // meshReading is what one node of a site on the platform showed at one time.
 type meshReading struct {
-	at                time.Time
-	cpu, resident     float64
+	reading
 	peerBytes, stored float64
 }
 
@@ -76,15 +75,11 @@
 func readSite(s *meshsite.Site) ([]meshReading, error) {
 	var readings []meshReading
 	for _, n := range s.Nodes {
-		r := meshReading{at: time.Now(), peerBytes: float64(n.PeerRelay.Bytes()), stored: float64(n.StoreRelay.Bytes())}
-		var err error
-		if r.cpu, err = processSeconds(n.PID()); err != nil {
+		process, err := readProcess(n.PID())
+		if err != nil {
 			return nil, errors.Annotate(err, n.Name)
 		}
-		if r.resident, err = residentBytes(n.PID()); err != nil {
-			return nil, errors.Annotate(err, n.Name)
-		}
-		readings = append(readings, r)
+		readings = append(readings, meshReading{process, float64(n.PeerRelay.Bytes()), float64(n.StoreRelay.Bytes())})
 	}
 	return readings, nil
 }
@@ -107,6 +102,6 @@
 		for i, last := range after {
 			values = append(values, figure.of(before[i], last, last.at.Sub(before[i].at).Seconds()))
 		}
-		table.add(point{figure: figure.name, unit: figure.unit, nodes: len(after), mean: sum(values) / float64(len(values)), max: largest(values)})
+		table.addNodes(figure.name, figure.unit, values)
 	}
 }
--- a/bench/capacity/results.go
+++ b/bench/capacity/results.go
@@ -28,6 +28,11 @@
 
 func (r *results) add(p point) { r.points = append(r.points, p) }
 
+// addNodes adds a figure with its value at each node.
+func (r *results) addNodes(figure, unit string, values []float64) {
+	r.add(point{figure: figure, unit: unit, nodes: len(values), mean: sum(values) / float64(len(values)), max: largest(values)})
+}
+
 // single adds a figure that was measured once, at a size.
 func (r *results) single(figure, unit string, nodes int, value float64) {
 	r.add(point{figure: figure, unit: unit, nodes: nodes, mean: value, max: value})
--- a/pkg/board/quarantine.go
+++ b/pkg/board/quarantine.go
@@ -49,6 +49,12 @@
 // Empty reports whether no request is suspected, so that no digest is needed.
 func (q *Quarantine) Empty() bool { return len(q.Entries) == 0 }
 
+// Suspects reports whether a request was running when a backend server died.
+func (q *Quarantine) Suspects(digest string) bool {
+	_, found := q.Entries[digest]
+	return found
+}
+
 // Refuses reports whether a request must not run at now.
 func (q *Quarantine) Refuses(digest string, now time.Time) bool {
 	entry, found := q.Entries[digest]
@@ -71,9 +77,8 @@
 	Kind    ExecutionKind
 	Digest  string
 	Summary string
-	// ServerIncarnation and Addr are those of the backend server it ran on.
+	// ServerIncarnation is that of the backend server it ran on.
 	ServerIncarnation uint64
-	Addr              string
 }
 
 // QuarantineLift is an operator's order to lift the quarantine of a request.
--- a/pkg/call/codec.go
+++ b/pkg/call/codec.go
@@ -49,7 +49,7 @@
 // maxCarried is the largest number of attempts that a message carries.
 const maxCarried = math.MaxUint8
 
-func clampByte(n int) uint8 { return uint8(max(0, min(n, math.MaxUint8))) }
+func clampByte(n int) uint8 { return uint8(max(0, min(n, maxCarried))) }
 
 func encodeHeader(h http.Header) []wire.HeaderField {
 	fields := make([]wire.HeaderField, 0, len(h))
--- a/pkg/call/quarantine.go
+++ b/pkg/call/quarantine.go
@@ -42,7 +42,7 @@
 func execution(message *wire.Call, local *board.Local) board.Execution {
 	return board.Execution{
 		Kind: board.ExecutionLost, Digest: digestOfCall(message), Summary: summaryOf(message),
-		ServerIncarnation: local.Incarnation, Addr: local.Addr,
+		ServerIncarnation: local.Incarnation,
 	}
 }
 
@@ -61,7 +61,7 @@
 	}
 	done := execution(message, local)
 	done.Kind = board.ExecutionCompleted
-	if _, suspected := quarantine.Entries[done.Digest]; suspected {
+	if quarantine.Suspects(done.Digest) {
 		x.Board.Executions.Post(done)
 	}
 }
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -13,7 +13,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/fleet"
-	decide "mangostand.example/mangostand/pkg/decide/quarantine"
+	"mangostand.example/mangostand/pkg/decide/quarantine"
 )
 
 const (
@@ -123,7 +123,7 @@
 	stopping := c.board.Stopping.Subscribe()
 	store := c.board.Store.Subscribe()
 	routes := c.board.Routes.Subscribe()
-	quarantine := c.board.Quarantine.Subscribe()
+	suspicions := c.board.Quarantine.Subscribe()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -138,7 +138,7 @@
 			c.refreshOwn(ctx)
 		case <-routes:
 			c.spread(ctx, []board.NodeRecord{c.own})
-		case <-quarantine:
+		case <-suspicions:
 			c.spreadQuarantine(ctx, time.Now())
 		case <-store:
 			c.takeListing(ctx, time.Now())
@@ -421,7 +421,7 @@
 // spreadQuarantine tells some nodes at once when more requests are refused.
 // Suspicions that refuse nothing yet wait for the exchanges of each tick.
 func (c *Controller) spreadQuarantine(ctx context.Context, now time.Time) {
-	refused := len(decide.Refused(c.board.Quarantine.Load(), now))
+	refused := len(quarantine.Refused(c.board.Quarantine.Load(), now))
 	if refused > c.refused {
 		c.spread(ctx, []board.NodeRecord{c.own})
 	}
@@ -435,12 +435,10 @@
 		return
 	}
 	c.busy[id] = true
-	now, suspects := time.Now(), c.board.Quarantine.Load()
-	message := &Message{
-		From: c.own.Instance, PeerAddr: c.own.PeerAddr, Records: records, Digests: c.writer.Load().Digests,
-		Config: c.board.ConfigWord(now), Load: c.load(),
-		Suspicions: decide.Refused(suspects, now), SuspicionDigests: suspects.Digests,
-	}
+	now := time.Now()
+	message := newMessage(c.board, c.load(), now)
+	message.Records = records
+	message.Suspicions = quarantine.Refused(c.board.Quarantine.Load(), now)
 	go c.run(ctx, e.cell, message)
 }
 
@@ -470,6 +468,14 @@
 	Take(c.board, answer)
 }
 
+// newMessage returns a message with what it always says.
+func newMessage(b *board.Mesh, load board.LoadReport, now time.Time) *Message {
+	return &Message{
+		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digests: b.Fleet.Load().Digests, Config: b.ConfigWord(now),
+		Load: load, SuspicionDigests: b.Quarantine.Load().Digests,
+	}
+}
+
 // Take posts what a message says to the controllers that it concerns.
 func Take(b *board.Mesh, m *Message) {
 	if len(m.Records) > 0 {
@@ -489,14 +495,11 @@
 // records in which the two may differ.
 func Answer(b *board.Mesh, m *Message, load board.LoadReport) *Message {
 	Take(b, m)
-	now, view, suspects := time.Now(), b.Fleet.Load(), b.Quarantine.Load()
-	answer := &Message{
-		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digests: view.Digests,
-		Config: b.ConfigWord(now), Load: load,
-		Suspicions: decide.News(suspects, m.SuspicionDigests, now), SuspicionDigests: suspects.Digests,
-	}
-	for id, cell := range view.ByInstance {
-		if fleet.Differs(id, view.Digests, m.Digests) {
+	now := time.Now()
+	answer := newMessage(b, load, now)
+	answer.Suspicions = quarantine.News(b.Quarantine.Load(), m.SuspicionDigests, now)
+	for id, cell := range b.Fleet.Load().ByInstance {
+		if fleet.Differs(id, answer.Digests, m.Digests) {
 			answer.Records = append(answer.Records, cell.Record)
 		}
 	}
--- a/pkg/control/quarantine/mesh.go
+++ b/pkg/control/quarantine/mesh.go
@@ -28,7 +28,7 @@
 func NewMesh(b *board.Mesh, bounds dynconf.Quarantine, log zerolog.Logger) *Mesh {
 	return &Mesh{
 		board: b, writer: b.Quarantine.Claim("quarantine"), bounds: bounds, changed: b.Server.Subscribe(),
-		tracker: newTracker(log), server: b.Server.Load(),
+		tracker: newTracker(b.Self.Instance, log), server: b.Server.Load(),
 	}
 }
 
@@ -83,12 +83,11 @@
 }
 
 func (c *Mesh) accuse(suspects []board.Execution, now time.Time) bool {
-	return len(c.died(suspects, c.board.Self.Instance, now.Add(c.bounds.TTL))) > 0
+	return len(c.died(suspects, now.Add(c.bounds.TTL))) > 0
 }
 
 // completed clears a suspect that completed on another backend server.
 func (c *Mesh) completed(e board.Execution, now time.Time) bool {
-	entry, found := c.writer.Load().Entries[e.Digest]
-	on := board.ServerIncarnation{Instance: c.board.Self.Instance, ServerIncarnation: e.ServerIncarnation}
-	return found && decide.Elsewhere(entry.Deaths, on) && c.state.Clear(e.Digest, entry.Deaths, now.Add(c.bounds.TTL))
+	entry, harmless := c.harmless(c.writer.Load(), e)
+	return harmless && c.state.Clear(e.Digest, entry.Deaths, now.Add(c.bounds.TTL))
 }
--- a/pkg/control/quarantine/quarantine.go
+++ b/pkg/control/quarantine/quarantine.go
@@ -41,7 +41,7 @@
 	return &Controller{
 		board: b, writer: b.Quarantine.Claim("quarantine"), log: log,
 		localWake: b.Local.Subscribe(), dial: dial,
-		tracker: newTracker(log), local: b.Local.Load(),
+		tracker: newTracker(b.Members.Load().Self, log), local: b.Local.Load(),
 		probed: make(chan struct{}, 1),
 	}
 }
@@ -117,7 +117,7 @@
 // the other nodes.
 func (c *Controller) accuse(suspects []board.Execution, now time.Time) bool {
 	until := now.Add(c.board.Config.Load().Quarantine.TTL)
-	died := c.died(suspects, c.board.Members.Load().Self, until)
+	died := c.died(suspects, until)
 	for _, s := range died {
 		c.tell(rumorID("death", s.Digest, s.Deaths[0]), until, wire.QuarantineRumor{
 			Digest: s.Digest, Summary: s.Summary, Deaths: s.Deaths,
@@ -126,17 +126,10 @@
 	return len(died) > 0
 }
 
-func (c *Controller) incarnationOf(e board.Execution) board.ServerIncarnation {
-	return board.ServerIncarnation{Instance: c.board.Members.Load().Self, ServerIncarnation: e.ServerIncarnation}
-}
-
 // completed clears a suspect that completed on another backend server.
 func (c *Controller) completed(e board.Execution, now time.Time) bool {
-	entry, found := c.writer.Load().Entries[e.Digest]
-	if !found || !decide.Elsewhere(entry.Deaths, c.incarnationOf(e)) {
-		return false
-	}
-	return c.clear(entry, now)
+	entry, harmless := c.harmless(c.writer.Load(), e)
+	return harmless && c.clear(entry, now)
 }
 
 func (c *Controller) lift(order board.QuarantineLift, now time.Time) bool {
--- a/pkg/control/quarantine/tracker.go
+++ b/pkg/control/quarantine/tracker.go
@@ -13,6 +13,7 @@
 // tracker keeps the suspected requests of one node. It belongs to the goroutine
 // of its controller.
 type tracker struct {
+	self  board.InstanceID
 	log   zerolog.Logger
 	state decide.State
 	lost  []decide.Lost
@@ -21,8 +22,8 @@
 	ended map[uint64]time.Time
 }
 
-func newTracker(log zerolog.Logger) tracker {
-	return tracker{log: log, state: decide.State{}, ended: map[uint64]time.Time{}}
+func newTracker(self board.InstanceID, log zerolog.Logger) tracker {
+	return tracker{self: self, log: log, state: decide.State{}, ended: map[uint64]time.Time{}}
 }
 
 // lose notes an execution whose connection broke. It reports whether the
@@ -38,13 +39,16 @@
 	return false
 }
 
-// died records the death of the backend server beside an instance under the
-// suspects and returns what is new.
-func (t *tracker) died(suspects []board.Execution, self board.InstanceID, until time.Time) []board.Suspicion {
+func (t *tracker) incarnationOf(e board.Execution) board.ServerIncarnation {
+	return board.ServerIncarnation{Instance: t.self, ServerIncarnation: e.ServerIncarnation}
+}
+
+// died records the death of the backend server under the suspects and returns
+// what is new.
+func (t *tracker) died(suspects []board.Execution, until time.Time) []board.Suspicion {
 	var news []board.Suspicion
 	for _, e := range suspects {
-		incarnation := board.ServerIncarnation{Instance: self, ServerIncarnation: e.ServerIncarnation}
-		deaths := []board.ServerIncarnation{incarnation}
+		deaths := []board.ServerIncarnation{t.incarnationOf(e)}
 		if !t.state.Died(e.Digest, e.Summary, deaths, until) {
 			continue
 		}
@@ -55,6 +59,13 @@
 	return news
 }
 
+// harmless returns the entry of a suspect that has completed on another backend
+// server than those that died under it.
+func (t *tracker) harmless(q *board.Quarantine, e board.Execution) (board.QuarantineEntry, bool) {
+	entry, found := q.Entries[e.Digest]
+	return entry, found && decide.Elsewhere(entry.Deaths, t.incarnationOf(e))
+}
+
 // logChanges logs the requests that are refused from now on, and no longer.
 func (t *tracker) logChanges(old, next *board.Quarantine) {
 	for digest, entry := range next.Entries {
--- a/pkg/decide/estimate/estimate.go
+++ b/pkg/decide/estimate/estimate.go
@@ -71,18 +71,17 @@
 // servers are cold at once.
 func CommonFloor(known []KnownFloor) float64 {
 	sorted := slices.SortedFunc(slices.Values(known), func(a, b KnownFloor) int { return cmp.Compare(a.Floor, b.Floor) })
+	weights := make([]float64, len(sorted))
 	total := usualFloorWeight
-	for _, k := range sorted {
-		total += trust(k.Age, FloorMemory)
+	for i, k := range sorted {
+		weights[i] = trust(k.Age, FloorMemory)
+		total += weights[i]
 	}
 	sum := usualFloorWeight
 	floor := 1.0
-	for _, k := range sorted {
-		if 2*sum >= total {
-			break
-		}
-		sum += trust(k.Age, FloorMemory)
-		floor = max(1, k.Floor)
+	for i := 0; 2*sum < total; i++ {
+		sum += weights[i]
+		floor = max(1, sorted[i].Floor)
 	}
 	return floor
 }
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -102,18 +102,13 @@
 	return n
 }
 
-// BucketOf returns the bucket of a node.
-func BucketOf(id board.InstanceID, buckets int) int {
-	return int(hashing.String(string(id)) % uint64(buckets))
-}
-
 // Digests returns a number for each bucket that is equal for equal records.
 // The order of the records does not matter.
 func Digests(records []board.NodeRecord) []uint32 {
 	digests := make([]uint32, Buckets(len(records)))
 	for _, r := range records {
 		text := string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10)
-		digests[BucketOf(r.Instance, len(digests))] ^= uint32(hashing.String(text))
+		hashing.AddEntry(digests, string(r.Instance), text)
 	}
 	return digests
 }
@@ -121,11 +116,7 @@
 // Differs reports whether the record of a node may differ between two nodes
 // with the digests. Other numbers of digests mean other numbers of records.
 func Differs(id board.InstanceID, own, other []uint32) bool {
-	if len(own) != len(other) {
-		return true
-	}
-	bucket := BucketOf(id, len(own))
-	return own[bucket] != other[bucket]
+	return hashing.Differs(string(id), own, other)
 }
 
 // Instances returns the nodes of a view whose records are to be kept.
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -45,7 +45,7 @@
 	}
 	l.Speed = l.Aged(age, floor)
 	finish := estimate.Finish(l, usual)
-	backlog := max(0, c.Backlog-max(0, c.LoadAge))
+	backlog := max(0, c.Backlog-age)
 	total := finish + 2*c.Distance + c.Cost + pacing.Wait(backlog, finish, c.Bytes, c.LinkRate)
 	return total + time.Duration(c.Failing*failurePenalty*float64(usual))
 }
--- a/pkg/decide/quarantine/share.go
+++ b/pkg/decide/quarantine/share.go
@@ -11,8 +11,8 @@
 	"mangostand.example/mangostand/pkg/decide/hashing"
 )
 
-// digestBuckets is the number of suspicions groups that nodes compare. A crash
-// of a fifth of 600 backend servers leaves about 700 suspicions.
+// digestBuckets is the number of digests that nodes compare. A crash of a fifth
+// of 600 backend servers leaves about 700 suspicions.
 const digestBuckets = 32
 
 // Share returns what other nodes are told, in the order of the digests.
@@ -64,13 +64,11 @@
 			}
 			text = append(text, ';')
 		}
-		digests[bucketOf(s.Digest)] ^= uint32(hashing.String(string(text)))
+		hashing.AddEntry(digests, s.Digest, string(text))
 	}
 	return digests
 }
 
-func bucketOf(digest string) uint64 { return hashing.String(digest) % digestBuckets }
-
 // maxNews bounds the suspicions of one message, about 100 bytes each. What is
 // left follows with the next exchanges, a quarter of a second apart.
 const maxNews = 64
@@ -84,11 +82,9 @@
 		if len(news) >= maxNews {
 			break
 		}
-		bucket := bucketOf(s.Digest)
-		if len(other) == digestBuckets && own.Digests[bucket] == other[bucket] {
-			continue
+		if hashing.Differs(s.Digest, own.Digests, other) {
+			news = appendLeft(news, s, now)
 		}
-		news = appendLeft(news, s, now)
 	}
 	return news
 }
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -40,6 +40,9 @@
 	CallerService string
 	// Version is that of the configuration that routed the call.
 	Version uint64
+
+	// digest is that of contentDigest, "" before it is needed.
+	digest string
 }
 
 func newCall(id string, rule *dynconf.Rule, service string) *Call {
