Ask a backend server for its health when a connection breaks

Traced: a node knew of the death only when the backend server was back and announced itself, 1 s later, unless another call met a refused connection. A read that came in between was sent to two more backend servers within 2 ms. Spreading the suspicion takes 2 ms and is not the cause.

Change: the executor posts the life of the backend server whose connection broke to the inbox Doubts; control/pulse asks its health path at once on a new connection. A refused connection proves the end. One that closes without a byte of an answer proves it only while no call is in flight, because a full backend server resets connections too; up to 6 tries 10 ms apart, one series each 250 ms. A refusal that speaks of an earlier life of the backend server is stale. TestDownAndBack now names the life in its event, as all producers do, and checks the stale one.

Tests: TestLostConnectionIsLookedInto, TestDoubtsAreTakenUp, TestDoubtsAreSpaced fail without the change (no inbox).

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -11,6 +11,7 @@
 // Sizes of the inboxes of a mesh node, in events.
 const (
 	heartbeatInboxSize = 64
+	doubtsInboxSize    = 16
 	recordsInboxSize   = 256
 	tableInboxSize     = 64
 	executionInboxSize = 256
@@ -52,6 +53,9 @@
 
 	// Announcements carries what the backend server says to control/ownserver.
 	Announcements *Inbox[ServerEvent]
+	// Doubts carries the lives of the backend server that may have ended, since a
+	// connection broke while a call ran, to control/pulse.
+	Doubts *Inbox[Server]
 	// Records carries the node records of other nodes to control/directory.
 	Records *Inbox[RecordsEvent]
 	// Tables carries the route tables of other nodes to control/routefeed.
@@ -94,6 +98,7 @@
 		Budgets:       NewAttemptBudgets(time.Now()),
 		Confirmed:     &Confirmation{},
 		Announcements: NewInbox[ServerEvent](heartbeatInboxSize),
+		Doubts:        NewInbox[Server](doubtsInboxSize),
 		Records:       NewInbox[RecordsEvent](recordsInboxSize),
 		Tables:        NewInbox[TableHint](tableInboxSize),
 		Executions:    NewInbox[Execution](executionInboxSize),
@@ -210,7 +215,7 @@
 	DrainSince time.Time
 	// HeardAt is when it was heard last.
 	HeardAt time.Time
-	// Down is set while nothing listens at its address.
+	// Down is set while nothing answers at its address.
 	Down bool
 }
 
@@ -226,7 +231,7 @@
 	ServerLeaves
 	// ServerFound is a health answer of the backend server.
 	ServerFound
-	// ServerRefused says that nothing listens at its address.
+	// ServerRefused says that nothing answers at its address.
 	ServerRefused
 	// ServerAnswered takes back ServerRefused.
 	ServerAnswered
--- /dev/null
+++ b/pkg/control/pulse/doubt_test.go
@@ -0,0 +1,138 @@
+package pulse
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/h1"
+	"mangostand.example/mangostand/platform"
+)
+
+// doubted is a controller whose backend server is a script.
+type doubted struct {
+	*Controller
+	server   board.Server
+	asked    atomic.Int64
+	inFlight atomic.Int64
+}
+
+// newDoubted starts a controller. answer is what the backend server writes on a
+// new connection before it closes it; a nil listener means that none listens.
+func newDoubted(t *testing.T, listens bool, answer string) *doubted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	d := &doubted{server: board.Server{ID: "s", Born: 7, State: board.ServerReady, Addr: listener.Addr().String()}}
+	if !listens {
+		require.NoError(t, listener.Close())
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			d.asked.Add(1)
+			if answer != "" {
+				_, _ = conn.Read(make([]byte, 1024))
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	b := board.NewMesh(board.Self{Instance: "n", Service: "desk"})
+	b.Server.Claim("test").Publish(&d.server)
+	table := dynconf.EmptyTable()
+	table.Clusters = map[string]*dynconf.Cluster{"desk": {HealthPath: "/healthz"}}
+	b.Routes.Claim("test").Publish(table)
+	d.Controller = &Controller{
+		Board: b, Servers: &h1.Pool{DialTimeout: time.Second, IdleTimeout: time.Second}, Codec: platform.Codec{},
+		InFlight: func() int { return int(d.inFlight.Load()) }, Pulsed: func(board.PulseView) {}, Log: zerolog.Nop(),
+	}
+	return d
+}
+
+// refused returns the life that was told to be over, if any.
+func (d *doubted) refused(t *testing.T) (board.Server, bool) {
+	t.Helper()
+	select {
+	case event := <-d.Board.Announcements.Events():
+		require.Equal(t, board.ServerRefused, event.Kind)
+		return event.Server, true
+	default:
+		return board.Server{}, false
+	}
+}
+
+// Guards against a death that is known only when the backend server is back,
+// so that the request that caused it reaches more of them meanwhile, and
+// against a live backend server that is taken for dead.
+func TestLostConnectionIsLookedInto(t *testing.T) {
+	const healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	const garbled = "HTTP/1.1 20"
+	for name, c := range map[string]struct {
+		listens  bool
+		answer   string
+		inFlight int64
+		born     int64
+		asked    int64
+		ended    bool
+	}{
+		"nothing listens":                     {false, "", 0, 7, 0, true},
+		"nothing listens, calls in flight":    {false, "", 3, 7, 0, true},
+		"connections end":                     {true, "", 0, 7, 1, true},
+		"connections end, calls in flight":    {true, "", 3, 7, doubtTries, false},
+		"healthy":                             {true, healthy, 0, 7, 1, false},
+		"answers something":                   {true, garbled, 0, 7, 1, false},
+		"an earlier life, connections end":    {true, "", 0, 6, 0, false},
+		"an earlier life and nothing listens": {false, "", 0, 6, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDoubted(t, c.listens, c.answer)
+			d.inFlight.Store(c.inFlight)
+			life := d.server
+			life.Born = c.born
+			d.lookInto(t.Context(), time.Now(), life)
+			server, ended := d.refused(t)
+			require.Equal(t, c.ended, ended)
+			if ended {
+				require.Equal(t, d.server, server)
+			}
+			require.Equal(t, c.asked, d.asked.Load())
+		})
+	}
+}
+
+// Guards against a doubt that is not taken up.
+func TestDoubtsAreTakenUp(t *testing.T) {
+	d := newDoubted(t, false, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.Run(ctx)
+	require.True(t, d.Board.Doubts.Post(d.server))
+	event := <-d.Board.Announcements.Events()
+	require.Equal(t, board.ServerRefused, event.Kind)
+}
+
+// Guards against one question for each of many broken connections of a backend
+// server that lives.
+func TestDoubtsAreSpaced(t *testing.T) {
+	d := newDoubted(t, true, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	now := time.Now()
+	for range 10 {
+		d.lookInto(t.Context(), now, d.server)
+	}
+	require.EqualValues(t, 1, d.asked.Load())
+	d.lookInto(t.Context(), now.Add(doubtGap), d.server)
+	require.EqualValues(t, 2, d.asked.Load())
+}
--- a/pkg/control/pulse/pulse.go
+++ b/pkg/control/pulse/pulse.go
@@ -1,6 +1,7 @@
 // Package pulse asks the backend server beside this node for its load while
-// calls run and no answer has told it lately, and finds a backend server that
-// was running before the node. It writes no section; the load goes to the
+// calls run and no answer has told it lately, finds a backend server that was
+// running before the node, and finds out whether one has ended after a
+// connection broke. It writes no section; the load goes to the
 // board's Pulse, the findings to the inbox of announcements.
 package pulse
 
@@ -9,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -32,6 +34,13 @@
 	probeTimeout = 500 * time.Millisecond
 	// findInterval spaces the questions while no backend server is known.
 	findInterval = 250 * time.Millisecond
+	// doubtTries and doubtPause bound the questions after a lost connection: a
+	// dying process closes its sockets one by one.
+	doubtTries = 6
+	doubtPause = 10 * time.Millisecond
+	// doubtGap spaces the doubts that are looked into: a faulty backend server
+	// may break many connections and live on.
+	doubtGap = 250 * time.Millisecond
 )
 
 // Controller asks the backend server.
@@ -45,8 +54,9 @@
 	Pulsed func(board.PulseView)
 	Log    zerolog.Logger
 
-	busyAt  time.Time
-	askedAt time.Time
+	busyAt    time.Time
+	askedAt   time.Time
+	doubtedAt time.Time
 }
 
 // Name returns the name of the controller.
@@ -54,8 +64,18 @@
 
 // Run asks until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	for control.Sleep(ctx, c.wait(time.Now())) {
-		c.step(ctx, time.Now())
+	timer := time.NewTimer(c.wait(time.Now()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case server := <-c.Board.Doubts.Events():
+			c.lookInto(ctx, time.Now(), server)
+		case <-timer.C:
+			c.step(ctx, time.Now())
+			timer.Reset(c.wait(time.Now()))
+		}
 	}
 }
 
@@ -102,14 +122,21 @@
 		return
 	}
 	c.askedAt = now
+	if err := c.question(ctx, addr, path, c.Servers.IdleTimeout); err != nil {
+		c.Log.Debug().Err(err).Str("event", "health_failed").Str("addr", addr).Send()
+	}
+}
+
+// question asks for the health on a connection that was idle for maxIdle at
+// most, 0 for a new one.
+func (c *Controller) question(ctx context.Context, addr, path string, maxIdle time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	got, err := c.Servers.Do(ctx, addr, &h1.Call{
-		Method: http.MethodGet, Target: path, Host: addr, Header: http.Header{}, MaxIdle: c.Servers.IdleTimeout,
+		Method: http.MethodGet, Target: path, Host: addr, Header: http.Header{}, MaxIdle: maxIdle,
 	})
 	if err != nil {
-		c.Log.Debug().Err(err).Str("event", "health_failed").Str("addr", addr).Send()
-		return
+		return errors.Trace(err)
 	}
 	_ = got.Body.Close()
 	reading := c.Codec.Reading(got.Status, got.Header)
@@ -117,6 +144,38 @@
 		c.Pulsed(*reading.Load)
 	}
 	c.found(got.Status, reading, addr)
+	return nil
+}
+
+// lookInto finds out whether a life of the backend server has ended after a
+// connection broke. New connections that end without an answer prove it only
+// while no call is in flight: a full backend server resets them too.
+func (c *Controller) lookInto(ctx context.Context, now time.Time, doubted board.Server) {
+	path := c.healthPath()
+	if path == "" || now.Sub(c.doubtedAt) < doubtGap {
+		return
+	}
+	for range doubtTries {
+		server := c.Board.Server.Load()
+		if server.ID != doubted.ID || server.Born != doubted.Born || server.Down {
+			return
+		}
+		c.doubtedAt = now
+		err := c.question(ctx, server.Addr, path, 0)
+		var failed *h1.Error
+		if err == nil || !errors.As(err, &failed) || !failed.Refused && !failed.Closed {
+			c.Log.Info().AnErr("error", err).Str("event", "server_doubted").Str("server", server.ID).Bool("ended", false).Send()
+			return
+		}
+		if inFlight := c.InFlight(); failed.Refused || inFlight == 0 {
+			c.Log.Warn().Err(err).Str("event", "server_doubted").Str("server", server.ID).Bool("ended", true).Int("in_flight", inFlight).Send()
+			c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerRefused, Server: *server})
+			return
+		}
+		if !control.Sleep(ctx, doubtPause) {
+			return
+		}
+	}
 }
 
 // found announces a healthy backend server that is not known yet, or that
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -28,6 +28,9 @@
 		if current.ID == "" || current.Down {
 			return current, Known
 		}
+		if !sameLife(current, event.Server) {
+			return current, Stale
+		}
 		current.Down = true
 		return current, Applied
 	case board.ServerAnswered:
--- a/pkg/decide/server/server_test.go
+++ b/pkg/decide/server/server_test.go
@@ -56,10 +56,12 @@
 
 // Guards against a crashed backend server that stays in use or stays out.
 func TestDownAndBack(t *testing.T) {
-	state, _ := Apply(board.Server{}, beat("a", 1, 1, board.ServerReady), now)
-	state, verdict := Apply(state, board.ServerEvent{Kind: board.ServerRefused}, now)
+	state, _ := Apply(board.Server{}, beat("a", 2, 1, board.ServerReady), now)
+	_, verdict := Apply(state, board.ServerEvent{Kind: board.ServerRefused, Server: board.Server{ID: "a", Born: 1}}, now)
+	require.Equal(t, Stale, verdict)
+	state, verdict = Apply(state, board.ServerEvent{Kind: board.ServerRefused, Server: state}, now)
 	require.Equal(t, Applied, verdict)
 	require.False(t, state.Takes())
-	state, _ = Apply(state, beat("a", 1, 2, board.ServerReady), now)
+	state, _ = Apply(state, beat("a", 2, 2, board.ServerReady), now)
 	require.True(t, state.Takes())
 }
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -51,7 +51,10 @@
 	Sent bool
 	// Refused is true when nothing listens at the address.
 	Refused bool
-	Err     error
+	// Closed is true when the server ended the connection before the first byte
+	// of an answer.
+	Closed bool
+	Err    error
 }
 
 // Error returns the cause.
@@ -202,7 +205,7 @@
 	if err != nil {
 		x.stop()
 		_ = conn.nc.Close()
-		return nil, &Error{Sent: x.sent, Err: err}
+		return nil, &Error{Sent: x.sent, Closed: !x.answered && isClosed(err), Err: err}
 	}
 	return answer, nil
 }
@@ -219,6 +222,8 @@
 	writing chan error
 	// kept is false when the connection carries no further call.
 	kept bool
+	// answered is set by the first byte of an answer.
+	answered bool
 }
 
 // longBody is the size in bytes above which a body is written while the answer
@@ -231,6 +236,10 @@
 		return nil, err
 	}
 	for {
+		if _, err := x.conn.br.Peek(1); err != nil {
+			return nil, errors.Annotate(err, "awaiting the answer")
+		}
+		x.answered = true
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.call.Method})
 		if err != nil {
 			return nil, errors.Annotate(err, "reading the answer")
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -1,6 +1,7 @@
 package h1
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,6 +52,11 @@
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// isClosed reports whether the other side ended the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // keepAliveOf returns the time for which a server keeps an idle connection.
 func keepAliveOf(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -103,6 +103,10 @@
 
 func unknown(reason board.Reason) *Answer { return &Answer{Outcome: Unknown, Reason: reason} }
 
+// lost reports whether the connection to the backend server broke while it ran
+// the call.
+func (a *Answer) lost() bool { return a.Outcome == Unknown && a.Reason == board.ReasonConnectionLost }
+
 func (a *Answer) close() {
 	if a != nil && a.Body != nil {
 		_ = a.Body.Close()
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -218,6 +218,9 @@
 	} else {
 		answer.Body = onClose(answer.Body, func() { x.gate.release(slots) })
 	}
+	if answer.lost() {
+		x.Board.Doubts.Post(*server)
+	}
 	if answer.Outcome == Answered && answer.Status < http.StatusInternalServerError {
 		x.sample(c, worked, run.most, int(beside), server.Slots)
 		x.mean.AddTime(worked)
--- a/pkg/mesh/quarantine.go
+++ b/pkg/mesh/quarantine.go
@@ -34,7 +34,7 @@
 func reportExecution(b *board.Mesh, c *Call, server *board.Server, a *Answer) {
 	e := board.Execution{Kind: board.ExecutionLost, ServerIncarnation: uint64(server.Born)}
 	switch q := b.Quarantine.Load(); {
-	case a.Outcome == Unknown && a.Reason == board.ReasonConnectionLost:
+	case a.lost():
 	case a.Outcome == Answered && !q.Empty() && q.Suspects(c.contentDigest()):
 		e.Kind = board.ExecutionCompleted
 	default:
