Tell a reset that comes while a connection is made

Cause: traced from a failed run of TestCrashingRequestOnThePlatform with its logs kept: 4 crashes. The question after the lost connection got 'dial: reset by peer' instead of a reset of the open connection; the client told it as neither refused nor closed, and the death was known 1 s later, when the backend server announced itself.

Change: an error of the dial tells a reset as the end of the connection.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -197,7 +197,7 @@
 func (p *Pool) Do(ctx context.Context, addr string, call *Call) (*Answer, error) {
 	conn, err := p.obtain(ctx, addr, call.MaxIdle)
 	if err != nil {
-		return nil, &Error{Refused: isRefused(err), Err: err}
+		return nil, &Error{Refused: isRefused(err), Closed: isClosed(err), Err: err}
 	}
 	x := &exchange{ctx: ctx, conn: conn, call: call}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.nc.Close() })
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -261,3 +261,14 @@
 	}
 	require.LessOrEqual(t, p.Opened.Load(), opened+1)
 }
+
+// Guards against a server that resets each new connection and is not told as
+// such because the reset comes while the connection is made.
+func TestResetOfANewConnectionIsTold(t *testing.T) {
+	addr := peer(t, func(_ *testing.T, conn net.Conn, _ int) { _ = conn.(*net.TCPConn).SetLinger(0) })
+	p := pool()
+	for range 2000 {
+		_, err := p.Do(t.Context(), addr, call("/"))
+		require.True(t, failure(t, err).Closed, "%v", err)
+	}
+}
