Do not ask the store twice while nodes find each other at their start

All nodes of a site start alone.

Change: such a node asks again after 1.5 to 1.8 s, as any other; it has found others by then, whose watcher confirms the configuration.

Test: TestNodeThatStartsAsksOnce, 2 calls before and 1 after.

--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -173,7 +173,7 @@
 	ids := fleet.Instances(c.board.Fleet.Load(), func(r board.NodeRecord) bool { return !r.Leaving })
 	if len(ids) <= 1 && time.Since(c.started) < aloneLimit {
 		// A node that has just started knows no other one yet.
-		return backups
+		return backups + 1
 	}
 	return fleet.WatchRank(ids, c.board.Self.Instance)
 }
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -144,3 +144,19 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against nodes that start together and each ask the store twice within
+// the time in which they find each other.
+func TestNodeThatStartsAsksOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := store.New(time.Now)
+		put(t, s, 1)
+		b := start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		time.Sleep(1400 * time.Millisecond)
+		require.EqualValues(t, 1, b.Routes.Load().Version)
+		require.EqualValues(t, 1, s.Calls().ByKind[platform.KindList])
+		cancel()
+		synctest.Wait()
+	})
+}
