Let the first listing of a node be an old one

What a node needs at its start, addresses of some others, may be seconds old; a node that finds none lists again, freshly, within 2 s.

Change: the first listing may be old and counts as settled.

Nothing else in it is changed.

--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -68,7 +68,7 @@
 	listings  int
 	// relist is the time between listings while no other node is known.
 	relist time.Duration
-	// settledAt is when the last fresh listing ended.
+	// settledAt is when the first listing or the last fresh one ended.
 	settledAt time.Time
 }
 
@@ -227,7 +227,9 @@
 func (c *Controller) list(ctx context.Context, now time.Time) {
 	read := c.store.ListStale
 	view := c.writer.Load()
-	fresh := c.alone() || c.settledAt.Before(view.Since)
+	first := c.listings == 0
+	// Records that are seconds old do to find others.
+	fresh := !first && (c.alone() || c.settledAt.Before(view.Since))
 	if fresh {
 		read = c.store.List
 	}
@@ -237,7 +239,7 @@
 	}
 	c.listedAt = now
 	c.listings++
-	if fresh {
+	if fresh || first {
 		c.settledAt = time.Now()
 	}
 	next := *c.writer.Load()
