Read a small configuration again and again in place of watching it

Cause: a watch of 600 ms confirms the time at which it was asked, so that the watcher's confirmations are 0.6 to 1.2 s old.

Change: the watcher reads a document below 16 KiB every 500 ms; a larger one is watched as before. A document is decoded only when its revision is new. A change is in force up to 0.5 s later; 2 s are asked.

--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -19,6 +19,13 @@
 )
 
 const (
+	// confirmEvery spaces the reads of a small document by the watcher. A read
+	// confirms the configuration at once, a watch only the time at which it was
+	// asked, so that with watches others hear late and ask the store as well.
+	confirmEvery = 500 * time.Millisecond
+	// smallDocument is the size in bytes up to which a document is read again
+	// and again: 32 kB/s at most.
+	smallDocument = 16 << 10
 	// watchWait is the longest wait of one watch. A store that loses its history
 	// leaves a waiting watch without news; only the next call tells. A change
 	// is to be in force within 2 s.
@@ -132,11 +139,13 @@
 	c.take(document, hint.From)
 }
 
-// watch keeps the configuration current: a watcher follows the store, any
-// other node asks it only when it has not heard for too long, from whatever
-// node, that the version in force is the newest.
+// watch keeps the configuration current: a watcher reads a small document again
+// and again and follows the changes of a large one, any other node asks the
+// store only when it has not heard for too long, from whatever node, that the
+// version in force is the newest.
 func (c *Controller) watch(ctx context.Context) {
 	jitter := rand.N(quietJitter)
+	var offered uint64
 	for ctx.Err() == nil {
 		rank := c.watchRank()
 		watcher := rank == 0
@@ -156,11 +165,16 @@
 			control.Sleep(ctx, retryEvery)
 			continue
 		}
-		if entry.Revision > 0 {
+		if entry.Revision > offered {
 			c.offer(ctx, entry.Value)
+			offered = entry.Revision
 		}
 		c.board.Confirmed.Advance(asked)
-		if watcher {
+		switch {
+		case watcher && len(entry.Value) < smallDocument:
+			control.Sleep(ctx, confirmEvery)
+			continue
+		case watcher:
 			c.followWatch(ctx, asOf)
 		}
 		control.Sleep(ctx, watchGap)
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,11 @@
 	return fmt.Appendf(nil, `{"version":"r%d","listeners":[],"clusters":[]}`, version)
 }
 
+// padded is a document of at least the size in bytes.
+func padded(version, size int) []byte {
+	return append(document(version), strings.Repeat(" ", size)...)
+}
+
 // deafStore is a store whose watches hear nothing.
 type deafStore struct {
 	Store
@@ -61,30 +67,81 @@
 
 func put(t *testing.T, s *store.Store, version int) {
 	t.Helper()
-	_, err := s.Commit(nil, []platform.Entry{{Key: platform.ConfigKey, Value: document(version)}}, nil)
+	putDocument(t, s, document(version))
+}
+
+func putDocument(t *testing.T, s *store.Store, document []byte) {
+	t.Helper()
+	_, err := s.Commit(nil, []platform.Entry{{Key: platform.ConfigKey, Value: document}}, nil)
 	require.NoError(t, err)
 }
 
 // Guards against a configuration that is not in force within 2 s because the
 // store lost its history while a watch waited (ctrt-mesh scale-1, CONFIG), and
-// against a store whose first configuration comes late.
+// against a store whose first configuration comes late. Large documents are
+// watched, small ones are read again and again.
 func TestConfigurationIsInForceInTime(t *testing.T) {
+	for name, size := range map[string]int{"small": 0, "large": smallDocument} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testInForceInTime(t, size) }) })
+	}
+}
+
+func testInForceInTime(t *testing.T, size int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := store.New(time.Now)
+	deaf := &deafStore{Store: platform.NewClient("http://store", platform.WithTransport(s.Transport()))}
+	b := start(ctx, "a", nil, deaf, nil)
+	time.Sleep(5 * time.Second)
+	require.Zero(t, b.Routes.Load().Version)
+	putDocument(t, s, padded(4, size))
+	time.Sleep(time.Second)
+	require.EqualValues(t, 4, b.Routes.Load().Version)
+	deaf.deaf.Store(true)
+	time.Sleep(time.Second)
+	putDocument(t, s, padded(7, size))
+	s.Compact()
+	time.Sleep(1900 * time.Millisecond)
+	require.EqualValues(t, 7, b.Routes.Load().Version)
+	cancel()
+	synctest.Wait()
+}
+
+// Guards against calls to the store that are paid for without need. Together, a
+// watcher and a backup that hears of its confirmations make two reads a second.
+func TestReadsOfAWatcherAndItsBackup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := store.New(time.Now)
-		deaf := &deafStore{Store: platform.NewClient("http://store", platform.WithTransport(s.Transport()))}
-		b := start(ctx, "a", nil, deaf, nil)
-		time.Sleep(5 * time.Second)
-		require.Zero(t, b.Routes.Load().Version)
-		put(t, s, 4)
-		time.Sleep(time.Second)
-		require.EqualValues(t, 4, b.Routes.Load().Version)
-		deaf.deaf.Store(true)
-		time.Sleep(time.Second)
-		put(t, s, 7)
-		s.Compact()
-		time.Sleep(1900 * time.Millisecond)
-		require.EqualValues(t, 7, b.Routes.Load().Version)
+		put(t, s, 1)
+		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
+		byRank := map[int]*board.Mesh{}
+		for _, id := range ids {
+			if rank := fleet.WatchRank(ids, id); rank <= backups {
+				byRank[rank] = start(ctx, id, ids, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+			}
+		}
+		const seconds = 20
+		for range seconds * 4 {
+			time.Sleep(250 * time.Millisecond)
+			byRank[backups].HeardConfig(byRank[0].ConfigWord(time.Now()), "watcher", time.Now())
+		}
+		calls := s.Calls().ByKind
+		require.LessOrEqual(t, calls[platform.KindList]+calls[platform.KindWatch], uint64(2*seconds+2))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against large documents that are read again and again.
+func TestLargeDocumentsAreWatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := store.New(time.Now)
+		putDocument(t, s, padded(1, smallDocument))
+		start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		time.Sleep(aloneLimit + 10*time.Second)
+		require.LessOrEqual(t, s.Calls().ByKind[platform.KindList], uint64(4))
+		require.Greater(t, s.Calls().ByKind[platform.KindWatch], uint64(10))
 		cancel()
 		synctest.Wait()
 	})
