Log each question after a lost connection; document the event

Review: a series of questions that ended without a verdict left no line; the verdict is now a function of its own (judgeDoubt), and each question logs its inputs and outcome. The test of an address without a listener binds its port, so that no other process can listen there.

--- a/pkg/control/pulse/doubt_test.go
+++ b/pkg/control/pulse/doubt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
@@ -25,17 +27,25 @@
 	inFlight atomic.Int64
 }
 
-// newDoubted starts a controller. answer is what the backend server writes on a
-// new connection before it closes it; a nil listener means that none listens.
-func newDoubted(t *testing.T, listens bool, answer string) *doubted {
+// refusingAddr returns an address that nothing listens at and that no other
+// process gets during the test.
+func refusingAddr(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
+// serve answers each connection and closes it; nothing is written for "".
+func (d *doubted) serve(t *testing.T, answer string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	d := &doubted{server: board.Server{ID: "s", Born: 7, State: board.ServerReady, Addr: listener.Addr().String()}}
-	if !listens {
-		require.NoError(t, listener.Close())
-	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -50,6 +60,21 @@
 			_ = conn.Close()
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// newDoubted returns a controller. answer is what the backend server writes on
+// a new connection before it closes it, if it listens.
+func newDoubted(t *testing.T, listens bool, answer string) *doubted {
+	t.Helper()
+	d := &doubted{}
+	addr := ""
+	if listens {
+		addr = d.serve(t, answer)
+	} else {
+		addr = refusingAddr(t)
+	}
+	d.server = board.Server{ID: "s", Born: 7, State: board.ServerReady, Addr: addr}
 	b := board.NewMesh(board.Self{Instance: "n", Service: "desk"})
 	b.Server.Claim("test").Publish(&d.server)
 	table := dynconf.EmptyTable()
--- a/pkg/control/pulse/pulse.go
+++ b/pkg/control/pulse/pulse.go
@@ -155,29 +155,39 @@
 	if path == "" || now.Sub(c.doubtedAt) < doubtGap {
 		return
 	}
+	c.doubtedAt = now
 	for range doubtTries {
 		server := c.Board.Server.Load()
 		if server.ID != doubted.ID || server.Born != doubted.Born || server.Down {
 			return
 		}
-		c.doubtedAt = now
 		err := c.question(ctx, server.Addr, path, 0)
-		var failed *h1.Error
-		if err == nil || !errors.As(err, &failed) || !failed.Refused && !failed.Closed {
-			c.Log.Info().AnErr("error", err).Str("event", "server_doubted").Str("server", server.ID).Bool("ended", false).Send()
-			return
-		}
-		if inFlight := c.InFlight(); failed.Refused || inFlight == 0 {
-			c.Log.Warn().Err(err).Str("event", "server_doubted").Str("server", server.ID).Bool("ended", true).Int("in_flight", inFlight).Send()
+		inFlight := c.InFlight()
+		ended, certain := judgeDoubt(err, inFlight)
+		if ended {
 			c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerRefused, Server: *server})
-			return
 		}
-		if !control.Sleep(ctx, doubtPause) {
+		c.Log.Info().AnErr("error", err).Str("event", "server_doubted").Str("server", server.ID).
+			Bool("ended", ended).Bool("certain", certain).Int("in_flight", inFlight).Send()
+		if certain || !control.Sleep(ctx, doubtPause) {
 			return
 		}
 	}
 }
 
+// judgeDoubt decides from a question on a new connection whether the backend
+// server has ended, and whether that is certain.
+func judgeDoubt(err error, inFlight int) (ended, certain bool) {
+	var failed *h1.Error
+	switch {
+	case err == nil || !errors.As(err, &failed):
+		return false, true
+	case failed.Refused, failed.Closed && inFlight == 0:
+		return true, true
+	}
+	return false, !failed.Closed
+}
+
 // found announces a healthy backend server that is not known yet, or that
 // answers again.
 func (c *Controller) found(status int, reading mesh.Reading, addr string) {
