--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+// withStore runs a test in a bubble with a store of its own, then ends what was
+// started under the context.
+func withStore(t *testing.T, run func(t *testing.T, ctx context.Context, s *store.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		run(t, ctx, store.New(time.Now))
+	})
+}
+
+func clientOf(s *store.Store) Store {
+	return platform.NewClient("http://store", platform.WithTransport(s.Transport()))
+}
+
 // start runs a controller that sees the given nodes besides itself.
 func start(ctx context.Context, self board.InstanceID, others []board.InstanceID, s Store, pull Puller) *board.Mesh {
 	b := board.NewMesh(board.Self{Instance: self})
@@ -82,14 +98,14 @@
 // watched, small ones are read again and again.
 func TestConfigurationIsInForceInTime(t *testing.T) {
 	for name, size := range map[string]int{"small": 0, "large": smallDocument} {
-		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testInForceInTime(t, size) }) })
+		t.Run(name, func(t *testing.T) {
+			withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) { testInForceInTime(t, ctx, s, size) })
+		})
 	}
 }
 
-func testInForceInTime(t *testing.T, size int) {
-	ctx, cancel := context.WithCancel(t.Context())
-	s := store.New(time.Now)
-	deaf := &deafStore{Store: platform.NewClient("http://store", platform.WithTransport(s.Transport()))}
+func testInForceInTime(t *testing.T, ctx context.Context, s *store.Store, size int) {
+	deaf := &deafStore{Store: clientOf(s)}
 	b := start(ctx, "a", nil, deaf, nil)
 	time.Sleep(5 * time.Second)
 	require.Zero(t, b.Routes.Load().Version)
@@ -102,22 +118,18 @@
 	s.Compact()
 	time.Sleep(1900 * time.Millisecond)
 	require.EqualValues(t, 7, b.Routes.Load().Version)
-	cancel()
-	synctest.Wait()
 }
 
 // Guards against calls to the store that are paid for without need. Together, a
 // watcher and a backup that hears of its confirmations make two reads a second.
 func TestReadsOfAWatcherAndItsBackup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := store.New(time.Now)
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 1)
 		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
 		byRank := map[int]*board.Mesh{}
 		for _, id := range ids {
 			if rank := fleet.WatchRank(ids, id); rank <= backups {
-				byRank[rank] = start(ctx, id, ids, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+				byRank[rank] = start(ctx, id, ids, clientOf(s), nil)
 			}
 		}
 		const seconds = 20
@@ -127,32 +139,24 @@
 		}
 		calls := s.Calls().ByKind
 		require.LessOrEqual(t, calls[platform.KindList]+calls[platform.KindWatch], uint64(2*seconds+2))
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against large documents that are read again and again.
 func TestLargeDocumentsAreWatched(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := store.New(time.Now)
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		putDocument(t, s, padded(1, smallDocument))
-		start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		start(ctx, "a", nil, clientOf(s), nil)
 		time.Sleep(aloneLimit + 10*time.Second)
 		require.LessOrEqual(t, s.Calls().ByKind[platform.KindList], uint64(4))
 		require.Greater(t, s.Calls().ByKind[platform.KindWatch], uint64(10))
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a node that goes back to an older configuration, from whatever
 // source, and against one that takes a document it does not understand.
 func TestVersionsOnlyRise(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := store.New(time.Now)
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 9)
 		pull := func(_ context.Context, addr string) ([]byte, error) {
 			if addr == "broken" {
@@ -160,7 +164,7 @@
 			}
 			return document(5), nil
 		}
-		b := start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), pull)
+		b := start(ctx, "a", nil, clientOf(s), pull)
 		time.Sleep(time.Second)
 		require.EqualValues(t, 9, b.Routes.Load().Version)
 		b.Tables.Post(board.TableHint{From: "old", Version: 20})
@@ -168,17 +172,13 @@
 		put(t, s, 3)
 		time.Sleep(2 * time.Second)
 		require.EqualValues(t, 9, b.Routes.Load().Version)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against nodes that all follow the store, whose calls are paid for, and
 // against a node that is left behind when nobody confirms its version.
 func TestOthersAskOnlyWithoutConfirmation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := store.New(time.Now)
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 1)
 		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
 		last := ids[0]
@@ -187,7 +187,7 @@
 				last = id
 			}
 		}
-		b := start(ctx, last, ids, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		b := start(ctx, last, ids, clientOf(s), nil)
 		for range 40 {
 			time.Sleep(500 * time.Millisecond)
 			b.Confirmed.Advance(time.Now())
@@ -197,23 +197,17 @@
 		put(t, s, 2)
 		time.Sleep(2 * time.Second)
 		require.EqualValues(t, 2, b.Routes.Load().Version)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against nodes that start together and each ask the store twice within
 // the time in which they find each other.
 func TestNodeThatStartsAsksOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := store.New(time.Now)
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 1)
-		b := start(ctx, "a", nil, platform.NewClient("http://store", platform.WithTransport(s.Transport())), nil)
+		b := start(ctx, "a", nil, clientOf(s), nil)
 		time.Sleep(1400 * time.Millisecond)
 		require.EqualValues(t, 1, b.Routes.Load().Version)
 		require.EqualValues(t, 1, s.Calls().ByKind[platform.KindList])
-		cancel()
-		synctest.Wait()
 	})
 }
