Let few nodes ask a store that does not answer

Logs of each call: from 19 to 26 s the store is away, and each of 70 nodes reads the configuration every 600 ms; 828 of those reads are refused and paid for.

Change: fleet.ReadRetry. The watcher and its backup go on to ask every 600 ms, the others together 20 times a second, each at most every 5 s: 3.5 s with 70 nodes, 600 ms with up to 12. Each still asks once when its confirmation is old, so that a store that turns some nodes away is heard by the others.

Tests: TestFewNodesAskAStoreThatIsAway, 50 questions of a node in 30 s before, at most 10 asked; TestReadRetry.

Sites of up to 12 nodes are not changed by it.

--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -26,9 +26,6 @@
 	ttl = 10 * time.Second
 	// renewEvery spaces renewals.
 	renewEvery = 3200 * time.Millisecond
-	// retryEvery spaces calls while the store does not answer. Refused calls
-	// are paid for as well.
-	retryEvery = 600 * time.Millisecond
 	// serverWait is how long the first record waits for the backend server, so
 	// that one write tells both. Until then other nodes know this one from its
 	// exchanges with those it finds.
@@ -96,7 +93,7 @@
 
 // step makes at most one call and reports whether it did.
 func (c *Controller) step(ctx context.Context, now time.Time) bool {
-	if now.Sub(c.failedAt) < retryEvery {
+	if now.Sub(c.failedAt) < fleet.RetryEvery {
 		return false
 	}
 	own, known := c.board.Fleet.Load().ByInstance[c.board.Self.Instance]
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -45,8 +45,6 @@
 	// pollEvery spaces the looks at the time of the confirmation and at the
 	// fleet, which may make this node the watcher.
 	pollEvery = 250 * time.Millisecond
-	// retryEvery spaces calls while the store does not answer.
-	retryEvery = 600 * time.Millisecond
 	// watchGap spaces watches when versions come in quick succession.
 	watchGap = 150 * time.Millisecond
 )
@@ -162,7 +160,7 @@
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
 				Dur("confirmed_age", c.board.Confirmed.Age(time.Now())).Send()
-			control.Sleep(ctx, retryEvery)
+			control.Sleep(ctx, fleet.ReadRetry(rank <= backups, c.board.Fleet.Load().Size))
 			continue
 		}
 		if entry.Revision > offered {
@@ -204,7 +202,7 @@
 		}
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "watch_broken").Uint64("after", after).Send()
-			control.Sleep(ctx, retryEvery)
+			control.Sleep(ctx, fleet.RetryEvery)
 			return
 		}
 		for i := len(events) - 1; i >= 0; i-- {
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -76,6 +76,7 @@
 	for _, id := range others {
 		view.ByInstance[id] = &board.MeshCell{}
 	}
+	view.Size = len(view.ByInstance)
 	b.Fleet.Claim("test").Publish(view)
 	go New(b, s, pull, zerolog.Nop()).Run(ctx)
 	return b
@@ -211,3 +212,35 @@
 		require.EqualValues(t, 1, s.Calls().ByKind[platform.KindList])
 	})
 }
+
+// awayStore does not answer and counts the questions.
+type awayStore struct {
+	Store
+	asked atomic.Int64
+}
+
+func (a *awayStore) GetAsOf(context.Context, string) (platform.Entry, uint64, error) {
+	a.asked.Add(1)
+	return platform.Entry{}, 0, errors.New("away")
+}
+
+// Guards against a large fleet of which each node asks a store that is away as
+// often as the watcher does: refused calls are paid for.
+func TestFewNodesAskAStoreThatIsAway(t *testing.T) {
+	var ids []board.InstanceID
+	for i := range 70 {
+		ids = append(ids, board.InstanceID(fmt.Sprint("n", i)))
+	}
+	for _, id := range ids {
+		withStore(t, func(t *testing.T, ctx context.Context, _ *store.Store) {
+			away := &awayStore{}
+			start(ctx, id, ids, away, nil)
+			time.Sleep(30 * time.Second)
+			if fleet.WatchRank(ids, id) <= backups {
+				require.Greater(t, away.asked.Load(), int64(40))
+			} else {
+				require.LessOrEqual(t, away.asked.Load(), int64(10))
+			}
+		})
+	}
+}
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -49,6 +49,27 @@
 	return l.Age >= max(ListEvery, time.Duration(l.Size)*listShare)
 }
 
+const (
+	// RetryEvery spaces the calls of one node to a store that does not answer.
+	// Refused calls are paid for as well.
+	RetryEvery = 600 * time.Millisecond
+	// retryShare is the time between two such reads of the whole fleet, 20 a
+	// second, and mostRetry the longest time between two of one node.
+	retryShare = 50 * time.Millisecond
+	mostRetry  = 5 * time.Second
+)
+
+// ReadRetry returns how long a node waits before it reads the configuration
+// again from a store that did not answer. Nodes that follow the store ask
+// often; the others learn from them, or from whichever node the store answers
+// first.
+func ReadRetry(follows bool, size int) time.Duration {
+	if follows {
+		return RetryEvery
+	}
+	return max(RetryEvery, min(mostRetry, time.Duration(size)*retryShare))
+}
+
 // Evidence is what is known about one node at a moment.
 type Evidence struct {
 	// Listed is true when the newest listing of the store has the node.
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -67,6 +67,15 @@
 	require.True(t, Differs("any", own, own[:1]))
 }
 
+// Guards against small fleets that notice the return of the store late, and
+// against nodes of large ones that hardly ask.
+func TestReadRetry(t *testing.T) {
+	require.Equal(t, RetryEvery, ReadRetry(true, 600))
+	require.Equal(t, RetryEvery, ReadRetry(false, 12))
+	require.Equal(t, 70*retryShare, ReadRetry(false, 70))
+	require.Equal(t, mostRetry, ReadRetry(false, 600))
+}
+
 // Guards against listings whose bytes grow with the square of the fleet, and
 // against a doubt or a return of the store that waits for the next turn.
 func TestListingsAreShared(t *testing.T) {
