--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -53,8 +53,9 @@
 	// RetryEvery spaces the calls of one node to a store that does not answer.
 	// Refused calls are paid for as well.
 	RetryEvery = 600 * time.Millisecond
-	// retryShare is the time between two such reads of the whole fleet, 20 a
-	// second, and mostRetry the longest time between two of one node.
+	// retryShare is the time between two such reads of the whole fleet: 20 a
+	// second are a hundredth of the reads that the store takes. mostRetry bounds
+	// the time between two of one node, which no other node may reach.
 	retryShare = 50 * time.Millisecond
 	mostRetry  = 5 * time.Second
 )
