Simplify the watch loop, its tests and the report of missing descriptors

Review of the whole change: the watch loop slept in two places and asked twice whether the node follows the store; three tests searched for a node by its rank, each in its own way; capacity and the soak worded the same error twice.

No behaviour changes. The assertions of the tests are the same; with watches in place of reads, and with the former retry, TestReadsOfAWatcherAndItsBackup and TestFewNodesAskAStoreThatIsAway fail as they did.

--- a/bench/capacity/platform.go
+++ b/bench/capacity/platform.go
@@ -67,8 +67,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if starved := s.Starved(); starved > 0 {
-		return errors.Errorf("%d connections failed for want of descriptors in this process: measure fewer nodes", starved)
+	if err := s.Starved(); err != nil {
+		return errors.Annotate(err, "measure fewer nodes")
 	}
 	addStore(table, len(after), callsBefore, s.Store.Calls(), time.Since(storeFrom).Seconds())
 	addSite(table, before, after)
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -146,9 +146,9 @@
 	var offered uint64
 	for ctx.Err() == nil {
 		rank := c.watchRank()
-		watcher := rank == 0
+		watcher, follows := rank == 0, rank <= backups
 		limit := quietLimit + jitter
-		if rank <= backups {
+		if follows {
 			limit = backupLimit
 		}
 		if age := c.board.Confirmed.Age(time.Now()); !watcher && age < limit {
@@ -160,7 +160,7 @@
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
 				Dur("confirmed_age", c.board.Confirmed.Age(time.Now())).Send()
-			control.Sleep(ctx, fleet.ReadRetry(rank <= backups, c.board.Fleet.Load().Size))
+			control.Sleep(ctx, fleet.ReadRetry(follows, c.board.Fleet.Load().Size))
 			continue
 		}
 		if entry.Revision > offered {
@@ -168,14 +168,14 @@
 			offered = entry.Revision
 		}
 		c.board.Confirmed.Advance(asked)
+		pause := watchGap
 		switch {
 		case watcher && len(entry.Value) < smallDocument:
-			control.Sleep(ctx, confirmEvery)
-			continue
+			pause = confirmEvery
 		case watcher:
 			c.followWatch(ctx, asOf)
 		}
-		control.Sleep(ctx, watchGap)
+		control.Sleep(ctx, pause)
 	}
 }
 
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -82,6 +82,15 @@
 	return b
 }
 
+// byRank returns the nodes in the order in which they follow the store.
+func byRank(ids []board.InstanceID) []board.InstanceID {
+	ranked := make([]board.InstanceID, len(ids))
+	for _, id := range ids {
+		ranked[fleet.WatchRank(ids, id)] = id
+	}
+	return ranked
+}
+
 func put(t *testing.T, s *store.Store, version int) {
 	t.Helper()
 	putDocument(t, s, document(version))
@@ -127,16 +136,13 @@
 	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 1)
 		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
-		byRank := map[int]*board.Mesh{}
-		for _, id := range ids {
-			if rank := fleet.WatchRank(ids, id); rank <= backups {
-				byRank[rank] = start(ctx, id, ids, clientOf(s), nil)
-			}
-		}
+		ranked := byRank(ids)
+		watcher := start(ctx, ranked[0], ids, clientOf(s), nil)
+		backup := start(ctx, ranked[backups], ids, clientOf(s), nil)
 		const seconds = 20
 		for range seconds * 4 {
 			time.Sleep(250 * time.Millisecond)
-			byRank[backups].HeardConfig(byRank[0].ConfigWord(time.Now()), "watcher", time.Now())
+			backup.HeardConfig(watcher.ConfigWord(time.Now()), "watcher", time.Now())
 		}
 		calls := s.Calls().ByKind
 		require.LessOrEqual(t, calls[platform.KindList]+calls[platform.KindWatch], uint64(2*seconds+2))
@@ -182,13 +188,7 @@
 	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		put(t, s, 1)
 		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
-		last := ids[0]
-		for _, id := range ids {
-			if fleet.WatchRank(ids, id) > fleet.WatchRank(ids, last) {
-				last = id
-			}
-		}
-		b := start(ctx, last, ids, clientOf(s), nil)
+		b := start(ctx, byRank(ids)[len(ids)-1], ids, clientOf(s), nil)
 		for range 40 {
 			time.Sleep(500 * time.Millisecond)
 			b.Confirmed.Advance(time.Now())
@@ -231,12 +231,12 @@
 	for i := range 70 {
 		ids = append(ids, board.InstanceID(fmt.Sprint("n", i)))
 	}
-	for _, id := range ids {
+	for rank, id := range byRank(ids) {
 		withStore(t, func(t *testing.T, ctx context.Context, _ *store.Store) {
 			away := &awayStore{}
 			start(ctx, id, ids, away, nil)
 			time.Sleep(30 * time.Second)
-			if fleet.WatchRank(ids, id) <= backups {
+			if rank <= backups {
 				require.Greater(t, away.asked.Load(), int64(40))
 			} else {
 				require.LessOrEqual(t, away.asked.Load(), int64(10))
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -291,16 +291,20 @@
 	return []*tcprelay.Relay{n.PeerRelay, n.StoreRelay, n.ServerRelay}
 }
 
-// Starved returns how many connections the relays could not carry because this
-// process has no descriptor left: what was measured is void then. Each node may
-// be connected to each other one, and a relay takes two descriptors for that.
-func (s *Site) Starved() (total int64) {
+// Starved returns an error when the relays could not carry connections because
+// this process has no descriptor left: what was measured is void then. Each node
+// may be connected to each other one, and a relay takes two descriptors for that.
+func (s *Site) Starved() error {
+	var total int64
 	for _, n := range s.Nodes {
 		for _, relay := range n.relays() {
 			total += relay.Starved()
 		}
 	}
-	return total
+	if total > 0 {
+		return errors.Errorf("%d connections failed for want of descriptors in this process", total)
+	}
+	return nil
 }
 
 // Stop ends all processes and listeners of the site.
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -54,8 +54,8 @@
 		_ = os.RemoveAll(dir)
 	}
 	summary := fmt.Sprintf("%d calls, %d served, faults %v", len(s.results), s.served, faults)
-	if starved := site.Starved(); starved > 0 {
-		summary += fmt.Sprintf(", %d connections failed for want of descriptors in this process", starved)
+	if starved := site.Starved(); starved != nil {
+		summary += ", " + starved.Error()
 	}
 	return summary, err
 }
