Keep a key in progress when the time of a claim ends first

Cause: a lookup that still had some milliseconds gave the home as little time to ask the executor; the home took the missing response for the loss of the executor, and the entry took a claim that its own call had cut short for an unavailable home. A claim of a caller with a short deadline even marked the key as unknown at the home.

Change: the home answers in-progress when the claim ended before the request to the executor, and the entry keeps the last reason when the call ended during a claim.

--- a/pkg/atmostonce/entry.go
+++ b/pkg/atmostonce/entry.go
@@ -132,6 +132,11 @@
 	}
 	executor := c.pickExecutor(view, home)
 	response, err := c.requestGrant(ctx, view, home)
+	if err != nil && ctx.Err() != nil {
+		// The time of the call ended before that of the claim, which says nothing
+		// about the home. The reason of the last response stays.
+		return nil
+	}
 	if err != nil {
 		return c.awaitHome(ctx, view)
 	}
--- a/pkg/atmostonce/home.go
+++ b/pkg/atmostonce/home.go
@@ -284,12 +284,17 @@
 	if !alive {
 		return k.markUnknown(view, record, c, board.ReasonExecutorLost)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerRequestTimeout)
+	sealCtx, cancel := context.WithTimeout(ctx, peerRequestTimeout)
 	defer cancel()
-	response, err := k.exchangeSeal(ctx, executor, &wire.Seal{
+	response, err := k.exchangeSeal(sealCtx, executor, &wire.Seal{
 		ID: c.ID, RequestDigest: record.RequestDigest, Grant: record.Grant, ExecutorIncarnation: record.ExecutorIncarnation,
 		ExpiresAt: record.ExpiresAt, ReadOnly: (c.LookupOnly && !c.GrantUnresolved) || record.State == board.KeyUnknown,
 	})
+	if err != nil && ctx.Err() != nil {
+		// The time of the claim ended before that of the request to the executor,
+		// so the missing response does not show that the executor is lost.
+		return inProgressResponse(view)
+	}
 	if err != nil || response.WrongIncarnation {
 		return k.markUnknown(view, record, c, board.ReasonExecutorLost)
 	}
