Bound responses without end and confine panics to their request

Cause: the client for backend servers and nodes read a response header of any size (net/http has no limit there), any number of interim and stray responses, and stray bodies without end; a server that sends bytes until the caller closes could fill the memory of a node, which its platform then kills. A panic in a handler, an offer, an exchange, a stream of a peer or a controller ended the whole process.

Change: a Pool has limits for headers and bodies, from the settings max_response_header and max_response_body; what exceeds them is a malformed answer with an unknown outcome that counts against the backend server. pkg/guard recovers panics, logs them with their stack and lets the request end with 500 or an unknown outcome; a controller runs again. Broken invariants are typed and still end the process. An executor releases the slot of a call that panics.

ReasonServerError, which nothing used, is gone.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -37,6 +37,9 @@
 	dialTimeout = time.Second
 	// maxIdleConns allows one idle connection per slot of a typical server.
 	maxIdleConns = 64
+	// maxResponseHeaderBytes bounds the header of a response, so that a server that
+	// sends one without end cannot fill the memory of the node.
+	maxResponseHeaderBytes = 256 << 10
 )
 
 // Request is a call to the backend server.
@@ -77,6 +80,8 @@
 		MaxIdleConnsPerHost: min(maxConnections, maxIdleConns),
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/pkg/board/keys.go
+++ b/pkg/board/keys.go
@@ -1,10 +1,11 @@
 package board
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // KeyID identifies the records of one non-idempotent request.
@@ -184,8 +185,8 @@
 // panics when the transition is not allowed.
 func (t *KeyTable) CompareAndSwap(id KeyID, old, next *KeyRecord, limit int64) bool {
 	if allowedKeyTransitions[old.State]&(1<<next.State) == 0 || next.Grant < old.Grant {
-		panic(fmt.Sprintf("board: key %s cannot move from %s grant %d to %s grant %d",
-			id.Key, old.State, old.Grant, next.State, next.Grant))
+		guard.Invariantf("board: key %s cannot move from %s grant %d to %s grant %d",
+			id.Key, old.State, old.Grant, next.State, next.Grant)
 	}
 	delta := KeyRecordSize(id, next) - KeyRecordSize(id, old)
 	if delta > 0 && !t.reserve(delta, limit) {
--- a/pkg/board/reason.go
+++ b/pkg/board/reason.go
@@ -62,8 +62,9 @@
 	// ReasonExecutorSilent means that the executor did not accept the call in
 	// time.
 	ReasonExecutorSilent Reason = "executor-silent"
-	// ReasonServerError means that the backend server responded with an error.
-	ReasonServerError Reason = "server-error"
+	// ReasonInternalError means that the node failed unexpectedly while it handled
+	// the call.
+	ReasonInternalError Reason = "internal-error"
 	// ReasonMalformedAnswer means that the response of the backend server was
 	// malformed or incomplete.
 	ReasonMalformedAnswer Reason = "malformed-answer"
--- a/pkg/board/request.go
+++ b/pkg/board/request.go
@@ -1,10 +1,11 @@
 package board
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // RequestState is the state of a call at its entry or its executor.
@@ -86,7 +87,7 @@
 func (r *RequestRecord) Advance(next RequestState) {
 	old := r.state.Load()
 	if allowedRequestTransitions[old]&(1<<next) == 0 || !r.state.CompareAndSwap(old, uint32(next)) {
-		panic(fmt.Sprintf("board: request %s cannot move from %s to %s", r.ID, RequestState(old), next))
+		guard.Invariantf("board: request %s cannot move from %s to %s", r.ID, RequestState(old), next)
 	}
 }
 
--- a/pkg/board/section.go
+++ b/pkg/board/section.go
@@ -13,9 +13,10 @@
 package board
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // Snapshot is one published value of a section.
@@ -70,8 +71,7 @@
 // already claimed, because each section has exactly one writer.
 func (s *Section[T]) Claim(controller string) *Writer[T] {
 	if !s.owner.CompareAndSwap(nil, &controller) {
-		panic(fmt.Sprintf("board: section %s is written by %s, %s cannot claim it",
-			s.name, s.Owner(), controller))
+		guard.Invariantf("board: section %s is written by %s, %s cannot claim it", s.name, s.Owner(), controller)
 	}
 	return &Writer[T]{section: s}
 }
--- a/pkg/board/section_test.go
+++ b/pkg/board/section_test.go
@@ -5,13 +5,15 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // Guards against two controllers that write the same section.
 func TestSectionHasOneWriter(t *testing.T) {
 	s := NewSection("numbers", 0)
 	s.Claim("first")
-	require.PanicsWithValue(t, "board: section numbers is written by first, second cannot claim it",
+	require.PanicsWithValue(t, guard.InvariantError("board: section numbers is written by first, second cannot claim it"),
 		func() { s.Claim("second") })
 }
 
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -6,6 +6,11 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // Controller reads sections of the board and publishes its own section.
@@ -16,12 +21,20 @@
 	Run(ctx context.Context)
 }
 
+// restartDelay is the pause before a controller runs again after a panic, so
+// that an event that causes one each time does not keep a core busy.
+const restartDelay = 100 * time.Millisecond
+
 // Start runs each controller on its own goroutine until ctx is done. The
-// returned channel is closed when all of them have returned.
-func Start(ctx context.Context, controllers ...Controller) <-chan struct{} {
+// returned channel is closed when all of them have returned. A controller that
+// panics is logged and run again.
+func Start(ctx context.Context, log zerolog.Logger, controllers ...Controller) <-chan struct{} {
 	var wg sync.WaitGroup
 	for _, c := range controllers {
-		wg.Go(func() { c.Run(ctx) })
+		wg.Go(func() {
+			for runUntilPanic(ctx, log, c) && Sleep(ctx, restartDelay) {
+			}
+		})
 	}
 	done := make(chan struct{})
 	go func() {
@@ -30,3 +43,10 @@
 	}()
 	return done
 }
+
+// runUntilPanic runs a controller and reports whether it ended by a panic.
+func runUntilPanic(ctx context.Context, log zerolog.Logger, c Controller) (panicked bool) {
+	defer guard.Recover(log, "controller "+c.Name(), func() { panicked = true })
+	c.Run(ctx)
+	return false
+}
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -15,6 +15,7 @@
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/pkg/decide/quarantine"
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 const (
@@ -474,6 +475,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	defer guard.Recover(c.log, "exchange", nil)
 	exchangeCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	response, err := c.exchange(exchangeCtx, endpoint.Record.PeerAddr, message)
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -55,7 +55,9 @@
 	// ConnClosed is true when the server closed or reset the connection before the
 	// first byte of a response.
 	ConnClosed bool
-	Err        error
+	// ResponseTooLarge is true when the response exceeds a limit of the Pool.
+	ResponseTooLarge bool
+	Err              error
 }
 
 // Error returns the cause.
@@ -64,6 +66,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// DefaultMaxResponseHeaderBytes is the limit of a Pool that sets none.
+const DefaultMaxResponseHeaderBytes = 256 << 10
+
 // Pool sends requests and keeps idle connections per address for reuse. It never
 // retries a request.
 type Pool struct {
@@ -75,6 +80,11 @@
 	UserTimeout time.Duration
 	// IdleTimeout is the age of an idle connection at which SweepIdleConns closes it.
 	IdleTimeout time.Duration
+	// MaxHeaderBytes is the largest header of a response in bytes, with all interim
+	// responses before it. Zero means DefaultMaxResponseHeaderBytes.
+	MaxHeaderBytes int
+	// MaxBodyBytes is the largest body of a response in bytes. Zero means no limit.
+	MaxBodyBytes int64
 	// ConnsOpened counts the connections that were opened.
 	ConnsOpened atomic.Uint64
 
@@ -115,6 +125,7 @@
 
 type clientConn struct {
 	netConn   net.Conn
+	input     *limitedReader
 	br        *bufio.Reader
 	idleStack *idleStack
 	idleSince time.Time
@@ -168,7 +179,8 @@
 	}
 	setUserTimeout(nc, p.UserTimeout)
 	p.ConnsOpened.Add(1)
-	return &clientConn{netConn: nc, br: bufio.NewReaderSize(nc, ioBufferBytes), idleStack: stack}, nil
+	input := &limitedReader{r: nc, remaining: -1}
+	return &clientConn{netConn: nc, input: input, br: bufio.NewReaderSize(input, ioBufferBytes), idleStack: stack}, nil
 }
 
 // SweepIdleConns closes the connections that were idle for too long or that the
@@ -206,13 +218,19 @@
 	if err != nil {
 		return nil, &Error{ConnRefused: isConnRefused(err), ConnClosed: isConnClosed(err), Err: err}
 	}
-	rt := &roundTrip{ctx: ctx, conn: conn, request: req}
+	rt := &roundTrip{ctx: ctx, conn: conn, request: req, maxHeaderBytes: p.MaxHeaderBytes, maxBodyBytes: p.MaxBodyBytes}
+	if rt.maxHeaderBytes <= 0 {
+		rt.maxHeaderBytes = DefaultMaxResponseHeaderBytes
+	}
 	rt.stopCancelWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.Close() })
 	resp, err := rt.run()
 	if err != nil {
 		rt.stopCancelWatch()
 		_ = conn.netConn.Close()
-		return nil, &Error{RequestSent: rt.requestSent, ConnClosed: !rt.responseStarted && isConnClosed(err), Err: err}
+		return nil, &Error{
+			RequestSent: rt.requestSent, ConnClosed: !rt.responseStarted && isConnClosed(err),
+			ResponseTooLarge: errors.Is(err, errHeaderTooLarge) || errors.Is(err, errBodyTooLarge), Err: err,
+		}
 	}
 	return resp, nil
 }
@@ -222,6 +240,9 @@
 	ctx     context.Context
 	conn    *clientConn
 	request *ClientRequest
+	// maxHeaderBytes and maxBodyBytes are the limits of the Pool.
+	maxHeaderBytes int
+	maxBodyBytes   int64
 	// stopCancelWatch cancels the function that closes the connection when ctx ends.
 	// It returns false when ctx has already ended.
 	stopCancelWatch func() bool
@@ -246,6 +267,7 @@
 	if err := rt.writeRequest(); err != nil {
 		return nil, err
 	}
+	rt.conn.input.remaining = rt.maxHeaderBytes
 	for {
 		if _, err := rt.conn.br.Peek(1); err != nil {
 			return nil, errors.Annotate(err, "waiting for the response")
@@ -253,6 +275,9 @@
 		rt.responseStarted = true
 		resp, err := http.ReadResponse(rt.conn.br, &http.Request{Method: rt.request.Method})
 		if err != nil {
+			if rt.conn.input.err == errHeaderTooLarge {
+				err = errHeaderTooLarge
+			}
 			return nil, errors.Annotate(err, "reading the response header")
 		}
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
@@ -267,17 +292,32 @@
 			}
 			continue
 		}
+		rt.conn.input.remaining = -1
+		if rt.maxBodyBytes > 0 && resp.ContentLength > rt.maxBodyBytes {
+			return nil, errors.Annotatef(errBodyTooLarge, "length %d", resp.ContentLength)
+		}
 		return rt.newResponse(resp), nil
 	}
 }
 
-// discardStray reads and drops a response that belongs to another request.
+// maxStrayBodyBytes is the largest body of a response to another request that is
+// read to find the response that follows it.
+const maxStrayBodyBytes = 1 << 20
+
+// discardStray reads and drops a response that belongs to another request. Its body
+// does not count toward the limit of the header that is still to come.
 func (rt *roundTrip) discardStray(resp *http.Response) error {
 	rt.conn.gotStrayResponse = true
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errors.New("connection ends with the response to another request")
 	}
-	_, err := io.Copy(io.Discard, resp.Body)
+	headerBytesLeft := rt.conn.input.remaining
+	rt.conn.input.remaining = -1
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBodyBytes+1))
+	rt.conn.input.remaining = headerBytesLeft
+	if n > maxStrayBodyBytes {
+		err = errBodyTooLarge
+	}
 	return errors.Annotate(err, "discarding the response to another request")
 }
 
@@ -374,12 +414,17 @@
 	roundTrip *roundTrip
 	body      io.ReadCloser
 	complete  bool
+	bytesRead int64
 	closed    atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	b.bytesRead += int64(n)
+	if limit := b.roundTrip.maxBodyBytes; limit > 0 && b.bytesRead > limit {
+		return 0, errBodyTooLarge
+	}
 	if err == io.EOF {
 		b.complete = true
 	}
--- a/pkg/h1/read.go
+++ b/pkg/h1/read.go
@@ -9,8 +9,12 @@
 	"github.com/juju/errors"
 )
 
-// errHeaderTooLarge is the read error of a header above the limit.
-const errHeaderTooLarge = errors.ConstError("header exceeds the size limit")
+// errHeaderTooLarge and errBodyTooLarge are the read errors of a header and a body
+// above the limit.
+const (
+	errHeaderTooLarge = errors.ConstError("header exceeds the size limit")
+	errBodyTooLarge   = errors.ConstError("body exceeds the size limit")
+)
 
 // limitedReader fails after remaining bytes; -1 means no limit. It keeps its last
 // error, since parsers return errors of their own instead.
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // Limits bounds the size and the duration of requests.
@@ -347,7 +349,12 @@
 	}
 	p := &pendingResponse{method: r.Method, response: make(chan *Response, 1), closeAfter: closeAfter}
 	c.responses <- p
-	go func() { p.response <- c.server.Handler(c.ctx, r) }()
+	go func() {
+		defer guard.Recover(c.server.Log, "request handler", func() {
+			p.response <- &Response{Status: http.StatusInternalServerError, BufferedBody: []byte("internal error\n")}
+		})
+		p.response <- c.server.Handler(c.ctx, r)
+	}()
 	return true
 }
 
--- a/pkg/h1/server_test.go
+++ b/pkg/h1/server_test.go
@@ -190,3 +190,26 @@
 		})
 	}
 }
+
+// Guards against a panic of one handler that ends the process or the other
+// requests of the connection.
+func TestPanicOfAHandlerEndsItsRequestOnly(t *testing.T) {
+	addr := startServer(t, &Server{Handler: func(_ context.Context, r *Request) *Response {
+		if r.Target == "/panic" {
+			panic("unexpected")
+		}
+		return okResponse(r.Target)
+	}})
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, rawGet("/1")+rawGet("/panic")+rawGet("/2"))
+	require.NoError(t, err)
+	r := bufio.NewReader(conn)
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{http.StatusOK, "/1"}, {http.StatusInternalServerError, "internal error\n"}, {http.StatusOK, "/2"}} {
+		resp, body := receiveResponse(t, r)
+		require.Equal(t, want.status, resp.StatusCode)
+		require.Equal(t, want.body, body)
+	}
+}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -205,13 +206,18 @@
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
 	slots := x.concurrencyLimit(server)
+	release := sync.OnceFunc(func() { x.queue.release(slots) })
+	slotPassedOn := false
+	defer func() {
+		if !slotPassedOn {
+			release()
+		}
+	}()
 	now := time.Now()
 	switch {
 	case server.ID != admittedTo.ID || server.StartMillis != admittedTo.StartMillis:
-		x.queue.release(slots)
 		return notSent(board.ReasonWrongIncarnation)
 	case server.State >= board.ServerDraining && now.Sub(server.DrainingSince) > x.DrainTime-drainMargin:
-		x.queue.release(slots)
 		return notSent(board.ReasonDraining)
 	}
 	tracked := x.tracker.start(job, x.currentSpeed(server, now).CurrentSlowdown(), now, from.NotifySlow)
@@ -224,9 +230,10 @@
 	serviceTime := x.tracker.finish(tracked, time.Now())
 	concurrent = (concurrent + x.queue.running.Load() + 1) / 2
 	if result.buffered || result.Body == nil {
-		x.queue.release(slots)
+		release()
 	} else {
-		result.Body = onClose(result.Body, func() { x.queue.release(slots) })
+		slotPassedOn = true
+		result.Body = onClose(result.Body, release)
 	}
 	if result.lost() {
 		x.Board.SuspectedServers.Post(*server)
--- a/pkg/mesh/forwarder.go
+++ b/pkg/mesh/forwarder.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/decide/hedge"
+	"mangostand.example/mangostand/pkg/guard"
 )
 
 // maxOffers bounds the executors to which one call is offered. An executor
@@ -160,14 +162,19 @@
 	f.offers++
 	f.lastExecutor = endpoint.Record.Instance
 	endpoint.CallStarted()
+	callEnded := sync.OnceFunc(endpoint.CallEnded)
 	go func() {
+		defer guard.Recover(f.entry.Log, "offer", func() {
+			callEnded()
+			results <- offerResult{unknown(board.ReasonInternalError), endpoint}
+		})
 		var result *Result
 		if endpoint.Record.Instance == f.entry.Board.Self.Instance {
 			result = f.entry.LocalExecutor.Execute(ctx, f.cloneCall(), endpoint.Record.ServerID, maxResponseTime, localSender{notifySlow})
 		} else {
 			result = f.sendToPeer(ctx, endpoint, maxResponseTime, notifySlow)
 		}
-		result.Body = onClose(result.Body, endpoint.CallEnded)
+		result.Body = onClose(result.Body, callEnded)
 		f.recordFeedback(endpoint, result)
 		results <- offerResult{result, endpoint}
 	}()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -302,6 +302,13 @@
 			return err == nil
 		},
 		"failed": func(conn net.Conn, r *http.Request) bool { return respond(conn, r, http.StatusInternalServerError, "") },
+		"endless header": func(conn net.Conn, _ *http.Request) bool {
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+			for err == nil {
+				_, err = io.WriteString(conn, "A: b\r\n")
+			}
+			return false
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var once atomic.Bool
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -64,6 +64,10 @@
 	if ctx.Err() != nil {
 		return unknown(board.ReasonCanceledByCaller)
 	}
+	if h1Err.ResponseTooLarge {
+		x.Log.Warn().Str("event", "response_too_large").Str("server", server.ID).Err(err).Send()
+		return unknown(board.ReasonMalformedAnswer)
+	}
 	return unknown(board.ReasonConnectionLost)
 }
 
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -46,8 +46,9 @@
 	peerIdleTimeout   = 30 * time.Second
 	serverIdleTimeout = 8 * time.Second
 	// maxPeerHeaderBytes bounds the header of requests between nodes: the caller's
-	// header and the hop header.
+	// header and the hop header. maxHopHeaderBytes is the part of the latter.
 	maxPeerHeaderBytes = 256 << 10
+	maxHopHeaderBytes  = 4 << 10
 	// announceTimeout bounds the wait until an announcement is applied. Backend
 	// servers wait one second for the response.
 	announceTimeout = 800 * time.Millisecond
@@ -108,8 +109,14 @@
 }
 
 func (n *Node) buildCallPath(counters *metrics.MeshMetrics) {
-	n.peerPool = &h1.Pool{DialTimeout: dialTimeout, UserTimeout: peerUserTimeout, IdleTimeout: peerIdleTimeout}
-	n.serverPool = &h1.Pool{DialTimeout: dialTimeout, IdleTimeout: serverIdleTimeout}
+	n.peerPool = &h1.Pool{
+		DialTimeout: dialTimeout, UserTimeout: peerUserTimeout, IdleTimeout: peerIdleTimeout,
+		MaxHeaderBytes: n.settings.MaxResponseHeaderBytes + maxHopHeaderBytes, MaxBodyBytes: max(int64(n.settings.MaxResponseBodyBytes), maxMessageBytes),
+	}
+	n.serverPool = &h1.Pool{
+		DialTimeout: dialTimeout, IdleTimeout: serverIdleTimeout,
+		MaxHeaderBytes: n.settings.MaxResponseHeaderBytes, MaxBodyBytes: int64(n.settings.MaxResponseBodyBytes),
+	}
 	requestLog := logging.RateLimitInfo(n.log)
 	n.executor = &mesh.Executor{
 		Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
@@ -209,7 +216,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	controllersDone := control.Start(workCtx, n.controllers...)
+	controllersDone := control.Start(workCtx, n.log, n.controllers...)
 	failed := make(chan error, len(n.listeners))
 	go func() { failed <- n.callerServer.Serve(n.listeners["callers"]) }()
 	go func() { failed <- n.peerServer.Serve(n.listeners["peers"]) }()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -231,7 +231,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	controllersDone := control.Start(runCtx, n.controllers...)
+	controllersDone := control.Start(runCtx, n.log, n.controllers...)
 	serveErrs := make(chan error, len(n.listeners)+1)
 	go func() { serveErrs <- n.peerTransport.Serve(runCtx, n.peerHandlers()) }()
 	for _, l := range n.listeners {
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -15,6 +15,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rs/zerolog"
 
+	"mangostand.example/mangostand/pkg/guard"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
@@ -146,6 +147,10 @@
 }
 
 func (t *Transport) serveStream(stream *Stream) {
+	defer guard.Recover(t.log, "peer stream", func() {
+		stream.CancelRead(codeRefused)
+		stream.CancelWrite(codeRefused)
+	})
 	_ = stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	frame, err := wire.ReadFrame(stream)
 	if err != nil {
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -41,6 +41,11 @@
 	// address, IP:port; both are required.
 	Service     string
 	BackendAddr string
+	// MaxResponseHeaderBytes and MaxResponseBodyBytes bound the header and the
+	// body of a response of the backend server, in bytes. Defaults: 256000 and
+	// 256000000.
+	MaxResponseHeaderBytes int
+	MaxResponseBodyBytes   int
 
 	// StoreURL is the URL of the platform's store; required.
 	StoreURL string
@@ -68,7 +73,19 @@
 	return PlatformLimits{DrainTime: 2 * time.Second, StopGracePeriod: 6 * time.Second, AttemptRatio: 0.2, AttemptWindow: 10 * time.Second, AttemptSlack: 50}
 }
 
+func defaultMeshNode() *MeshNode {
+	return &MeshNode{
+		LogLevel: "info", MaxResponseHeaderBytes: 256_000, MaxResponseBodyBytes: 256_000_000, PlatformLimits: defaultPlatformLimits(),
+	}
+}
+
 const (
+	// minResponseHeaderBytes leaves room for the header of a usual response,
+	// maxResponseHeaderBytes and maxResponseBodyBytes are above what any backend
+	// server sends.
+	minResponseHeaderBytes = 4_000
+	maxResponseHeaderBytes = 16_000_000
+	maxResponseBodyBytes   = 1_000_000_000_000
 	// maxPlatformDuration and maxAttemptSlack are the largest values that the
 	// platform may set.
 	maxPlatformDuration = 10 * time.Minute
@@ -91,7 +108,7 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	m := &MeshNode{LogLevel: "info", PlatformLimits: defaultPlatformLimits()}
+	m := defaultMeshNode()
 	for _, s := range sections {
 		fields := m.sectionFields(s.Title())
 		if fields == nil {
@@ -126,7 +143,7 @@
 // MeshNodeReference returns the rows of the reference page for each section of
 // MeshNode.
 func MeshNodeReference() []inifile.SectionReference {
-	m := &MeshNode{LogLevel: "info", PlatformLimits: defaultPlatformLimits()}
+	m := defaultMeshNode()
 	var references []inifile.SectionReference
 	for _, kind := range []string{"node", "listen", "backend_server", "platform"} {
 		references = append(references, inifile.Describe(kind, m.sectionFields(kind)))
@@ -162,6 +179,10 @@
 		return []inifile.Field{
 			inifile.String("service", &m.Service).WithDescription("Service of the backend server beside the node. Required."),
 			addressField("address", &m.BackendAddr).WithDescription("Address of the backend server. Required."),
+			inifile.Bytes("max_response_header", &m.MaxResponseHeaderBytes, minResponseHeaderBytes, maxResponseHeaderBytes).
+				WithDescription("Largest header of a response. A longer one is cut off, its connection closed, and the call counts as failed."),
+			inifile.Bytes("max_response_body", &m.MaxResponseBodyBytes, 1, maxResponseBodyBytes).
+				WithDescription("Largest body of a response. A longer one is cut off, so that the caller sees an incomplete response."),
 		}
 	case "platform":
 		return []inifile.Field{
