Spread records within the failure domain and across it a few times

Cause: each node passed each change on to four random nodes of any failure domain with the digests of all buckets, and the reply carried the records of every bucket that differed, which is nearly all of them while many nodes change. Each node also asked every other node once whether it exists. Both grow with the square of the fleet and cross failure domains, where bytes are charged for. A merged record compared its address with all known nodes.

Change: fleet.PushTargets lets the node that a change concerns push it to two nodes of each other failure domain; all others pass it on within their own. A push carries no digests and its reply no records; the exchanges on a timer still compare all. fleet.NeedsContact asks a node that was never in doubt only within the failure domain. The share of random exchanges with other domains falls with the size of the domain. Batches that wait are merged before one new view is published, and nodes are indexed by address. A node that read a new configuration from the store tells the other domains.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,11 +28,6 @@
 	// maxUnconfirmedExchanges limits the exchanges of a round with unconfirmed
 	// nodes, see startExchangeRound.
 	maxUnconfirmedExchanges = 6
-	// sameDomainProbability is the probability that a random exchange stays in
-	// the failure domain of this node, where traffic is free of charge.
-	sameDomainProbability = 0.75
-	// pushFanout is the number of random nodes to which a change is pushed.
-	pushFanout = 4
 	// minForwardInterval is the minimum time between two pushes that forward
 	// changes of other nodes. Changes that arrive in between share a message.
 	minForwardInterval = 50 * time.Millisecond
@@ -47,8 +43,9 @@
 	From     board.InstanceID   `cbor:"1,keyasint"`
 	PeerAddr string             `cbor:"2,keyasint"`
 	Records  []board.NodeRecord `cbor:"3,keyasint"`
-	// Digests are the bucket digests of all records that the sender has.
-	Digests []uint32 `cbor:"4,keyasint"`
+	// Digests are the bucket digests of all records that the sender has. They are
+	// set only in a request for the records that differ.
+	Digests []uint32 `cbor:"4,keyasint,omitempty"`
 	// Config is the configuration version of the sender and the age of its
 	// confirmation.
 	Config board.ConfigAdvertisement `cbor:"5,keyasint"`
@@ -56,9 +53,12 @@
 	Load board.LoadReport `cbor:"6,keyasint"`
 	// Suspicions are reports of requests that may crash backend servers.
 	// SuspicionDigests are the bucket digests of all such reports that the
-	// sender has.
+	// sender has, in the same requests as Digests.
 	Suspicions       []board.Suspicion `cbor:"7,keyasint,omitempty"`
 	SuspicionDigests []uint32          `cbor:"8,keyasint,omitempty"`
+	// Push is set in a request that only passes on changes. Its response has no
+	// records, since most buckets differ while many nodes change.
+	Push bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ExchangeFunc sends a message to a node and returns its response.
@@ -75,6 +75,9 @@
 	ownRecord board.NodeRecord
 	// nodes holds the other nodes.
 	nodes map[board.InstanceID]*nodeState
+	// instancesByAddr holds the nodes by peer address. More than one has the
+	// address of a machine that another one has replaced.
+	instancesByAddr map[string][]board.InstanceID
 	// pendingRecords holds records of other nodes that are forwarded when
 	// forwardDue fires. lastForwardedAt is when this last happened.
 	pendingRecords  []board.NodeRecord
@@ -115,7 +118,7 @@
 			Instance: b.Self.Instance, Incarnation: incarnation, Sequence: 1, PeerAddr: b.Self.PeerAddr,
 			Region: b.Self.Region, FailureDomain: b.Self.FailureDomain, Service: b.Self.Service, LinkRate: b.Self.LinkRate,
 		},
-		nodes:         map[board.InstanceID]*nodeState{},
+		nodes: map[board.InstanceID]*nodeState{}, instancesByAddr: map[string][]board.InstanceID{},
 		exchangesDone: make(chan board.InstanceID, exchangesDoneQueueSize), exchangesInFlight: map[board.InstanceID]bool{},
 	}
 	c.publish()
@@ -143,13 +146,13 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.board.NodeRecords.Events():
-			c.mergeRecords(ctx, event, time.Now())
+			c.mergeBatches(ctx, event, time.Now())
 		case <-serverUpdates:
 			c.updateOwnRecord(ctx)
 		case <-shutdownUpdates:
 			c.updateOwnRecord(ctx)
 		case <-routeUpdates:
-			c.pushRecords(ctx, []board.NodeRecord{c.ownRecord})
+			c.pushRecords(ctx, []board.NodeRecord{c.ownRecord}, c.board.Routes.Load().ReadFromStore)
 		case <-quarantineUpdates:
 			c.pushNewQuarantines(ctx, time.Now())
 		case <-storeUpdates:
@@ -190,12 +193,35 @@
 	c.log.Info().Str("event", "own_record").Uint64("sequence", next.Sequence).Str("server", next.ServerID).
 		Str("state", next.State.String()).Bool("leaving", next.Leaving).Send()
 	c.publish()
-	c.pushRecords(ctx, []board.NodeRecord{next})
+	c.pushRecords(ctx, []board.NodeRecord{next}, true)
 }
 
-// mergeRecords merges the records of another node or of the store. It forwards
-// the newer ones unless they come from the store.
-func (c *Controller) mergeRecords(ctx context.Context, event board.NodeRecordBatch, now time.Time) {
+// maxMergedBatches bounds the batches that are merged before the view is
+// published.
+const maxMergedBatches = 64
+
+// mergeBatches merges a batch and those that wait behind it, and publishes the
+// view once, since a new view costs time in proportion to the fleet.
+func (c *Controller) mergeBatches(ctx context.Context, batch board.NodeRecordBatch, now time.Time) {
+	changed := c.mergeRecords(ctx, batch, now)
+	for range maxMergedBatches - 1 {
+		select {
+		case batch = <-c.board.NodeRecords.Events():
+			changed = c.mergeRecords(ctx, batch, now) || changed
+			continue
+		default:
+		}
+		break
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// mergeRecords merges the records of another node or of the store and reports
+// whether any was newer. It forwards the newer ones unless they come from the
+// store.
+func (c *Controller) mergeRecords(ctx context.Context, event board.NodeRecordBatch, now time.Time) bool {
 	var newer []board.NodeRecord
 	for _, record := range event.Records {
 		if !c.mergeRecord(record, now) {
@@ -206,12 +232,8 @@
 		}
 		newer = append(newer, record)
 	}
-	if len(newer) == 0 {
-		return
-	}
-	c.publish()
-	if event.From == "" {
-		return
+	if len(newer) == 0 || event.From == "" {
+		return len(newer) > 0
 	}
 	c.pendingRecords = append(c.pendingRecords, newer...)
 	switch wait := minForwardInterval - now.Sub(c.lastForwardedAt); {
@@ -220,11 +242,12 @@
 	case c.forwardDue == nil:
 		c.forwardDue = time.After(wait)
 	}
+	return true
 }
 
 // forwardPending pushes the pending records of other nodes.
 func (c *Controller) forwardPending(ctx context.Context, now time.Time) {
-	c.pushRecords(ctx, c.pendingRecords)
+	c.pushRecords(ctx, c.pendingRecords, false)
 	c.pendingRecords, c.forwardDue, c.lastForwardedAt = nil, nil, now
 }
 
@@ -253,7 +276,11 @@
 		}
 	}
 	node.endpoint = endpoint
+	if current != nil {
+		c.removeAddress(current.endpoint.Record)
+	}
 	c.nodes[record.Instance] = node
+	c.instancesByAddr[record.PeerAddr] = append(c.instancesByAddr[record.PeerAddr], record.Instance)
 	c.detectAddressConflicts(record, now)
 	c.log.Info().Str("event", "node_record").Str("node", string(record.Instance)).Uint64("incarnation", record.Incarnation).
 		Uint64("sequence", record.Sequence).Str("service", record.Service).Str("server", record.ServerID).
@@ -261,16 +288,27 @@
 	return true
 }
 
+// removeAddress removes a node from the nodes of its address.
+func (c *Controller) removeAddress(record board.NodeRecord) {
+	ids := slices.DeleteFunc(c.instancesByAddr[record.PeerAddr], func(id board.InstanceID) bool { return id == record.Instance })
+	if len(ids) == 0 {
+		delete(c.instancesByAddr, record.PeerAddr)
+		return
+	}
+	c.instancesByAddr[record.PeerAddr] = ids
+}
+
 // detectAddressConflicts marks the other nodes with the address of a record. Of
 // two such nodes the one with the later incarnation is assumed to use the
 // address now. But incarnations are wall-clock times, so a response takes precedence
 // and both nodes are contacted.
 func (c *Controller) detectAddressConflicts(record board.NodeRecord, now time.Time) {
-	for id, node := range c.nodes {
-		other := node.endpoint.Record
-		if id == record.Instance || other.PeerAddr != record.PeerAddr {
+	for _, id := range c.instancesByAddr[record.PeerAddr] {
+		if id == record.Instance {
 			continue
 		}
+		node := c.nodes[id]
+		other := node.endpoint.Record
 		node.addressConflictAt, node.superseded = now, other.Incarnation < record.Incarnation
 		if node.superseded {
 			node.alive = false
@@ -317,7 +355,9 @@
 	for _, record := range store.ListedRecords {
 		records = append(records, record)
 	}
-	c.mergeRecords(ctx, board.NodeRecordBatch{Records: records}, now)
+	if c.mergeRecords(ctx, board.NodeRecordBatch{Records: records}, now) {
+		c.publish()
+	}
 }
 
 // updateLiveness decides which nodes are alive and drops those that departed
@@ -348,6 +388,7 @@
 				Bool("listing_settled", settled).Time("listed_at", store.ListingRequestedAt).Send()
 		}
 		if !alive && now.Sub(node.lastAliveAt) > departedNodeTTL {
+			c.removeAddress(node.endpoint.Record)
 			delete(c.nodes, id)
 		}
 	}
@@ -393,32 +434,35 @@
 }
 
 // startExchangeRound starts exchanges with random nodes and with unconfirmed
-// ones. A node is unconfirmed while it has an address conflict, is missing from
-// the store, has failed its newest exchange or has never responded.
+// ones, see fleet.NeedsContact.
 func (c *Controller) startExchangeRound(ctx context.Context) {
 	var sameDomain, otherDomain, unconfirmed []board.InstanceID
 	for id, node := range c.nodes {
 		if node.endpoint.Record.Leaving || node.endpoint.Reachability.Replaced() {
 			continue
 		}
-		if node.hasAddressConflict() || node.missingFromStore || node.endpoint.Reachability.Suspected() || !node.endpoint.Reachability.RespondedSince(time.Time{}) {
+		inSameDomain := node.endpoint.Record.FailureDomain == c.ownRecord.FailureDomain
+		if fleet.NeedsContact(fleet.Contact{
+			AddressConflict: node.hasAddressConflict(), MissingFromStore: node.missingFromStore, SameDomain: inSameDomain,
+			LastExchangeFailed: node.endpoint.Reachability.Suspected(), Responded: node.endpoint.Reachability.RespondedSince(time.Time{}),
+		}) {
 			unconfirmed = append(unconfirmed, id)
 		}
-		if node.endpoint.Record.FailureDomain == c.ownRecord.FailureDomain {
+		if inSameDomain {
 			sameDomain = append(sameDomain, id)
 		} else {
 			otherDomain = append(otherDomain, id)
 		}
 	}
 	candidates := otherDomain
-	if len(otherDomain) == 0 || len(sameDomain) > 0 && rand.Float64() < sameDomainProbability {
+	if len(otherDomain) == 0 || len(sameDomain) > 0 && rand.Float64() >= fleet.CrossDomainShare(len(sameDomain)+1) {
 		candidates = sameDomain
 	}
 	shuffle(candidates)
 	shuffle(unconfirmed)
 	targets := append(candidates[:min(len(candidates), randomExchangesPerRound)], unconfirmed[:min(len(unconfirmed), maxUnconfirmedExchanges)]...)
 	for _, id := range targets {
-		c.startExchange(ctx, c.nodes[id], []board.NodeRecord{c.ownRecord})
+		c.startExchange(ctx, c.nodes[id], []board.NodeRecord{c.ownRecord}, false)
 	}
 }
 
@@ -426,17 +470,21 @@
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 }
 
-// pushRecords sends records to random live nodes.
-func (c *Controller) pushRecords(ctx context.Context, records []board.NodeRecord) {
-	var ids []board.InstanceID
+// pushRecords sends records to random live nodes. The node that a change
+// concerns is its origin.
+func (c *Controller) pushRecords(ctx context.Context, records []board.NodeRecord, origin bool) {
+	candidates := map[string][]board.InstanceID{}
 	for id, node := range c.nodes {
 		if node.alive && !node.endpoint.Record.Leaving && !c.exchangesInFlight[id] {
-			ids = append(ids, id)
+			domain := node.endpoint.Record.FailureDomain
+			candidates[domain] = append(candidates[domain], id)
 		}
 	}
-	shuffle(ids)
-	for _, id := range ids[:min(len(ids), pushFanout)] {
-		c.startExchange(ctx, c.nodes[id], records)
+	for _, ids := range candidates {
+		shuffle(ids)
+	}
+	for _, id := range fleet.PushTargets(candidates, c.ownRecord.FailureDomain, origin) {
+		c.startExchange(ctx, c.nodes[id], records, true)
 	}
 }
 
@@ -446,14 +494,14 @@
 func (c *Controller) pushNewQuarantines(ctx context.Context, now time.Time) {
 	quarantined := len(quarantine.QuarantinedReports(c.board.Quarantine.Load(), now))
 	if quarantined > c.quarantinedCount {
-		c.pushRecords(ctx, []board.NodeRecord{c.ownRecord})
+		c.pushRecords(ctx, []board.NodeRecord{c.ownRecord}, true)
 	}
 	c.quarantinedCount = quarantined
 }
 
 // startExchange starts an exchange with a node, unless one is in flight. The
 // response comes back through the inboxes of the board.
-func (c *Controller) startExchange(ctx context.Context, node *nodeState, records []board.NodeRecord) {
+func (c *Controller) startExchange(ctx context.Context, node *nodeState, records []board.NodeRecord, push bool) {
 	id := node.endpoint.Record.Instance
 	if c.exchangesInFlight[id] {
 		return
@@ -461,7 +509,10 @@
 	c.exchangesInFlight[id] = true
 	now := time.Now()
 	message := newMessage(c.board, c.loadReport(), now)
-	message.Records = records
+	message.Records, message.Push = records, push
+	if !push {
+		message.Digests, message.SuspicionDigests = c.board.Fleet.Load().BucketDigests, c.board.Quarantine.Load().BucketDigests
+	}
 	message.Suspicions = quarantine.QuarantinedReports(c.board.Quarantine.Load(), now)
 	go c.runExchange(ctx, node.endpoint, message)
 }
@@ -499,8 +550,7 @@
 // have in common.
 func newMessage(b *board.MeshBoard, load board.LoadReport, now time.Time) *Message {
 	return &Message{
-		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Digests: b.Fleet.Load().BucketDigests, Config: b.ConfigAdvertisement(now),
-		Load: load, SuspicionDigests: b.Quarantine.Load().BucketDigests,
+		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Config: b.ConfigAdvertisement(now), Load: load,
 	}
 }
 
@@ -526,9 +576,16 @@
 	Dispatch(b, m)
 	now := time.Now()
 	response := newMessage(b, load, now)
+	view := b.Fleet.Load()
+	if m.Push {
+		return response
+	}
 	response.Suspicions = quarantine.ReportDelta(b.Quarantine.Load(), m.SuspicionDigests, now)
-	for id, endpoint := range b.Fleet.Load().ByInstance {
-		if fleet.MayDiffer(id, response.Digests, m.Digests) {
+	if slices.Equal(view.BucketDigests, m.Digests) {
+		return response
+	}
+	for id, endpoint := range view.ByInstance {
+		if fleet.MayDiffer(id, view.BucketDigests, m.Digests) {
 			response.Records = append(response.Records, endpoint.Record)
 		}
 	}
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -30,6 +30,10 @@
 	cut   map[string]bool
 	// exchanges counts the exchanges that got a response.
 	exchanges atomic.Int64
+	// lose reports whether an exchange is lost; nil loses none.
+	lose func() bool
+	// observe is called with each exchange that got a response.
+	observe func(from, to *board.MeshBoard, request, response *Message)
 }
 
 func (n *network) setPartitioned(addr string, partitioned bool) {
@@ -49,15 +53,38 @@
 	return n.nodes[to]
 }
 
+// setFaults makes the network lose exchanges and report the others.
+func (n *network) setFaults(lose func() bool, observe func(from, to *board.MeshBoard, request, response *Message)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lose, n.observe = lose, observe
+}
+
+func (n *network) isLost() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lose != nil && n.lose()
+}
+
+func (n *network) report(from string, to *board.MeshBoard, request, response *Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.observe != nil {
+		n.observe(n.nodes[from], to, request, response)
+	}
+}
+
 func (n *network) exchangeFunc(from string) ExchangeFunc {
 	return func(ctx context.Context, addr string, m *Message) (*Message, error) {
 		to := n.reachableNode(from, addr)
-		if to == nil {
+		if to == nil || n.isLost() {
 			<-ctx.Done()
 			return nil, errors.Trace(ctx.Err())
 		}
 		n.exchanges.Add(1)
-		return Respond(to, m, board.LoadReport{}), nil
+		response := Respond(to, m, board.LoadReport{})
+		n.report(from, to, m, response)
+		return response, nil
 	}
 }
 
--- /dev/null
+++ b/pkg/control/directory/spread_large_test.go
@@ -0,0 +1,5 @@
+//go:build large
+
+package directory
+
+func init() { spreadSizes = append(spreadSizes, 1000) }
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -113,6 +113,10 @@
 	}
 }
 
+// fromStore is the source of a document that was read from the store; other
+// sources are the peer addresses of nodes.
+const fromStore = "store"
+
 // apply decodes a document and publishes it if it is newer than the one in force.
 func (c *Controller) apply(document []byte, from string) {
 	table, err := platform.DecodeTable(document)
@@ -124,6 +128,7 @@
 	if table.Version <= current {
 		return
 	}
+	table.ReadFromStore = from == fromStore
 	c.writer.Publish(table)
 	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", from).Send()
 }
@@ -231,7 +236,7 @@
 // enqueue hands a document from the store to Run.
 func (c *Controller) enqueue(ctx context.Context, document []byte) {
 	select {
-	case c.documents <- fetchedDocument{document: document, from: "store"}:
+	case c.documents <- fetchedDocument{document: document, from: fromStore}:
 	case <-ctx.Done():
 	}
 }
--- a/pkg/dynconf/table.go
+++ b/pkg/dynconf/table.go
@@ -21,6 +21,9 @@
 	// EncodedDocument is the document that the table was decoded from, for nodes
 	// that pull the configuration from this one.
 	EncodedDocument []byte
+	// ReadFromStore is set at a node that read the document from the store. Such a
+	// node tells the other failure domains of a new version.
+	ReadFromStore bool
 }
 
 // RouteRule holds the destination and the properties of the calls whose path
