Prefer the own failure domain by a share of the nominal time

Cause: a call to another failure domain cost only its latency and the bytes of its answer, 2 to 3 ms for a small one, so that under load most small calls left their domain on a guess; the headers of offers and refusals cross it too, and an entry hears of a remote server seldom.

Change: earliest.CrossDomainCost adds half of the nominal time. A test plays a domain with free slots and one with a queue.

--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -32,6 +32,26 @@
 	Excluded bool
 }
 
+const (
+	// crossDomainByteCost is the time penalty per response byte that crosses
+	// failure domains. That traffic is priced: a response of 90 kB costs more
+	// than half of its value. The penalty covers half of the price, so that the
+	// latency objective keeps its weight.
+	crossDomainByteCost = 2500 * time.Nanosecond
+	// crossDomainShare is the time penalty of a call to another failure domain as
+	// a share of its nominal time. The headers of each offer and each response
+	// cross as well, and the load of the own domain is known better.
+	crossDomainShare = 0.5
+)
+
+// CrossDomainCost returns the cost of a call with the nominal time and a response
+// of the given size to another failure domain, expressed as a time. Calls leave
+// their domain when its backend servers are expected to take longer by more than
+// that.
+func CrossDomainCost(nominal time.Duration, responseBytes int64) time.Duration {
+	return time.Duration(crossDomainShare*float64(nominal)) + time.Duration(responseBytes)*crossDomainByteCost
+}
+
 // failurePenalty is the penalty of a backend server that fails every call, as
 // a multiple of the nominal time of the call: a failed call has to be repeated
 // as a whole, and the failure may come late.
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -104,3 +104,34 @@
 	choice, _ = Choose([]Candidate{unreported, cold, candidate(0, 7)}, 100*ms, ms, 0)
 	require.Zero(t, choice.Index, "one cold backend server tells little about the others")
 }
+
+// Guards against calls that leave their failure domain although a backend server
+// there can run them at once, and against calls that stay while all servers there
+// are full and others are free.
+func TestCallsLeaveTheirDomainOnlyUnderLoad(t *testing.T) {
+	domain := func(running int, remote bool) Candidate {
+		c := candidate(running, 0)
+		c.LoadAge = -1
+		if remote {
+			c.TransferCost = CrossDomainCost(100*ms, 400)
+		}
+		return c
+	}
+	fleet := func(localRunning int) []Candidate {
+		var candidates []Candidate
+		for i := range 12 {
+			running, remote := localRunning, i >= 3
+			if remote {
+				running = 0
+			}
+			candidates = append(candidates, domain(running, remote))
+		}
+		return candidates
+	}
+	for random := range uint64(24) {
+		choice, _ := Choose(fleet(3), 100*ms, ms, random)
+		require.Less(t, choice.Index, 3, "a slot is free in the own domain")
+		choice, _ = Choose(fleet(7), 100*ms, ms, random)
+		require.GreaterOrEqual(t, choice.Index, 3, "the own domain has a queue of a whole round of calls")
+	}
+}
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -22,11 +22,6 @@
 	// between nodes of the same and of different failure domains.
 	sameDomainLatency  = 200 * time.Microsecond
 	crossDomainLatency = 1100 * time.Microsecond
-	// crossDomainByteCost is the time penalty per response byte that crosses
-	// failure domains. That traffic is priced: a response of 90 kB costs more
-	// than half of its value. The penalty covers half of the price, so that the
-	// latency objective keeps its weight.
-	crossDomainByteCost = 2500 * time.Nanosecond
 	// expectedTimeTolerance is the difference in expected time below which
 	// endpoints count as equal, since the estimates are no more accurate.
 	expectedTimeTolerance = 2 * time.Millisecond
@@ -105,7 +100,7 @@
 		c.ResponseBytes, c.LinkRate = responseBytes, endpoint.Record.LinkRate
 		if endpoint.Record.FailureDomain != self.FailureDomain {
 			c.OneWayLatency = crossDomainLatency
-			c.TransferCost = time.Duration(responseBytes) * crossDomainByteCost
+			c.TransferCost = earliest.CrossDomainCost(nominalTime, responseBytes)
 		}
 		if report != nil {
 			c.LinkBacklog = time.Duration(report.LinkBacklogMicros) * time.Microsecond
