Make fewer calls to the store at starts and during its outages

Cause: each start of a node cost a lease, a write and one or two reads of the configuration, a node that had found no other one a consistent listing, and each node repeated the call that was due every 600 ms while the store refused it; refused calls are billed as well. A call that failed with an encoding error or on a lease that ended at once was repeated without a pause.

Change: registration takes over the lease of the earlier process of the node and keeps the record if it still holds. After a failure it probes the store with a stale read, a tenth of the cost, and the configuration waits for that probe too. fleet.FirstReadDelay leaves the first read of the configuration to the nodes that follow the store; a starting node exchanges records as soon as it has listed the others. The second listing of a node alone is a stale one.

The lease and the first write of each new node remain.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -355,8 +355,15 @@
 	for _, record := range store.ListedRecords {
 		records = append(records, record)
 	}
-	if c.mergeRecords(ctx, board.NodeRecordBatch{Records: records}, now) {
-		c.publish()
+	alone := len(c.nodes) == 0
+	if !c.mergeRecords(ctx, board.NodeRecordBatch{Records: records}, now) {
+		return
+	}
+	c.publish()
+	if alone {
+		// A node that has just started gets the records and the configuration of
+		// the others without waiting for the next round.
+		c.startExchangeRound(ctx)
 	}
 }
 
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -43,6 +43,7 @@
 	Put(ctx context.Context, key string, value []byte, lease string) (uint64, error)
 	List(ctx context.Context, prefix string) ([]platform.Entry, error)
 	ListStale(ctx context.Context, prefix string) ([]platform.Entry, error)
+	GetStale(ctx context.Context, key string) (platform.Entry, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (platform.Lease, error)
 	RenewLease(ctx context.Context, id string) error
 	RevokeLease(ctx context.Context, id string) error
@@ -58,6 +59,12 @@
 	started time.Time
 	// leaseID is "" while the node holds no lease.
 	leaseID string
+	// earlierLeaseID is the lease of an earlier process of this node that may still
+	// be alive, and earlierRecord the record under it.
+	earlierLeaseID string
+	earlierRecord  board.NodeRecord
+	// unavailable is set from a failed call until a probe of the store succeeds.
+	unavailable bool
 	// writtenRecord is the record last written under the lease.
 	writtenRecord board.NodeRecord
 	renewedAt     time.Time
@@ -101,8 +108,12 @@
 	switch {
 	case !known:
 		return false
+	case c.unavailable:
+		c.probe(ctx)
 	case c.listCount == 0:
 		c.listRecords(ctx, now)
+	case c.leaseID == "" && c.earlierLeaseID != "":
+		c.takeOverLease(ctx, now)
 	case c.leaseID == "":
 		c.grantLease(ctx, now)
 	case c.writeDue(own.Record, now):
@@ -123,6 +134,11 @@
 	if c.writtenRecord.Instance == "" {
 		return own.ServerID != "" || now.Sub(c.started) >= maxServerWait
 	}
+	if own.ServerID == "" && now.Sub(c.started) < maxServerWait {
+		// A process that has taken over the lease of an earlier one has not found
+		// the backend server yet.
+		return false
+	}
 	written := c.writtenRecord
 	return written.ServerID != own.ServerID || written.ServerStartMillis != own.ServerStartMillis || written.Leaving != own.Leaving ||
 		(written.State >= board.ServerDraining) != (own.State >= board.ServerDraining) ||
@@ -174,8 +190,8 @@
 func (c *Controller) recordResult(call string, err error) bool {
 	now := time.Now()
 	reachable := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
-	if !reachable {
-		c.failedAt = now
+	if err != nil {
+		c.failedAt, c.unavailable = now, !reachable
 	}
 	status := *c.writer.Load()
 	if status.Reachable != reachable || status.ReachabilityChangedAt.IsZero() {
@@ -186,6 +202,34 @@
 	return err == nil
 }
 
+// probe makes the cheapest call of the store, whose refused calls are billed as
+// well, to find out whether it accepts the calls that are due.
+func (c *Controller) probe(ctx context.Context) {
+	_, err := c.store.GetStale(ctx, recordPrefix+string(c.board.Self.Instance))
+	if errors.Is(err, platform.ErrNotFound) {
+		err = nil
+	}
+	if c.recordResult("probe", err) {
+		c.unavailable = false
+	}
+}
+
+// takeOverLease renews the lease of an earlier process of this node, which saves a
+// grant, and a write if the record under it still holds. A lease that has ended is
+// not tried again.
+func (c *Controller) takeOverLease(ctx context.Context, now time.Time) {
+	lease := c.earlierLeaseID
+	c.earlierLeaseID = ""
+	err := c.store.RenewLease(ctx, lease)
+	if errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	if c.recordResult("take_over", err) {
+		c.leaseID, c.renewedAt, c.writtenRecord = lease, now, c.earlierRecord
+		c.log.Info().Str("event", "lease_taken_over").Str("lease", lease).Send()
+	}
+}
+
 func (c *Controller) grantLease(ctx context.Context, now time.Time) {
 	lease, err := c.store.GrantLease(ctx, leaseTTL)
 	if c.recordResult("grant", err) {
@@ -196,6 +240,7 @@
 func (c *Controller) writeRecord(ctx context.Context, record board.NodeRecord) {
 	data, err := cbor.Marshal(record)
 	if err != nil {
+		c.failedAt = time.Now()
 		c.log.Error().Err(err).Str("event", "record_not_encoded").Send()
 		return
 	}
@@ -220,8 +265,12 @@
 	}
 }
 
-// dropLease forgets a lease that has expired; the next call requests a new one.
+// dropLease forgets a lease that has expired; the next call requests a new one. It
+// waits if the lease ended as soon as it was granted.
 func (c *Controller) dropLease() {
+	if now := time.Now(); now.Sub(c.renewedAt) < fleet.RetryInterval {
+		c.failedAt = now
+	}
 	c.log.Warn().Str("event", "lease_lost").Str("lease", c.leaseID).Send()
 	c.leaseID = ""
 }
@@ -231,8 +280,9 @@
 	list := c.store.ListStale
 	status := c.writer.Load()
 	first := c.listCount == 0
-	// To discover other nodes, records that are seconds old are good enough.
-	consistent := !first && (c.isAlone() || c.syncedAt.Before(status.ReachabilityChangedAt))
+	// To discover other nodes, records that are seconds old are good enough, unless
+	// two listings have shown none.
+	consistent := !first && (c.isAlone() && c.listCount > 1 || c.syncedAt.Before(status.ReachabilityChangedAt))
 	if consistent {
 		list = c.store.List
 	}
@@ -255,6 +305,9 @@
 			continue
 		}
 		next.ListedRecords[record.Instance] = record
+		if first && record.Instance == c.board.Self.Instance && record.PeerAddr == c.board.Self.PeerAddr && !record.Leaving {
+			c.earlierLeaseID, c.earlierRecord = entry.Lease, record
+		}
 	}
 	c.writer.Publish(&next)
 }
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -51,6 +51,9 @@
 	// recheckInterval is the time between two checks of the age of the
 	// confirmation and of the fleet, which may make this node the watcher.
 	recheckInterval = 250 * time.Millisecond
+	// startCheckInterval is the time between two checks whether a starting node has
+	// to read the store itself.
+	startCheckInterval = 20 * time.Millisecond
 	// watchPause is the pause between watches when versions come in quick
 	// succession.
 	watchPause = 150 * time.Millisecond
@@ -73,6 +76,8 @@
 	log     zerolog.Logger
 	writer  *board.Writer[*dynconf.RouteTable]
 	started time.Time
+	// bootstrap is true when the whole deployment starts for the first time.
+	bootstrap bool
 	// documents passes documents from syncWithStore to Run, which publishes them.
 	documents chan fetchedDocument
 }
@@ -87,10 +92,11 @@
 // quick succession.
 const documentQueueSize = 16
 
-// New claims the Routes section.
-func New(b *board.MeshBoard, store Store, pull Puller, log zerolog.Logger) *Controller {
+// New claims the Routes section. The argument bootstrap says that the whole
+// deployment starts for the first time.
+func New(b *board.MeshBoard, store Store, pull Puller, bootstrap bool, log zerolog.Logger) *Controller {
 	return &Controller{
-		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), started: time.Now(),
+		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), started: time.Now(), bootstrap: bootstrap,
 		documents: make(chan fetchedDocument, documentQueueSize),
 	}
 }
@@ -169,6 +175,14 @@
 			control.Sleep(ctx, min(recheckInterval, maxAge-age))
 			continue
 		}
+		if c.startsWithoutRead(watcherOrBackup) {
+			control.Sleep(ctx, startCheckInterval)
+			continue
+		}
+		if c.storeUnavailable() {
+			control.Sleep(ctx, recheckInterval)
+			continue
+		}
 		requestedAt := time.Now()
 		entry, revision, err := c.store.GetAsOf(ctx, platform.ConfigKey)
 		if err != nil {
@@ -193,6 +207,27 @@
 	}
 }
 
+// startsWithoutRead reports whether a node that has just started leaves the first
+// read of the configuration to others.
+func (c *Controller) startsWithoutRead(storeFollower bool) bool {
+	if c.writer.Load().Version > 0 {
+		return false
+	}
+	start := fleet.Start{
+		Listed: !c.board.Store.Load().ListingRequestedAt.IsZero(), StoreFollower: storeFollower,
+		FleetSize: c.board.Fleet.Load().Size, Bootstrap: c.bootstrap,
+	}
+	return time.Since(c.started) < fleet.FirstReadDelay(start)
+}
+
+// storeUnavailable reports whether the newest call of control/registration to the
+// store failed. That controller probes the store at little cost, so that a read,
+// which is billed also when it is refused, can wait for the probe to succeed.
+func (c *Controller) storeUnavailable() bool {
+	status := c.board.Store.Load()
+	return !status.Reachable && !status.ReachabilityChangedAt.IsZero()
+}
+
 // watchRank returns the rank of this node in the order in which nodes take the
 // role of the watcher; 0 is the watcher.
 func (c *Controller) watchRank() int {
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -75,6 +75,45 @@
 	return max(RetryInterval, min(maxRetryInterval, time.Duration(fleetSize)*fleetRetryInterval))
 }
 
+const (
+	// listingWait is how long a starting node waits for its first listing of the
+	// other nodes before it reads the configuration from the store.
+	listingWait = 100 * time.Millisecond
+	// hintWait is how long a starting node waits for another one to tell it of the
+	// configuration, which takes an exchange and a pull.
+	hintWait = 300 * time.Millisecond
+	// bootstrapWait is how long the nodes of a deployment that starts for the first
+	// time wait for each other. No caller is there yet.
+	bootstrapWait = 3 * time.Second
+)
+
+// Start is what a starting node without a configuration knows.
+type Start struct {
+	// Listed is true when the node has listed the other nodes.
+	Listed bool
+	// StoreFollower is true when the node is one of those that follow the store.
+	StoreFollower bool
+	// FleetSize is the number of nodes that it knows, itself included.
+	FleetSize int
+	// Bootstrap is true when the whole deployment starts for the first time.
+	Bootstrap bool
+}
+
+// FirstReadDelay returns how long after its start a node without a configuration
+// waits before it reads the store. Each such read is billed, and the nodes that
+// follow the store tell the others.
+func FirstReadDelay(s Start) time.Duration {
+	switch {
+	case s.Bootstrap && (s.FleetSize <= 1 || !s.StoreFollower):
+		return bootstrapWait
+	case !s.Listed:
+		return listingWait
+	case s.FleetSize > 1 && !s.StoreFollower:
+		return hintWait
+	}
+	return 0
+}
+
 // Evidence is what a node knows about another node at one moment.
 type Evidence struct {
 	// Listed is true when the newest listing of the store contains the node.
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -86,3 +86,44 @@
 	require.False(t, ListingDue(ListingState{Age: ListInterval - 1, FleetSize: 600, StoreInterrupted: true, NodeUnresponsive: true}))
 	require.True(t, ListingDue(ListingState{Age: 10 * time.Minute, FleetSize: 600}))
 }
+
+// Guards against a start of many nodes that each read the configuration from the
+// store, and against a node that waits although nobody will tell it.
+func TestFirstReadDelay(t *testing.T) {
+	for name, test := range map[string]struct {
+		start Start
+		want  time.Duration
+	}{
+		"not listed yet":            {Start{FleetSize: 1, StoreFollower: true}, listingWait},
+		"alone":                     {Start{Listed: true, FleetSize: 1}, 0},
+		"follows the store":         {Start{Listed: true, FleetSize: 9, StoreFollower: true}, 0},
+		"others follow the store":   {Start{Listed: true, FleetSize: 9}, hintWait},
+		"first start, alone":        {Start{Listed: true, FleetSize: 1, StoreFollower: true, Bootstrap: true}, bootstrapWait},
+		"first start, store reader": {Start{Listed: true, FleetSize: 9, StoreFollower: true, Bootstrap: true}, 0},
+		"first start, others read":  {Start{Listed: true, FleetSize: 9, Bootstrap: true}, bootstrapWait},
+	} {
+		require.Equal(t, test.want, FirstReadDelay(test.start), name)
+	}
+}
+
+// Guards against changes that each node sends across the boundary between failure
+// domains, and against a domain that gets a change from one message only.
+func TestPushTargets(t *testing.T) {
+	candidates := map[string][]board.InstanceID{"a": {"a1", "a2", "a3", "a4", "a5"}, "b": {"b1", "b2", "b3"}, "c": {"c1"}}
+	require.ElementsMatch(t, []board.InstanceID{"a1", "a2", "a3", "a4", "b1", "b2", "c1"}, PushTargets(candidates, "a", true))
+	require.ElementsMatch(t, []board.InstanceID{"a1", "a2", "a3", "a4"}, PushTargets(candidates, "a", false))
+	require.Empty(t, PushTargets(candidates, "d", false))
+	require.InDelta(t, maxCrossDomainShare, CrossDomainShare(1), 0)
+	require.InDelta(t, 0.03, CrossDomainShare(100), 1e-9)
+}
+
+// Guards against first exchanges between all pairs of nodes, and against a node
+// whose existence is in doubt and that nobody asks.
+func TestNeedsContact(t *testing.T) {
+	require.True(t, NeedsContact(Contact{SameDomain: true}))
+	require.False(t, NeedsContact(Contact{}), "a node of another domain that was never in doubt")
+	require.False(t, NeedsContact(Contact{SameDomain: true, Responded: true}))
+	for _, doubt := range []Contact{{AddressConflict: true}, {MissingFromStore: true}, {LastExchangeFailed: true}} {
+		require.True(t, NeedsContact(doubt))
+	}
+}
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -151,7 +151,7 @@
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
-		routefeed.New(n.board, store, n.fetchRouteTable, n.log),
+		routefeed.New(n.board, store, n.fetchRouteTable, n.settings.Bootstrap, n.log),
 		&healthcheck.Controller{
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
 			OnLoadReport: n.executor.OnLoadReport, Log: n.log,
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -49,6 +49,10 @@
 
 	// StoreURL is the URL of the platform's store; required.
 	StoreURL string
+	// Bootstrap is true when the whole deployment starts for the first time: its
+	// nodes then find each other before one of them reads the configuration.
+	// Default: false.
+	Bootstrap bool
 	// PlatformLimits are the limits that the platform sets for a node.
 	PlatformLimits PlatformLimits
 }
@@ -187,6 +191,8 @@
 	case "platform":
 		return []inifile.Field{
 			storeField(&m.StoreURL).WithDescription("URL of the platform's store. Required."),
+			inifile.Bool("bootstrap", &m.Bootstrap).
+				WithDescription("Whether the whole deployment starts for the first time; its nodes then find each other before one reads the configuration."),
 			inifile.Duration("drain_time", &m.PlatformLimits.DrainTime, time.Millisecond, maxPlatformDuration).
 				WithDescription("How long a leaving backend server may still get calls."),
 			inifile.Duration("grace", &m.PlatformLimits.StopGracePeriod, time.Millisecond, maxPlatformDuration).
