Do not send a call whose deadline passed while the process was paused

Cause: an executor checked the deadline of a call at its admission only. A process that was paused, or that got the body late, sent the call afterwards, although its caller had left.

Change: the executor checks the deadline again when it holds a slot.

Result: TestCallIsNotSentAfterAPauseBeyondItsDeadline failed before (the call was answered) and passes now; the slot is released.

--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -219,6 +219,9 @@
 		return notSent(board.ReasonWrongIncarnation)
 	case server.State >= board.ServerDraining && now.Sub(server.DrainingSince) > x.DrainTime-drainMargin:
 		return notSent(board.ReasonDraining)
+	case now.After(c.Deadline):
+		// The process was paused, or the body came late. The caller has left.
+		return notSent(board.ReasonDeadlineBeforeStart)
 	}
 	tracked := x.tracker.start(job, x.currentSpeed(server, now).CurrentSlowdown(), now, from.NotifySlow)
 	concurrent := x.queue.running.Load()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -481,3 +481,35 @@
 	require.True(t, endpoint.Reachability.Replaced())
 	require.Nil(t, endpoint.LatestLoadReport(), "the load report is that of another backend server")
 }
+
+// pausedSender is an entry whose executor is paused while it accepts a call.
+type pausedSender struct{ pause time.Duration }
+
+func (s pausedSender) Accept(context.Context) ([]byte, error) {
+	time.Sleep(s.pause)
+	return nil, nil
+}
+
+func (pausedSender) NotifySlow() {}
+
+// Guards against a call that is sent after its deadline because the process was
+// paused between its admission and its send: the caller has left, and the call may
+// have been run elsewhere.
+func TestCallIsNotSentAfterAPauseBeyondItsDeadline(t *testing.T) {
+	server := startBackend(t, respondOK)
+	n := startFleet(t, server)[0]
+	execute := func(pause time.Duration) *mesh.Result {
+		now := time.Now()
+		c := &mesh.Call{
+			ID: "id", Method: http.MethodGet, Target: "/book/1", Host: "h", Header: http.Header{}, Rule: "book", Service: "desk",
+			Received: now, Objective: now.Add(100 * time.Millisecond), Deadline: now.Add(300 * time.Millisecond),
+		}
+		return n.executor.Execute(t.Context(), c, "", 0, pausedSender{pause})
+	}
+	late := execute(400 * time.Millisecond)
+	require.Equal(t, mesh.NotSent, late.Outcome)
+	require.Equal(t, board.ReasonDeadlineBeforeStart, late.Reason)
+	require.Zero(t, server.executions.Load())
+	require.Equal(t, mesh.Answered, execute(0).Outcome)
+	require.Zero(t, n.executor.InFlight(), "both slots are released")
+}
