Remove what nothing uses and simplify the merge of batches

The directory receives as many batches as wait instead of polling; the check for a due write has one condition for a node without a server.

Result: behaviour is the same.

--- a/pkg/board/request.go
+++ b/pkg/board/request.go
@@ -12,7 +12,7 @@
 type RequestState uint32
 
 // Request states. The entry uses received, routed, claimed, sent and done; the
-// executor uses received, queued, running and done. Neither sets responding yet.
+// executor uses received, queued, running and done.
 const (
 	RequestReceived RequestState = iota
 	RequestRouted
@@ -20,12 +20,11 @@
 	RequestQueued
 	RequestSent
 	RequestRunning
-	RequestResponding
 	RequestDone
 )
 
 var requestStateNames = [...]string{
-	"received", "routed", "claimed", "queued", "sent", "running", "responding", "done",
+	"received", "routed", "claimed", "queued", "sent", "running", "done",
 }
 
 // String returns the name used in logs and status output.
@@ -39,14 +38,13 @@
 // allowedRequestTransitions holds, for each state, the set of states that may
 // follow. A retry moves a request from sent back to routed.
 var allowedRequestTransitions = [...]uint32{
-	RequestReceived:   stateSet(RequestRouted, RequestQueued, RequestRunning, RequestDone),
-	RequestRouted:     stateSet(RequestClaimed, RequestSent, RequestDone),
-	RequestClaimed:    stateSet(RequestSent, RequestRouted, RequestDone),
-	RequestQueued:     stateSet(RequestRunning, RequestDone),
-	RequestSent:       stateSet(RequestRouted, RequestResponding, RequestDone),
-	RequestRunning:    stateSet(RequestResponding, RequestDone),
-	RequestResponding: stateSet(RequestDone),
-	RequestDone:       0,
+	RequestReceived: stateSet(RequestRouted, RequestQueued, RequestRunning, RequestDone),
+	RequestRouted:   stateSet(RequestClaimed, RequestSent, RequestDone),
+	RequestClaimed:  stateSet(RequestSent, RequestRouted, RequestDone),
+	RequestQueued:   stateSet(RequestRunning, RequestDone),
+	RequestSent:     stateSet(RequestRouted, RequestDone),
+	RequestRunning:  stateSet(RequestDone),
+	RequestDone:     0,
 }
 
 // stateSet returns a bit mask of states.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -196,7 +196,7 @@
 	c.pushRecords(ctx, []board.NodeRecord{next}, true)
 }
 
-// maxMergedBatches bounds the batches that are merged before the view is
+// maxMergedBatches bounds the waiting batches that are merged before the view is
 // published.
 const maxMergedBatches = 64
 
@@ -204,14 +204,10 @@
 // view once, since a new view costs time in proportion to the fleet.
 func (c *Controller) mergeBatches(ctx context.Context, batch board.NodeRecordBatch, now time.Time) {
 	changed := c.mergeRecords(ctx, batch, now)
-	for range maxMergedBatches - 1 {
-		select {
-		case batch = <-c.board.NodeRecords.Events():
-			changed = c.mergeRecords(ctx, batch, now) || changed
-			continue
-		default:
-		}
-		break
+	// This controller is the only reader of the inbox, so no receive blocks.
+	waiting := c.board.NodeRecords.Events()
+	for range min(len(waiting), maxMergedBatches) {
+		changed = c.mergeRecords(ctx, <-waiting, now) || changed
 	}
 	if changed {
 		c.publish()
@@ -583,10 +579,10 @@
 	Dispatch(b, m)
 	now := time.Now()
 	response := newMessage(b, load, now)
-	view := b.Fleet.Load()
 	if m.Push {
 		return response
 	}
+	view := b.Fleet.Load()
 	response.Suspicions = quarantine.ReportDelta(b.Quarantine.Load(), m.SuspicionDigests, now)
 	if slices.Equal(view.BucketDigests, m.Digests) {
 		return response
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -131,16 +131,11 @@
 // writeDue reports whether the record in the store must be updated. Changes of
 // other fields are not written: nodes learn them from each other.
 func (c *Controller) writeDue(own board.NodeRecord, now time.Time) bool {
-	if c.writtenRecord.Instance == "" {
-		return own.ServerID != "" || now.Sub(c.started) >= maxServerWait
-	}
 	if own.ServerID == "" && now.Sub(c.started) < maxServerWait {
-		// A process that has taken over the lease of an earlier one has not found
-		// the backend server yet.
 		return false
 	}
 	written := c.writtenRecord
-	return written.ServerID != own.ServerID || written.ServerStartMillis != own.ServerStartMillis || written.Leaving != own.Leaving ||
+	return written.Instance == "" || written.ServerID != own.ServerID || written.ServerStartMillis != own.ServerStartMillis || written.Leaving != own.Leaving ||
 		(written.State >= board.ServerDraining) != (own.State >= board.ServerDraining) ||
 		written.Contention != own.Contention && c.writesContention()
 }
--- a/pkg/decide/keyhome/keyhome.go
+++ b/pkg/decide/keyhome/keyhome.go
@@ -37,14 +37,6 @@
 	return best, true
 }
 
-// Moved reports whether the home of a key, or the incarnation of its home,
-// differs between previous and next.
-func Moved(previous, next []board.EpochMember, id board.KeyID) bool {
-	a, okA := Home(previous, id)
-	b, okB := Home(next, id)
-	return okA != okB || a.Instance != b.Instance || a.Incarnation != b.Incarnation
-}
-
 // ProposerRank returns the position of an instance in the order in which the
 // proposed members propose the next epoch, 0 for the first. Members of the
 // current epoch come before joining members, because they know which transfers
--- a/pkg/decide/keyhome/keyhome_test.go
+++ b/pkg/decide/keyhome/keyhome_test.go
@@ -41,7 +41,7 @@
 		rest := append(append([]board.EpochMember{}, members[:lost]...), members[lost+1:]...)
 		id := board.KeyID{Service: "s", Caller: "c", Key: rapid.String().Draw(t, "key")}
 		home, _ := Home(members, id)
-		if got := Moved(members, rest, id); got != (home == members[lost]) {
+		if got := moved(members, rest, id); got != (home == members[lost]) {
 			t.Fatalf("home %s, lost %s, moved %v", home.Instance, members[lost].Instance, got)
 		}
 	})
@@ -125,3 +125,11 @@
 		require.Equal(t, c.noHorizon, !state.Pending && state.Horizon.IsZero(), name)
 	}
 }
+
+// moved reports whether the home of a key, or the incarnation of its home,
+// differs between previous and next.
+func moved(previous, next []board.EpochMember, id board.KeyID) bool {
+	a, okA := Home(previous, id)
+	b, okB := Home(next, id)
+	return okA != okB || a.Instance != b.Instance || a.Incarnation != b.Incarnation
+}
