Share the set-up of a single node between two tests of the key protocol

Cause: claimtimeout_test.go repeated the configuration and the construction of singlenode_test.go.

Change: both use newSingleNodeWithPeers. Tests only; assertions unchanged.

--- a/pkg/atmostonce/claimtimeout_test.go
+++ b/pkg/atmostonce/claimtimeout_test.go
@@ -5,12 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"mangostand.example/mangostand/pkg/atmostonce"
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
@@ -39,13 +37,9 @@
 // newNodeWithPeers returns n0 of an epoch with n0 and n1, which knows n1 as a
 // live member.
 func newNodeWithPeers(peers atmostonce.Peers) (*singleNode, *board.Epoch) {
-	b := board.New("n0")
-	config := dynconf.Default()
-	config.Services[service] = &dynconf.Service{Name: service, InstancePatterns: []string{"*"}}
-	b.Config.Claim("test").Publish(config)
+	n := newSingleNodeWithPeers(peers)
 	n1 := board.Member{Instance: "n1", Incarnation: 1, Service: service, PeerAddr: "n1", State: board.MemberServing}
-	b.Members.Claim("test").Publish(board.NewMembers("n0", map[board.InstanceID]board.Member{"n1": n1}))
-	n := &singleNode{atmostonce.New("n0", 1, b, peers, zerolog.Nop()), b.Epochs.Claim("test")}
+	n.Board.Members.Claim("test").Publish(board.NewMembers("n0", map[board.InstanceID]board.Member{"n1": n1}))
 	return n, n.publishEpoch(1, nil, nil, "n0", "n1")
 }
 
--- a/pkg/atmostonce/singlenode_test.go
+++ b/pkg/atmostonce/singlenode_test.go
@@ -23,12 +23,15 @@
 }
 
 // newSingleNode returns the key controller of instance n0 with incarnation 1.
-func newSingleNode() *singleNode {
+func newSingleNode() *singleNode { return newSingleNodeWithPeers(nil) }
+
+// newSingleNodeWithPeers is newSingleNode with a way to send messages.
+func newSingleNodeWithPeers(peers atmostonce.Peers) *singleNode {
 	b := board.New("n0")
 	config := dynconf.Default()
 	config.Services[service] = &dynconf.Service{Name: service, InstancePatterns: []string{"*"}}
 	b.Config.Claim("test").Publish(config)
-	return &singleNode{atmostonce.New("n0", 1, b, nil, zerolog.Nop()), b.Epochs.Claim("test")}
+	return &singleNode{atmostonce.New("n0", 1, b, peers, zerolog.Nop()), b.Epochs.Claim("test")}
 }
 
 // publishEpoch publishes an epoch whose members have incarnation 1.
