Close idle connections in time and let a raised idle timeout apply to them

Cause: the reader of a connection took the idle timeout before its wait. When it had passed, the reader stopped the connection and discarded all further bytes without a deadline, and the writer, which closes the connection, waited for the reader. The same left each idle connection open until its caller closed it, so that descriptors could run out; the error of Accept then ended the node.

Change: idle.Timeouts decides which timeout counts, the longest that was in force during the wait; the section IdleTimeouts keeps the history. A connection that has been idle for too long is closed on its sending side at once. The limit that is set for the end of a connection is no longer replaced by that of the next read. Open connections are bounded by shares of the descriptor limit (new setting max_descriptors), longest idle first; a lack of descriptors or buffers at Accept is survived with a pause and a log line. The listeners for announcements and readiness got an idle timeout.

Conclusion: the wait ends by one rule, and a caller always sees how.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/dynconf"
 )
 
@@ -27,6 +28,9 @@
 	Self NodeIdentity
 	// Routes is written by control/routefeed.
 	Routes *Section[*dynconf.RouteTable]
+	// IdleTimeouts is the history of the idle timeout of callers' connections. It is
+	// written by control/routefeed.
+	IdleTimeouts *Section[idle.Timeouts]
 	// LocalServer is written by control/localserver.
 	LocalServer *Section[*BackendServer]
 	// Fleet is written by control/directory.
@@ -91,6 +95,7 @@
 	return &MeshBoard{
 		Self:             self,
 		Routes:           NewSection("routes", dynconf.EmptyRouteTable()),
+		IdleTimeouts:     NewSection("idle_timeouts", idle.Timeouts{}.With(dynconf.DefaultCallerLimits().IdleTimeout, time.Now())),
 		LocalServer:      NewSection("server", &BackendServer{}),
 		Fleet:            NewSection("fleet", &Fleet{ByService: map[string][]*MeshEndpoint{}, ByInstance: map[InstanceID]*MeshEndpoint{}}),
 		Store:            NewSection("store", &StoreStatus{}),
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -1,6 +1,7 @@
 // Package routefeed keeps the routing configuration up to date: it reads and
 // watches the platform's store and pulls newer versions from other nodes. It
-// writes the Routes section, whose version never decreases.
+// writes the Routes section, whose version never decreases, and the IdleTimeouts
+// section.
 //
 // One node, the watcher, reads the store continuously. It confirms that the
 // version in force is the newest one, and the nodes pass the confirmation on to
@@ -19,6 +20,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/fleet"
+	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/platform"
 )
@@ -70,12 +72,14 @@
 
 // Controller writes the Routes section.
 type Controller struct {
-	board   *board.MeshBoard
-	store   Store
-	pull    Puller
-	log     zerolog.Logger
-	writer  *board.Writer[*dynconf.RouteTable]
-	started time.Time
+	board  *board.MeshBoard
+	store  Store
+	pull   Puller
+	log    zerolog.Logger
+	writer *board.Writer[*dynconf.RouteTable]
+	// idleTimeouts writes the IdleTimeouts section.
+	idleTimeouts *board.Writer[idle.Timeouts]
+	started      time.Time
 	// bootstrap is true when the whole deployment starts for the first time.
 	bootstrap bool
 	// documents passes documents from syncWithStore to Run, which publishes them.
@@ -96,7 +100,8 @@
 // deployment starts for the first time.
 func New(b *board.MeshBoard, store Store, pull Puller, bootstrap bool, log zerolog.Logger) *Controller {
 	return &Controller{
-		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), started: time.Now(), bootstrap: bootstrap,
+		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), idleTimeouts: b.IdleTimeouts.Claim("routefeed"),
+		started: time.Now(), bootstrap: bootstrap,
 		documents: make(chan fetchedDocument, documentQueueSize),
 	}
 }
@@ -135,6 +140,7 @@
 		return
 	}
 	table.ReadFromStore = from == fromStore
+	c.idleTimeouts.Publish(c.idleTimeouts.Load().With(table.Limits.IdleTimeout, time.Now()))
 	c.writer.Publish(table)
 	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", from).Send()
 }
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -186,6 +186,28 @@
 	})
 }
 
+// Guards against connections that are closed by the timeout of an earlier version
+// after a later one has raised it (review/4).
+func TestIdleTimeoutsFollowTheConfiguration(t *testing.T) {
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
+		withIdleTimeout := func(version, seconds int) []byte {
+			return fmt.Appendf(nil, `{"version":"r%d","limits":{"idle_timeout_s":%d},"listeners":[],"clusters":[]}`, version, seconds)
+		}
+		putDocument(t, s, withIdleTimeout(1, 3))
+		b := startController(ctx, "a", nil, newClient(s), nil)
+		time.Sleep(startupGrace + time.Minute)
+		idleSince := time.Now()
+		require.Equal(t, 3*time.Second, b.IdleTimeouts.Load().LongestSince(idleSince))
+		putDocument(t, s, withIdleTimeout(2, 15))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 15*time.Second, b.IdleTimeouts.Load().LongestSince(idleSince))
+		putDocument(t, s, withIdleTimeout(3, 4))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 15*time.Second, b.IdleTimeouts.Load().LongestSince(idleSince))
+		require.Equal(t, 4*time.Second, b.IdleTimeouts.Load().LongestSince(time.Now()))
+	})
+}
+
 // Guards against reads of the store, which are billed, by nodes that receive
 // confirmations, and against a node that misses a new version when
 // confirmations stop.
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -4,15 +4,19 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/guard"
 )
 
@@ -24,8 +28,6 @@
 	// ReadHeaderTimeout is the time limit from the first byte of a request to the
 	// end of its header.
 	ReadHeaderTimeout time.Duration
-	// IdleTimeout is how long a connection without requests stays open.
-	IdleTimeout time.Duration
 }
 
 const (
@@ -41,6 +43,9 @@
 	// the connection is closed. Closing a socket with unread bytes resets the
 	// connection, which can destroy that response.
 	lingerTimeout = 500 * time.Millisecond
+	// acceptRetryDelay is the pause after a failed Accept, in which connections can
+	// end and free their descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // Handler responds to a request. The context ends when the caller disconnects.
@@ -53,6 +58,13 @@
 	Handler Handler
 	// Limits is called once for each request, so that the limits can change.
 	Limits func() Limits
+	// IdleTimeout returns how long a connection that has been idle since a time may
+	// stay open. It is called again when that time has passed, so that a longer
+	// timeout applies to connections that are idle already.
+	IdleTimeout func(since time.Time) time.Duration
+	// MaxConns is the number of open connections above which those that have been
+	// idle for longest are closed; 0 means no limit.
+	MaxConns int
 	// ManualContinue leaves the 100 response to the handler, which calls SendInterim
 	// and AwaitBody for requests with Expect: 100-continue. It is set on the listener
 	// for other nodes.
@@ -65,28 +77,44 @@
 	activeRequests atomic.Int64
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. When the process or the
+// machine has no descriptors or buffers left, it closes idle connections and goes
+// on after a pause.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
 		nc, err := listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
-			}
+		switch {
+		case err == nil:
+			s.startConn(nc)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case isTransientAcceptError(err):
+			open := s.openConns()
+			closed := s.closeLongestIdle(open - 1)
+			s.Log.Warn().Err(err).Str("event", "accept_failed").Int("open", open).Int("closed_idle", closed).Send()
+			time.Sleep(acceptRetryDelay)
+		default:
 			return errors.Annotate(err, "accepting connections")
 		}
-		s.startConn(nc)
 	}
 }
 
+// isTransientAcceptError reports whether a later Accept can succeed: the connection
+// ended before it was accepted, or descriptors or buffers are short.
+func isTransientAcceptError(err error) bool {
+	for _, transient := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (s *Server) startConn(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &serverConn{
-		server: s, netConn: nc, ctx: ctx, cancel: cancel,
+		server: s, netConn: nc, ctx: ctx, cancel: cancel, openedAt: time.Now(),
 		responses: make(chan *pendingResponse, maxPipelinedRequests),
 	}
 	c.input = &limitedReader{r: nc, remaining: -1}
@@ -96,9 +124,14 @@
 		s.conns = map[*serverConn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
+	open := len(s.conns)
 	s.mu.Unlock()
 	go c.readLoop()
 	go c.writeLoop()
+	if s.MaxConns > 0 && open > s.MaxConns {
+		closed := s.closeLongestIdle(s.MaxConns)
+		s.Log.Warn().Str("event", "idle_conns_closed").Int("open", open).Int("limit", s.MaxConns).Int("closed_idle", closed).Send()
+	}
 }
 
 func (s *Server) removeConn(c *serverConn) {
@@ -107,6 +140,39 @@
 	s.mu.Unlock()
 }
 
+// openConns returns the number of open connections.
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// listConns returns the open connections.
+func (s *Server) listConns() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// closeLongestIdle closes idle connections while more than limit are open and
+// returns how many it has closed.
+func (s *Server) closeLongestIdle(limit int) int {
+	conns := s.listConns()
+	states := make([]idle.Conn, len(conns))
+	for i, c := range conns {
+		since, isIdle := c.idleSince()
+		states[i] = idle.Conn{Since: since, Busy: !isIdle}
+	}
+	closed := 0
+	for _, i := range idle.Evict(states, limit) {
+		if conns[i].stopIfIdle() {
+			conns[i].close()
+			closed++
+		}
+	}
+	return closed
+}
+
 // Drain makes each connection stop reading requests at its next response, and close
 // after the responses to the requests that it has read.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -114,17 +180,11 @@
 // ActiveRequests returns the number of requests that have no complete response yet.
 func (s *Server) ActiveRequests() int { return int(s.activeRequests.Load()) }
 
-// CloseIdleConns closes the connections without unanswered requests and returns how
-// many other connections are open.
+// CloseIdleConns closes the idle connections and returns how many other ones are
+// open.
 func (s *Server) CloseIdleConns() int {
-	s.mu.Lock()
-	conns := make([]*serverConn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	s.mu.Unlock()
 	remaining := 0
-	for _, c := range conns {
+	for _, c := range s.listConns() {
 		if c.stopIfIdle() {
 			c.close()
 		} else {
@@ -147,12 +207,15 @@
 	br        *bufio.Reader
 	ctx       context.Context
 	cancel    context.CancelFunc
+	openedAt  time.Time
 	responses chan *pendingResponse
 
 	mu sync.Mutex
 	// unanswered is the number of requests that were read and have no complete
 	// response yet.
 	unanswered int
+	// receiving means that a request is being read.
+	receiving bool
 	// stopped means that no further request is accepted.
 	stopped bool
 	// lingering means that the last response was written; see linger.
@@ -182,6 +245,7 @@
 		return false
 	}
 	c.unanswered++
+	c.receiving = false
 	c.server.activeRequests.Add(1)
 	return true
 }
@@ -206,27 +270,54 @@
 	return c.stopped && c.unanswered == 1
 }
 
-// stopIfIdle stops the connection if no request is unanswered, and reports whether
-// it did.
+// isIdle reports whether no request is unanswered or being received. The caller
+// holds mu.
+func (c *serverConn) isIdle() bool { return c.unanswered == 0 && !c.receiving }
+
+// startReceiving records that a request is being read.
+func (c *serverConn) startReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = true
+}
+
+// stopIfIdle stops the connection if it is idle, and reports whether it did.
 func (c *serverConn) stopIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 {
+	if !c.isIdle() {
 		return false
 	}
 	c.stopped = true
 	return true
 }
 
-// idleSince returns the time of the latest response, or start if that is later, and
-// whether no request is unanswered.
-func (c *serverConn) idleSince(start time.Time) (time.Time, bool) {
+// idleSince returns the time of the latest response, or that of the start of the
+// connection, and whether the connection is idle.
+func (c *serverConn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastResponseAt.IsZero() {
+		return c.openedAt, c.isIdle()
+	}
+	return c.lastResponseAt, c.isIdle()
+}
+
+// isStopped reports whether no further request is accepted.
+func (c *serverConn) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
+// setReadDeadline sets the time limit of reads. The limit of a connection that
+// lingers stays.
+func (c *serverConn) setReadDeadline(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastResponseAt.After(start) {
-		return c.lastResponseAt, c.unanswered == 0
+	if !c.lingering {
+		_ = c.netConn.SetReadDeadline(deadline)
 	}
-	return start, c.unanswered == 0
 }
 
 // readLoop reads requests until the connection ends or is stopped. The disconnect
@@ -241,24 +332,21 @@
 	// Keeps reading without accepting requests, to detect when the caller
 	// disconnects, and because closing a socket with unread bytes would reset the
 	// connection and could destroy the last response.
-	c.mu.Lock()
-	if !c.lingering {
-		_ = c.netConn.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
+	c.setReadDeadline(time.Time{})
 	_, _ = io.Copy(io.Discard, c.netConn)
 	c.cancel()
 }
 
 // readRequest reads one request and reports whether another one may follow.
 func (c *serverConn) readRequest() bool {
-	limits := c.server.Limits()
-	if !c.awaitFirstByte(limits) {
+	if !c.awaitFirstByte() {
 		return false
 	}
+	c.startReceiving()
+	limits := c.server.Limits()
 	received := time.Now()
 	c.input.remaining = max(1, limits.MaxHeaderBytes-c.br.Buffered())
-	_ = c.netConn.SetReadDeadline(received.Add(limits.ReadHeaderTimeout))
+	c.setReadDeadline(received.Add(limits.ReadHeaderTimeout))
 	parsed, err := http.ReadRequest(c.br)
 	c.input.remaining = -1
 	if err != nil {
@@ -267,7 +355,7 @@
 		}
 		return c.rejectRequest(statusForReadError(err))
 	}
-	_ = c.netConn.SetReadDeadline(received.Add(limits.ReadHeaderTimeout + readBodyTimeout))
+	c.setReadDeadline(received.Add(limits.ReadHeaderTimeout + readBodyTimeout))
 	r := &Request{
 		Method: parsed.Method, Target: parsed.RequestURI, Host: parsed.Host, Header: parsed.Header,
 		ReceivedAt: received, conn: c,
@@ -294,14 +382,22 @@
 }
 
 // awaitFirstByte waits for the first byte of the next request. It returns false
-// when the connection has ended or was idle for too long.
-func (c *serverConn) awaitFirstByte(limits Limits) bool {
-	start := time.Now()
-	for {
-		if c.br.Buffered() > 0 {
-			return true
+// when the connection has ended or is stopped, or was idle for too long. In the last
+// case it closes the connection, so that the caller learns that a request which it
+// sends now is not read.
+func (c *serverConn) awaitFirstByte() bool {
+	for c.br.Buffered() == 0 {
+		since, isIdle := c.idleSince()
+		timeout := c.server.IdleTimeout(since)
+		switch {
+		case !isIdle:
+			since = time.Now()
+		case time.Since(since) >= timeout && c.stopIfIdle():
+			c.server.Log.Debug().Str("event", "idle_conn_closed").Dur("timeout", timeout).Send()
+			c.linger()
+			return false
 		}
-		_ = c.netConn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.setReadDeadline(since.Add(timeout))
 		_, err := c.br.Peek(1)
 		if err == nil {
 			return true
@@ -310,20 +406,17 @@
 		if !errors.As(err, &netErr) || !netErr.Timeout() {
 			return c.handleDisconnect()
 		}
-		since, idle := c.idleSince(start)
-		if idle && time.Since(since) >= limits.IdleTimeout && c.stopIfIdle() {
+		if c.isStopped() {
 			return false
 		}
 	}
+	return true
 }
 
 // handleDisconnect cancels the requests of the connection after the caller has
 // disconnected, unless the connection is already stopped. It returns false.
 func (c *serverConn) handleDisconnect() bool {
-	c.mu.Lock()
-	stopped := c.stopped
-	c.mu.Unlock()
-	if !stopped {
+	if !c.isStopped() {
 		c.cancel()
 	}
 	return false
--- a/pkg/h1/server_test.go
+++ b/pkg/h1/server_test.go
@@ -14,7 +14,7 @@
 )
 
 func testLimits() Limits {
-	return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: 5 * time.Second}
 }
 
 // startServer runs a server on a loopback address and returns the address.
@@ -25,6 +25,9 @@
 	if s.Limits == nil {
 		s.Limits = testLimits
 	}
+	if s.IdleTimeout == nil {
+		s.IdleTimeout = func(time.Time) time.Duration { return time.Minute }
+	}
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
@@ -166,7 +169,7 @@
 	addr := startServer(t, &Server{
 		Handler: func(context.Context, *Request) *Response { return okResponse("handled") },
 		Limits: func() Limits {
-			return Limits{MaxHeaderBytes: 512, MaxBodyBytes: 10, ReadHeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute}
+			return Limits{MaxHeaderBytes: 512, MaxBodyBytes: 10, ReadHeaderTimeout: 200 * time.Millisecond}
 		},
 	})
 	for name, c := range map[string]struct {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -193,10 +193,11 @@
 		Codec: testCodec{}, Log: zerolog.Nop(), AttemptLimit: attempts.Limit{Ratio: 1, Slack: 100}, AttemptWindow: 10 * time.Second,
 	}
 	limits := func() h1.Limits {
-		return h1.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+		return h1.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: 5 * time.Second}
 	}
-	peerServer := &h1.Server{Handler: n.executor.HandleHop, Limits: limits, ManualContinue: true}
-	callerServer := &h1.Server{Handler: n.entry.Handle, Limits: limits}
+	idleTimeout := func(time.Time) time.Duration { return time.Minute }
+	peerServer := &h1.Server{Handler: n.executor.HandleHop, Limits: limits, IdleTimeout: idleTimeout, ManualContinue: true}
+	callerServer := &h1.Server{Handler: n.entry.Handle, Limits: limits, IdleTimeout: idleTimeout}
 	go func() { _ = peerServer.Serve(peers) }()
 	go func() { _ = callerServer.Serve(callers) }()
 	return n
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,6 +47,11 @@
 	// to the backend server.
 	peerIdleTimeout   = 30 * time.Second
 	serverIdleTimeout = 8 * time.Second
+	// localIdleTimeout closes idle connections of the backend server and of the
+	// platform's readiness check, both of which call about once a second.
+	localIdleTimeout = 30 * time.Second
+	// defaultDescriptors is assumed when the descriptor limit is not known.
+	defaultDescriptors = 1024
 	// maxPeerHeaderBytes bounds the header of requests between nodes: the caller's
 	// header and the hop header. maxHopHeaderBytes is the part of the latter.
 	maxPeerHeaderBytes = 256 << 10
@@ -161,33 +168,66 @@
 }
 
 func (n *Node) buildServers() {
-	n.callerServer = &h1.Server{Handler: n.entry.Handle, Limits: n.callerLimits, Log: n.log}
-	n.peerServer = &h1.Server{Handler: n.handlePeer, Limits: n.peerLimits, ManualContinue: true, Log: n.log}
+	descriptors := n.descriptorLimit()
+	n.callerServer = &h1.Server{
+		Handler: n.entry.Handle, Limits: n.callerLimits, IdleTimeout: n.callerIdleTimeout,
+		MaxConns: int(callerConnShare * float64(descriptors)), Log: n.log,
+	}
+	n.peerServer = &h1.Server{
+		Handler: n.handlePeer, Limits: n.peerLimits, IdleTimeout: func(time.Time) time.Duration { return 2 * peerIdleTimeout },
+		MaxConns: int(peerConnShare * float64(descriptors)), ManualContinue: true, Log: n.log,
+	}
 	errorLog := stdlog.New(n.log.With().Str("event", "http_error").Logger(), "", 0)
 	announce := func(event board.ServerEvent) bool {
 		return localserver.AnnounceAndWait(n.board, event, announceTimeout)
 	}
 	n.announceServer = &http.Server{
-		Handler: platform.NewAnnouncementHandler(announce, n.log), ReadHeaderTimeout: time.Second, ErrorLog: errorLog,
+		Handler: platform.NewAnnouncementHandler(announce, n.log), ReadHeaderTimeout: time.Second, IdleTimeout: localIdleTimeout, ErrorLog: errorLog,
 	}
 	n.readinessServer = &http.Server{
-		Handler: platform.NewReadinessHandler(n.ready, n.metricsHandler), ReadHeaderTimeout: time.Second, ErrorLog: errorLog,
+		Handler: platform.NewReadinessHandler(n.ready, n.metricsHandler), ReadHeaderTimeout: time.Second, IdleTimeout: localIdleTimeout, ErrorLog: errorLog,
 	}
 }
 
 func (n *Node) callerLimits() h1.Limits {
 	l := n.board.Routes.Load().Limits
-	return h1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return h1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, ReadHeaderTimeout: l.HeaderTimeout}
+}
+
+// callerIdleTimeout returns how long a caller's connection that has been idle since
+// a time may stay open.
+func (n *Node) callerIdleTimeout(since time.Time) time.Duration {
+	return n.board.IdleTimeouts.Load().LongestSince(since)
 }
 
 func (n *Node) peerLimits() h1.Limits {
 	l := n.callerLimits()
 	l.MaxHeaderBytes = maxPeerHeaderBytes
 	l.MaxBodyBytes = max(l.MaxBodyBytes, maxMessageBytes)
-	l.IdleTimeout = 2 * peerIdleTimeout
 	return l
 }
 
+const (
+	// callerConnShare and peerConnShare are the shares of the descriptor limit that
+	// open connections of callers and from other nodes may take. The rest is for
+	// connections to nodes, to the backend server and to the store.
+	callerConnShare = 0.4
+	peerConnShare   = 0.35
+)
+
+// descriptorLimit returns how many descriptors the process may have open.
+func (n *Node) descriptorLimit() int {
+	if n.settings.MaxDescriptors > 0 {
+		return n.settings.MaxDescriptors
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		n.log.Warn().Err(err).Str("event", "descriptor_limit_unknown").Int("assumed", defaultDescriptors).Send()
+		return defaultDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // ready reports whether the platform may send callers to this node.
 func (n *Node) ready() bool {
 	return n.board.Routes.Load().Version > 0 && !n.board.Shutdown.Load().Requested
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -22,6 +22,9 @@
 	LogLevel string
 	// MemoryLimitMB is the memory limit of the process in MB; 0 means no limit.
 	MemoryLimitMB int
+	// MaxDescriptors is the limit on open descriptors of the process; 0 means the one
+	// that the system reports.
+	MaxDescriptors int
 	// LinkMbps is the rate of the machine's network link in Mbit/s; 0 means that
 	// it is not known.
 	LinkMbps float64
@@ -167,6 +170,8 @@
 			inifile.String("failure_domain", &m.FailureDomain).WithDescription("Failure domain of the instance. Required."),
 			inifile.Choice("log_level", &m.LogLevel, "debug", "info", "warn", "error").WithDescription("Least level of log lines."),
 			inifile.Int("memory_mb", &m.MemoryLimitMB, 0, maxMemoryMB).WithDescription("Memory limit of the process in MB; 0 means none."),
+			inifile.Int("max_descriptors", &m.MaxDescriptors, 0, maxMaxDescriptors).
+				WithDescription("Limit on open descriptors of the process; 0 means the one that the system reports. Idle connections are closed before it is reached."),
 			inifile.Float("link_mbps", &m.LinkMbps, 0, maxLinkMbps).
 				WithDescription("Rate of the machine's link in Mbit/s; 0 means not known. Large answers are paced to it."),
 		}
@@ -211,5 +216,8 @@
 // maxMemoryMB is above the memory that any instance can have.
 const maxMemoryMB = 1 << 20
 
+// maxMaxDescriptors is above the descriptors that any process can have.
+const maxMaxDescriptors = 1 << 30
+
 // maxLinkMbps is above the link rate that any instance can have.
 const maxLinkMbps = 1e6
