Let a leaving that was acknowledged bind a restarted node

Cause: a node kept what it knew of its backend server in memory only. With no state any heartbeat was applied, although the store and the other nodes held the record of the earlier process, and the other nodes replaced it by the newer record of the restarted node.

Until a record has been found, or found missing, a ready heartbeat needs a health answer, a second heartbeat or the record to confirm it, so that neither a living nor a new server waits for the store. Other nodes keep a leaving against a newer record with the same start of the server, and return it. A heartbeat without a start time no longer replaces another server, with its drain. A server that is down and has left is announced as gone.

Conclusion: the evidence existed and is used now, wherever it is found and whenever.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -228,16 +228,35 @@
 	Slots    int
 	// WarmupEndsAt is when it reaches its full speed after the start.
 	WarmupEndsAt time.Time
-	// DrainingSince is when this node learned that it drains.
+	// DrainingSince is when this node learned that it drains. The zero time means
+	// that an earlier process learned it.
 	DrainingSince time.Time
 	// LastHeardAt is the time of its latest announcement or health response.
 	LastHeardAt time.Time
 	// Down is set while it does not serve its address.
 	Down bool
+	// Unconfirmed is set while a heartbeat that may be late is the only sign that it
+	// is ready.
+	Unconfirmed bool
+	// Earlier is what an earlier process of this node has announced.
+	Earlier EarlierServer
+}
+
+// EarlierServer is the backend server in the record that an earlier process of this
+// node has sent to the store and to other nodes.
+type EarlierServer struct {
+	// Known is set when such a record was found, or when the store has none. In the
+	// latter case ID is "".
+	Known       bool
+	ID          string
+	StartMillis int64
+	State       ServerState
 }
 
 // AcceptsCalls reports whether the backend server accepts new calls.
-func (s *BackendServer) AcceptsCalls() bool { return s.State == ServerReady && !s.Down }
+func (s *BackendServer) AcceptsCalls() bool {
+	return s.State == ServerReady && !s.Down && !s.Unconfirmed
+}
 
 // ServerEventKind is the kind of a server event.
 type ServerEventKind uint8
@@ -256,6 +275,10 @@
 	ServerEventUnreachable
 	// ServerEventReachable reverts ServerEventUnreachable.
 	ServerEventReachable
+	// ServerEventEarlierRecord means that the record of an earlier process of this
+	// node was found, or that the store has none. In the latter case the ID of the
+	// server is "".
+	ServerEventEarlierRecord
 )
 
 // ServerEvent is an announcement of the local backend server or an observation
@@ -305,12 +328,17 @@
 	ContentionSlowdown
 )
 
-// Supersedes reports whether r is newer than other.
+// Supersedes reports whether r is newer than other. Of two equally new records, one
+// that tells of a leaving backend server supersedes one that does not, see
+// fleet.RetainWithdrawal.
 func (r NodeRecord) Supersedes(other NodeRecord) bool {
 	if r.Incarnation != other.Incarnation {
 		return r.Incarnation > other.Incarnation
 	}
-	return r.Sequence > other.Sequence
+	if r.Sequence != other.Sequence {
+		return r.Sequence > other.Sequence
+	}
+	return r.State >= ServerDraining && r.State > other.State
 }
 
 // AcceptsCalls reports whether the backend server of the node accepts new calls.
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -83,6 +83,9 @@
 	pendingRecords  []board.NodeRecord
 	forwardDue      <-chan time.Time
 	lastForwardedAt time.Time
+	// reportedEarlier is the backend server that was last reported to
+	// control/localserver, see reportEarlierServer.
+	reportedEarlier *board.BackendServer
 	// quarantinedCount is the number of quarantined requests at the last change
 	// of the Quarantine section.
 	quarantinedCount int
@@ -178,7 +181,7 @@
 	if server.Service != "" {
 		next.Service = server.Service
 	}
-	if server.Down {
+	if server.State == board.ServerReady && !server.AcceptsCalls() {
 		next.State = board.ServerUnknown
 	}
 	next.Leaving = c.board.Shutdown.Load().Leaving
@@ -250,11 +253,17 @@
 // mergeRecord merges a record and reports whether it changed anything.
 func (c *Controller) mergeRecord(record board.NodeRecord, now time.Time) bool {
 	if record.Instance == c.ownRecord.Instance {
+		if record.ServerID != "" {
+			c.reportEarlierServer(board.BackendServer{ID: record.ServerID, StartMillis: record.ServerStartMillis, State: record.State})
+		}
 		return c.restoreContention(record) || c.refute(record)
 	}
 	current := c.nodes[record.Instance]
-	if current != nil && !record.Supersedes(current.endpoint.Record) {
-		return false
+	if current != nil {
+		if !record.Supersedes(current.endpoint.Record) {
+			return false
+		}
+		record = fleet.RetainWithdrawal(current.endpoint.Record, record)
 	}
 	node := &nodeState{firstSeenAt: now, alive: !record.Leaving, lastAliveAt: now}
 	endpoint := &board.MeshEndpoint{Record: record, EndpointStats: &board.EndpointStats{}, Reachability: &board.Reachability{}}
@@ -319,6 +328,22 @@
 	return !n.addressConflictAt.IsZero() && !n.endpoint.Reachability.RespondedSince(n.addressConflictAt)
 }
 
+// reportEarlierServer reports the backend server in a record of an earlier process of
+// this node, or that the store has none, to control/localserver.
+func (c *Controller) reportEarlierServer(earlier board.BackendServer) {
+	if earlier.ID != "" && earlier.ID == c.ownRecord.ServerID && earlier.StartMillis == c.ownRecord.ServerStartMillis && earlier.State <= c.ownRecord.State {
+		return
+	}
+	if c.reportedEarlier != nil && *c.reportedEarlier == earlier {
+		return
+	}
+	if !c.board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventEarlierRecord, Server: earlier}) {
+		c.log.Warn().Str("event", "earlier_server_dropped").Str("server", earlier.ID).Msg("inbox of announcements is full, the next exchange tries again")
+		return
+	}
+	c.reportedEarlier = &earlier
+}
+
 // restoreContention restores the contention that an earlier process of this
 // node found for the same service, unless this process has found it already.
 func (c *Controller) restoreContention(record board.NodeRecord) bool {
@@ -351,6 +376,9 @@
 	for _, record := range store.ListedRecords {
 		records = append(records, record)
 	}
+	if store.ListedRecords[c.ownRecord.Instance].ServerID == "" && !store.ListingRequestedAt.IsZero() && c.reportedEarlier == nil {
+		c.reportEarlierServer(board.BackendServer{})
+	}
 	alone := len(c.nodes) == 0
 	if !c.mergeRecords(ctx, board.NodeRecordBatch{Records: records}, now) {
 		return
--- a/pkg/control/healthcheck/healthcheck.go
+++ b/pkg/control/healthcheck/healthcheck.go
@@ -36,7 +36,7 @@
 	// healthCheckTimeout bounds a health check.
 	healthCheckTimeout = 500 * time.Millisecond
 	// discoveryInterval is the time between two health checks while no backend
-	// server is known or the known one is down.
+	// server is known, or the known one is down or unconfirmed.
 	discoveryInterval = 250 * time.Millisecond
 	// livenessAttempts bounds the requests of a liveness check and
 	// livenessRetryDelay is the pause between them. One request may not be enough
@@ -101,7 +101,7 @@
 		c.lastBusy = now
 	}
 	switch {
-	case server.ID == "" || server.Down:
+	case server.ID == "" || server.Down || server.Unconfirmed:
 		if now.Sub(c.lastHealthCheck) >= discoveryInterval {
 			c.pollHealth(ctx, now, c.Board.Self.ServerAddr)
 		}
@@ -202,8 +202,8 @@
 	return false, !exchangeErr.ConnClosed
 }
 
-// announceServer announces a healthy backend server that is not known yet or that
-// was down and responds again.
+// announceServer announces a healthy backend server that is not known yet or not
+// confirmed, or that was down and responds again.
 func (c *Controller) announceServer(status int, metadata mesh.ResponseMetadata, addr string) {
 	server := c.Board.LocalServer.Load()
 	if status != http.StatusOK || metadata.ServerID == "" {
@@ -213,7 +213,7 @@
 		c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventReachable, Server: *server})
 		return
 	}
-	if server.ID != "" || metadata.Load == nil || metadata.Load.Slots <= 0 {
+	if server.ID != "" && !server.Unconfirmed || metadata.Load == nil || metadata.Load.Slots <= 0 {
 		return
 	}
 	c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventHealthResponse, Server: board.BackendServer{
--- a/pkg/control/localserver/localserver.go
+++ b/pkg/control/localserver/localserver.go
@@ -50,12 +50,14 @@
 	if result == server.Applied {
 		c.log.Info().Str("event", "server_state").Str("server", next.ID).Str("service", next.Service).
 			Str("state", next.State.String()).Int64("born", next.StartMillis).Int64("sequence", next.Sequence).
-			Bool("down", next.Down).Int("slots", next.Slots).Uint8("kind", uint8(event.Kind)).Send()
+			Bool("down", next.Down).Bool("unconfirmed", next.Unconfirmed).Int("slots", next.Slots).Uint8("kind", uint8(event.Kind)).
+			Str("earlier", next.Earlier.ID).Str("earlier_state", next.Earlier.State.String()).Send()
 	}
 	if result == server.Stale {
 		c.log.Info().Str("event", "announcement_stale").Str("server", event.Server.ID).Int64("born", event.Server.StartMillis).
 			Int64("sequence", event.Server.Sequence).Str("state", event.Server.State.String()).
-			Str("in_force", current.ID).Int64("in_force_sequence", current.Sequence).Send()
+			Str("in_force", current.ID).Int64("in_force_sequence", current.Sequence).
+			Str("earlier", current.Earlier.ID).Str("earlier_state", current.Earlier.State.String()).Send()
 	}
 	if event.Applied != nil {
 		// A stale announcement with the state ready is acknowledged because it
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -174,7 +174,8 @@
 func BucketDigests(records []board.NodeRecord) []uint32 {
 	digests := make([]uint32, BucketCount(len(records)))
 	for _, r := range records {
-		content := string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10)
+		// The state differs between equally new records, see RetainWithdrawal.
+		content := string(r.Instance) + " " + strconv.FormatUint(r.Incarnation, 10) + " " + strconv.FormatUint(r.Sequence, 10) + " " + strconv.Itoa(int(r.State))
 		hashing.AddEntry(digests, string(r.Instance), content)
 	}
 	return digests
@@ -187,6 +188,22 @@
 	return hashing.MayDiffer(string(id), own, other)
 }
 
+// RetainWithdrawal returns the next record of a node. It keeps what the previous one
+// says of a backend server that drains or has left, if the next one names the same
+// server in an earlier state, or none: the node may have restarted and not have found
+// its previous record yet.
+func RetainWithdrawal(previous, next board.NodeRecord) board.NodeRecord {
+	if previous.State < board.ServerDraining || next.State >= previous.State {
+		return next
+	}
+	sameServer := next.ServerID == previous.ServerID &&
+		(next.ServerStartMillis == previous.ServerStartMillis || next.ServerStartMillis == 0 || previous.ServerStartMillis == 0)
+	if next.ServerID == "" || sameServer {
+		next.ServerID, next.ServerStartMillis, next.State = previous.ServerID, previous.ServerStartMillis, previous.State
+	}
+	return next
+}
+
 // FilterInstances returns the nodes of a view for whose records keep is true.
 func FilterInstances(view *board.Fleet, keep func(board.NodeRecord) bool) []board.InstanceID {
 	ids := make([]board.InstanceID, 0, len(view.ByInstance))
--- a/pkg/decide/fleet/fleet_test.go
+++ b/pkg/decide/fleet/fleet_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// Guards against a restarted node that makes others forget that its backend server
+// has left (review/5), and against a later server that is taken for the one that left.
+func TestRetainWithdrawal(t *testing.T) {
+	record := func(id string, start int64, state board.ServerState) board.NodeRecord {
+		return board.NodeRecord{Instance: "n", ServerID: id, ServerStartMillis: start, State: state}
+	}
+	gone, draining := record("a", 5, board.ServerGone), record("a", 5, board.ServerDraining)
+	for name, c := range map[string]struct{ previous, next, want board.NodeRecord }{
+		"ready again":               {gone, record("a", 5, board.ServerReady), gone},
+		"ready again, draining":     {draining, record("a", 5, board.ServerReady), draining},
+		"down":                      {draining, record("a", 5, board.ServerUnknown), draining},
+		"server not known yet":      {gone, record("", 0, board.ServerUnknown), gone},
+		"start time not known":      {gone, record("a", 0, board.ServerReady), gone},
+		"restarted":                 {gone, record("a", 6, board.ServerReady), record("a", 6, board.ServerReady)},
+		"another server":            {gone, record("b", 6, board.ServerReady), record("b", 6, board.ServerReady)},
+		"left after draining":       {draining, gone, gone},
+		"nothing to retain":         {record("a", 5, board.ServerReady), record("", 0, board.ServerUnknown), record("", 0, board.ServerUnknown)},
+		"ready, then another start": {record("a", 5, board.ServerReady), record("a", 6, board.ServerReady), record("a", 6, board.ServerReady)},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, RetainWithdrawal(c.previous, c.next)) })
+	}
+}
+
 // Guards against fleets in which no node or every node follows the store.
 func TestHashRankIsATotalOrder(t *testing.T) {
 	ids := []board.InstanceID{"a", "b", "c", "d"}
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -21,8 +21,20 @@
 	Stale
 )
 
+// confirmationGap is the time between two heartbeats after which the second one
+// confirms the first: heartbeats that were held up together arrive together.
+const confirmationGap = 500 * time.Millisecond
+
 // Apply returns the state after an event and the effect of the event.
 func Apply(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
+	next, result := apply(current, event, now)
+	if event.Kind != board.ServerEventEarlierRecord {
+		next.Earlier = current.Earlier
+	}
+	return next, result
+}
+
+func apply(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
 	switch event.Kind {
 	case board.ServerEventUnreachable:
 		if current.ID == "" || current.Down {
@@ -42,7 +54,9 @@
 	case board.ServerEventLeaving:
 		return applyLeave(current, event, now)
 	case board.ServerEventHealthResponse:
-		return applyDiscovery(current, event, now)
+		return applyHealthResponse(current, event, now)
+	case board.ServerEventEarlierRecord:
+		return applyEarlierRecord(current, event.Server)
 	}
 	return applyHeartbeat(current, event, now)
 }
@@ -60,17 +74,36 @@
 	return announced.StartMillis != 0 && current.StartMillis != 0 && announced.StartMillis < current.StartMillis
 }
 
+// isOutdated reports whether a heartbeat is about another backend server than the
+// known one and cannot be shown to be about a later one.
+func isOutdated(known, announced board.BackendServer) bool {
+	return known.ID != "" && !sameIncarnation(known, announced) && known.StartMillis != 0 && announced.StartMillis < known.StartMillis
+}
+
+// asServer returns the backend server of the record of an earlier process.
+func asServer(earlier board.EarlierServer) board.BackendServer {
+	return board.BackendServer{ID: earlier.ID, StartMillis: earlier.StartMillis, State: earlier.State}
+}
+
+// isWithdrawn reports whether an earlier process acknowledged that a backend server
+// drains or leaves.
+func isWithdrawn(earlier board.EarlierServer, server board.BackendServer) bool {
+	return earlier.ID != "" && earlier.State >= board.ServerDraining && sameIncarnation(asServer(earlier), server)
+}
+
 // applyHeartbeat applies a heartbeat of the backend server.
 func applyHeartbeat(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
 	announced := event.Server
-	if current.ID == "" {
-		return stateFromEvent(event, now), Applied
+	if isOutdated(current, announced) || isOutdated(asServer(current.Earlier), announced) {
+		return current, Stale
 	}
-	if fromEarlierIncarnation(current, announced) {
+	if isWithdrawn(current.Earlier, announced) && announced.State < current.Earlier.State {
 		return current, Stale
 	}
-	if !sameIncarnation(current, announced) {
-		return stateFromEvent(event, now), Applied
+	if current.ID == "" || !sameIncarnation(current, announced) {
+		next := stateFromEvent(event, now)
+		next.Unconfirmed = next.State == board.ServerReady && needsConfirmation(current)
+		return next, Applied
 	}
 	if announced.Sequence <= current.Sequence {
 		return current, lateHeartbeatResult(current, announced)
@@ -84,13 +117,27 @@
 		next.State = max(current.State, announced.State)
 		next.DrainingSince = current.DrainingSince
 	}
+	if current.Unconfirmed && next.State == board.ServerReady && now.Sub(current.LastHeardAt) < confirmationGap {
+		next.Unconfirmed, next.LastHeardAt = true, current.LastHeardAt
+	}
 	if next.State == current.State && next.Slots == current.Slots && next.Service == current.Service &&
-		next.Addr == current.Addr && !current.Down && current.StartMillis == next.StartMillis {
+		next.Addr == current.Addr && !current.Down && current.StartMillis == next.StartMillis && current.Unconfirmed == next.Unconfirmed {
 		return next, Unchanged
 	}
 	return next, Applied
 }
 
+// needsConfirmation reports whether a heartbeat of another backend server than the
+// current one may be a late one that nothing else contradicts: no record of an
+// earlier process is known yet, or the current one is known from a health response
+// only, which has no start time.
+func needsConfirmation(current board.BackendServer) bool {
+	if current.ID != "" && current.StartMillis == 0 {
+		return true
+	}
+	return !current.Earlier.Known && (current.ID == "" || current.Unconfirmed)
+}
+
 // lateHeartbeatResult returns the effect of a heartbeat that is not newer than
 // the state.
 func lateHeartbeatResult(current, announced board.BackendServer) Result {
@@ -124,21 +171,69 @@
 	if next.ID == "" {
 		next = announced
 	}
-	if next.DrainingSince.IsZero() {
+	if next.State < board.ServerDraining || current.ID == "" {
 		next.DrainingSince = now
 	}
-	next.State = board.ServerGone
+	next.State, next.Unconfirmed = board.ServerGone, false
 	next.LastHeardAt = now
 	return next, Applied
 }
 
-// applyDiscovery applies the health check response of a backend server that
-// has not announced itself yet.
-func applyDiscovery(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
-	if current.ID != "" {
+// applyHealthResponse applies the response to a health check of a backend server
+// that has not announced itself yet, or whose only heartbeat may have been late.
+func applyHealthResponse(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
+	if current.ID != "" && !current.Unconfirmed {
 		return current, Unchanged
 	}
+	if isWithdrawn(current.Earlier, event.Server) {
+		return current, Stale
+	}
+	if current.ID == event.Server.ID {
+		current.Unconfirmed = false
+		return current, Applied
+	}
 	next := stateFromEvent(event, now)
 	next.Sequence = -1
 	return next, Applied
 }
+
+// applyEarlierRecord applies the record of an earlier process of this node. What that
+// process acknowledged binds this one.
+func applyEarlierRecord(current, recorded board.BackendServer) (board.BackendServer, Result) {
+	next := current
+	next.Earlier = mergeEarlier(current.Earlier, recorded)
+	earlier := asServer(next.Earlier)
+	withdrawn := isWithdrawn(next.Earlier, earlier)
+	outdated := fromEarlierIncarnation(earlier, current)
+	switch {
+	case withdrawn && (current.ID == "" || outdated):
+		next = board.BackendServer{ID: earlier.ID, StartMillis: earlier.StartMillis, State: earlier.State, Sequence: -1, Earlier: next.Earlier}
+	case outdated:
+		// The health check finds out whether the later server is still there.
+		next = board.BackendServer{Earlier: next.Earlier}
+	case withdrawn && sameIncarnation(earlier, current) && current.State < earlier.State:
+		next.State, next.DrainingSince, next.Unconfirmed = earlier.State, time.Time{}, false
+	default:
+		next.Unconfirmed = false
+	}
+	if next == current {
+		return current, Unchanged
+	}
+	return next, Applied
+}
+
+// mergeEarlier returns the later of two records of earlier processes. Of one
+// incarnation, the state that is closer to its end counts.
+func mergeEarlier(earlier board.EarlierServer, recorded board.BackendServer) board.EarlierServer {
+	found := board.EarlierServer{Known: true, ID: recorded.ID, StartMillis: recorded.StartMillis, State: recorded.State}
+	switch {
+	case earlier.ID == "":
+		return found
+	case found.ID == "", isOutdated(asServer(earlier), recorded):
+		return earlier
+	case sameIncarnation(asServer(earlier), recorded):
+		found.State = max(found.State, earlier.State)
+		found.StartMillis = max(found.StartMillis, earlier.StartMillis)
+	}
+	return found
+}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -173,7 +173,7 @@
 // can.
 func checkServer(server *board.BackendServer, c *Call, serverID string) board.Reason {
 	switch {
-	case server.ID == "" || server.Down:
+	case server.ID == "" || server.Down || server.Unconfirmed:
 		return board.ReasonBackendDown
 	case server.State >= board.ServerDraining:
 		return board.ReasonDraining
