Spread large configurations as compressed differences with a bound on pulls

Cause: each node that heard of a version pulled the whole document at once from the node that it heard it from, within 500 ms. Links of 18 Mbit/s do not carry 30 pulls of 240 to 342 kB at a time; none ended and the bytes were lost. Pulls, documents from the store and decoding shared one loop, an announcement was lost when its pull failed, and a node that had read a newer version still confirmed the older one.

New fields of the line config: 342 kB decode in 63 ms at the middle node, so the links bind.

Change: documents travel compressed (klauspost/compress), as the difference from the version that the receiver has, with a checksum of the result and the whole document as the fallback; a node passes on what it received. A node serves as many pulls at a time as its link carries in 150 ms and names others to the rest. A node pulls from one source at a time, its own failure domain first, and from a second one when the first makes no progress. Pulls, reads and decoding run apart; a confirmation belongs to a version. Size, bytes received, time to decode and age are logged, with a histogram and counters. The line refused names the version that decided.

--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,7 @@
 	$(GO) test ./pkg/httpfront -run '^$$' -fuzz '^FuzzParseRequest$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeTable$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecodeHeartbeat$$' -fuzztime $(FUZZTIME) -parallel 4
+	$(GO) test ./pkg/routedoc -run '^$$' -fuzz '^FuzzDecompress$$' -fuzztime $(FUZZTIME) -parallel 4
 	$(GO) test ./pkg/localapi -run '^$$' -fuzz '^FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) -parallel 4
 
 # Measures the cost of a node against the size of the fleet, with up to 200 node
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -7,6 +7,7 @@
 
 	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/routedoc"
 )
 
 // Inbox sizes of a mesh node in events.
@@ -28,6 +29,9 @@
 	Self NodeIdentity
 	// Routes is written by control/routefeed.
 	Routes *Section[*dynconf.RouteTable]
+	// RouteDocument is the document of Routes, for nodes that pull it from this one. It
+	// is written by control/routefeed before Routes.
+	RouteDocument *Section[*routedoc.Set]
 	// IdleTimeouts is the history of the idle timeout of callers' connections. It is
 	// written by control/routefeed.
 	IdleTimeouts *Section[idle.Timeouts]
@@ -55,7 +59,7 @@
 
 	// ConfigConfirmed is the last time at which some node found in the store that
 	// the routes in force here are the newest ones.
-	ConfigConfirmed *ConfirmationTime
+	ConfigConfirmed *ConfirmedVersion
 
 	// Announcements carries events about the local backend server to
 	// control/localserver.
@@ -95,6 +99,7 @@
 	return &MeshBoard{
 		Self:             self,
 		Routes:           NewSection("routes", dynconf.EmptyRouteTable()),
+		RouteDocument:    NewSection("route_document", &routedoc.Set{}),
 		IdleTimeouts:     NewSection("idle_timeouts", idle.Timeouts{}.With(dynconf.DefaultCallerLimits().IdleTimeout, time.Now())),
 		LocalServer:      NewSection("server", &BackendServer{}),
 		Fleet:            NewSection("fleet", &Fleet{ByService: map[string][]*MeshEndpoint{}, ByInstance: map[InstanceID]*MeshEndpoint{}}),
@@ -105,7 +110,7 @@
 		Link:             NewLinkPacer(self.LinkRate),
 		CallStats:        &StatsByRule{},
 		AttemptCounters:  NewAttemptCounters(time.Now()),
-		ConfigConfirmed:  &ConfirmationTime{},
+		ConfigConfirmed:  &ConfirmedVersion{},
 		Announcements:    NewInbox[ServerEvent](serverEventInboxSize),
 		SuspectedServers: NewInbox[BackendServer](suspectedServerInboxSize),
 		NodeRecords:      NewInbox[NodeRecordBatch](nodeRecordInboxSize),
@@ -115,27 +120,37 @@
 	}
 }
 
-// ConfirmationTime is a time that only advances.
-type ConfirmationTime struct{ at atomic.Pointer[time.Time] }
+// ConfirmedVersion is the configuration version that was last found to be the newest
+// one in the store, and when.
+type ConfirmedVersion struct {
+	latest atomic.Pointer[versionConfirmation]
+}
+
+type versionConfirmation struct {
+	version uint64
+	at      time.Time
+}
 
-// Advance sets the time to t unless it is already later.
-func (c *ConfirmationTime) Advance(t time.Time) {
+// Confirm records that a version was the newest one at a time. A lower version than the
+// one that was confirmed last, or an earlier time for the same one, changes nothing.
+func (c *ConfirmedVersion) Confirm(version uint64, at time.Time) {
+	next := &versionConfirmation{version, at}
 	for {
-		old := c.at.Load()
-		if old != nil && !t.After(*old) || c.at.CompareAndSwap(old, &t) {
+		old := c.latest.Load()
+		if old != nil && (version < old.version || version == old.version && !at.After(old.at)) || c.latest.CompareAndSwap(old, next) {
 			return
 		}
 	}
 }
 
-// Age returns the time elapsed since the confirmation, or one hour when there was
-// none.
-func (c *ConfirmationTime) Age(now time.Time) time.Duration {
-	at := c.at.Load()
-	if at == nil {
+// Age returns the time elapsed since a version was confirmed, or one hour if it was not
+// or if a later one was.
+func (c *ConfirmedVersion) Age(version uint64, now time.Time) time.Duration {
+	confirmed := c.latest.Load()
+	if confirmed == nil || confirmed.version != version {
 		return time.Hour
 	}
-	return now.Sub(*at)
+	return now.Sub(confirmed.at)
 }
 
 // ConfigAdvertisement is the configuration version that a node advertises to
@@ -154,7 +169,8 @@
 
 // ConfigAdvertisement returns the advertisement of this node.
 func (b *MeshBoard) ConfigAdvertisement(now time.Time) ConfigAdvertisement {
-	return ConfigAdvertisement{Version: b.Routes.Load().Version, ConfirmedAgeMillis: b.ConfigConfirmed.Age(now).Milliseconds()}
+	version := b.Routes.Load().Version
+	return ConfigAdvertisement{Version: version, ConfirmedAgeMillis: b.ConfigConfirmed.Age(version, now).Milliseconds()}
 }
 
 // ReceiveConfigAdvertisement processes the advertisement of the node with the
@@ -163,7 +179,7 @@
 func (b *MeshBoard) ReceiveConfigAdvertisement(ad ConfigAdvertisement, from string, now time.Time) {
 	switch current := b.Routes.Load().Version; {
 	case ad.Version == current:
-		b.ConfigConfirmed.Advance(now.Add(-time.Duration(ad.ConfirmedAgeMillis)*time.Millisecond - assumedTransitDelay))
+		b.ConfigConfirmed.Confirm(current, now.Add(-time.Duration(ad.ConfirmedAgeMillis)*time.Millisecond-assumedTransitDelay))
 	case ad.Version > current && from != "":
 		b.RouteTableHints.Post(RouteTableHint{From: from, Version: ad.Version})
 	}
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -1,7 +1,7 @@
 // Package routefeed keeps the routing configuration up to date: it reads and
 // watches the platform's store and pulls newer versions from other nodes. It
-// writes the Routes section, whose version never decreases, and the IdleTimeouts
-// section.
+// writes the Routes section, whose version never decreases, and the sections
+// RouteDocument and IdleTimeouts, which belong to it.
 //
 // One node, the watcher, reads the store continuously. It confirms that the
 // version in force is the newest one, and the nodes pass the confirmation on to
@@ -11,273 +11,134 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/control"
-	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/metrics"
+	"mangostand.example/mangostand/pkg/routedoc"
 	"mangostand.example/mangostand/platform"
 )
 
-const (
-	// readInterval is the time between the watcher's reads of a small document.
-	// Small documents are polled because a read returns at once and confirms the
-	// version as of now. A watch returns late and confirms it only as of its start,
-	// so that other nodes would get old confirmations and read the store as well.
-	readInterval = 500 * time.Millisecond
-	// maxPolledSize is the size in bytes below which a document is polled instead
-	// of watched. Polling reads at most 32 kB/s.
-	maxPolledSize = 16 << 10
-	// maxWatchWait is the longest wait of one watch. It is short because a change
-	// must be in force within 2 s: a waiting watch gets no events from a store that
-	// has lost its history, and only the next call reports the loss.
-	maxWatchWait = 600 * time.Millisecond
-	// backupWatchers is the number of nodes that take over early when the watcher
-	// does not confirm the version.
-	backupWatchers = 1
-	// backupMaxAge and followerMaxAge are the ages of the newest confirmation at
-	// which a backup and a follower read the store themselves. followerJitter
-	// spreads the reads of many followers.
-	backupMaxAge   = time.Second
-	followerMaxAge = 1500 * time.Millisecond
-	followerJitter = 300 * time.Millisecond
-	// startupGrace is the time after its start during which a node that knows no
-	// other node does not act as the watcher.
-	startupGrace = 3 * time.Second
-	// recheckInterval is the time between two checks of the age of the
-	// confirmation and of the fleet, which may make this node the watcher.
-	recheckInterval = 250 * time.Millisecond
-	// startCheckInterval is the time between two checks whether a starting node has
-	// to read the store itself.
-	startCheckInterval = 20 * time.Millisecond
-	// watchPause is the pause between watches when versions come in quick
-	// succession.
-	watchPause = 150 * time.Millisecond
-)
-
 // Store is the part of the store's client that the controller uses.
 type Store interface {
 	GetAsOf(ctx context.Context, key string) (platform.Entry, uint64, error)
 	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error)
 }
 
-// Puller fetches the configuration document of the node at an address.
-type Puller func(ctx context.Context, addr string) ([]byte, error)
+// PullFunc asks the node at an address for its configuration. It calls progress with
+// each part of the response that it receives.
+type PullFunc func(ctx context.Context, addr string, request *PullRequest, progress func()) (*PullResponse, error)
 
 // Controller writes the Routes section.
 type Controller struct {
-	board  *board.MeshBoard
-	store  Store
-	pull   Puller
-	log    zerolog.Logger
+	board   *board.MeshBoard
+	store   Store
+	pull    PullFunc
+	metrics *metrics.MeshMetrics
+	log     zerolog.Logger
+
 	writer *board.Writer[*dynconf.RouteTable]
-	// idleTimeouts writes the IdleTimeouts section.
-	idleTimeouts *board.Writer[idle.Timeouts]
-	started      time.Time
+	// documentWriter writes the RouteDocument section, idleTimeouts the IdleTimeouts
+	// section.
+	documentWriter *board.Writer[*routedoc.Set]
+	idleTimeouts   *board.Writer[idle.Timeouts]
+
+	started time.Time
 	// bootstrap is true when the whole deployment starts for the first time.
 	bootstrap bool
-	// documents passes documents from syncWithStore to Run, which publishes them.
-	documents chan fetchedDocument
+	// documents passes documents to Run, which publishes them.
+	documents chan *fetchedDocument
 }
 
-// fetchedDocument is an undecoded configuration and its source.
+// fetchedDocument is an undecoded configuration and where it comes from.
 type fetchedDocument struct {
 	document []byte
-	from     string
+	// encoded is the form in which another node sent the document, empty if it was
+	// read from the store.
+	encoded routedoc.Encoded
+	from    string
+	// readAt is when the first node read this version from the store.
+	readAt time.Time
+	// handled is closed when the document was published or refused.
+	handled chan struct{}
 }
 
 // documentQueueSize bounds the documents that wait for Run when versions come in
 // quick succession.
 const documentQueueSize = 16
 
-// New claims the Routes section. The argument bootstrap says that the whole
-// deployment starts for the first time.
-func New(b *board.MeshBoard, store Store, pull Puller, bootstrap bool, log zerolog.Logger) *Controller {
+// New claims the sections. The argument bootstrap says that the whole deployment
+// starts for the first time.
+func New(b *board.MeshBoard, store Store, pull PullFunc, bootstrap bool, counters *metrics.MeshMetrics, log zerolog.Logger) *Controller {
 	return &Controller{
-		board: b, store: store, pull: pull, log: log, writer: b.Routes.Claim("routefeed"), idleTimeouts: b.IdleTimeouts.Claim("routefeed"),
-		started: time.Now(), bootstrap: bootstrap,
-		documents: make(chan fetchedDocument, documentQueueSize),
+		board: b, store: store, pull: pull, metrics: counters, log: log, writer: b.Routes.Claim("routefeed"),
+		documentWriter: b.RouteDocument.Claim("routefeed"), idleTimeouts: b.IdleTimeouts.Claim("routefeed"),
+		started: time.Now(), bootstrap: bootstrap, documents: make(chan *fetchedDocument, documentQueueSize),
 	}
 }
 
 // Name implements control.Controller.
 func (c *Controller) Name() string { return "routefeed" }
 
-// Run keeps the configuration up to date until ctx is done.
+// Run keeps the configuration up to date until ctx is done. Reads of the store and
+// pulls from other nodes run beside it, so that neither waits for the other.
 func (c *Controller) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	go c.syncWithStore(ctx)
+	go newPuller(c).run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case fetched := <-c.documents:
-			c.apply(fetched.document, fetched.from)
-		case hint := <-c.board.RouteTableHints.Events():
-			c.pullNewer(ctx, hint)
+			c.apply(fetched)
+			close(fetched.handled)
 		}
 	}
 }
 
+// publish hands a document to Run and waits until it was published or refused.
+func (c *Controller) publish(ctx context.Context, fetched *fetchedDocument) {
+	fetched.handled = make(chan struct{})
+	select {
+	case c.documents <- fetched:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-fetched.handled:
+	case <-ctx.Done():
+	}
+}
+
 // fromStore is the source of a document that was read from the store; other
 // sources are the peer addresses of nodes.
 const fromStore = "store"
 
 // apply decodes a document and publishes it if it is newer than the one in force.
-func (c *Controller) apply(document []byte, from string) {
-	table, err := platform.DecodeTable(document)
+func (c *Controller) apply(fetched *fetchedDocument) {
+	started := time.Now()
+	table, err := platform.DecodeTable(fetched.document)
 	if err != nil {
-		c.log.Error().Err(err).Str("event", "config_refused").Str("from", from).Msg("cannot decode configuration, keeping the one in force")
+		c.log.Error().Err(err).Str("event", "config_refused").Str("from", fetched.from).Msg("cannot decode configuration, keeping the one in force")
 		return
 	}
 	current := c.writer.Load().Version
 	if table.Version <= current {
 		return
 	}
-	table.ReadFromStore = from == fromStore
+	table.ReadFromStore = fetched.from == fromStore
 	c.idleTimeouts.Publish(c.idleTimeouts.Load().With(table.Limits.IdleTimeout, time.Now()))
+	c.documentWriter.Publish(routedoc.NewSet(table.Version, fetched.document, fetched.encoded, fetched.readAt, c.documentWriter.Load()))
 	c.writer.Publish(table)
-	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", from).Send()
-}
-
-// pullTimeout bounds a pull of the configuration from another node.
-const pullTimeout = 500 * time.Millisecond
-
-// pullNewer pulls the configuration from a node that announced a newer version.
-func (c *Controller) pullNewer(ctx context.Context, hint board.RouteTableHint) {
-	if hint.Version <= c.writer.Load().Version {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	document, err := c.pull(ctx, hint.From)
-	if err != nil {
-		c.log.Info().Err(err).Str("event", "config_pull_failed").Str("from", hint.From).Uint64("version", hint.Version).Send()
-		return
-	}
-	c.apply(document, hint.From)
-}
-
-// syncWithStore reads new versions from the store until ctx is done. The watcher
-// polls a small document and watches a large one. Any other node reads the store
-// only when no node has confirmed for too long that the version in force is the
-// newest one.
-func (c *Controller) syncWithStore(ctx context.Context) {
-	jitter := rand.N(followerJitter)
-	var enqueuedRevision uint64
-	for ctx.Err() == nil {
-		rank := c.watchRank()
-		watcher, watcherOrBackup := rank == 0, rank <= backupWatchers
-		maxAge := followerMaxAge + jitter
-		if watcherOrBackup {
-			maxAge = backupMaxAge
-		}
-		if age := c.board.ConfigConfirmed.Age(time.Now()); !watcher && age < maxAge {
-			control.Sleep(ctx, min(recheckInterval, maxAge-age))
-			continue
-		}
-		if c.startsWithoutRead(watcherOrBackup) {
-			control.Sleep(ctx, startCheckInterval)
-			continue
-		}
-		if c.storeUnavailable() {
-			control.Sleep(ctx, recheckInterval)
-			continue
-		}
-		requestedAt := time.Now()
-		entry, revision, err := c.store.GetAsOf(ctx, platform.ConfigKey)
-		if err != nil {
-			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
-				Dur("confirmed_age", c.board.ConfigConfirmed.Age(time.Now())).Send()
-			control.Sleep(ctx, fleet.ReadRetryDelay(watcherOrBackup, c.board.Fleet.Load().Size))
-			continue
-		}
-		if entry.Revision > enqueuedRevision {
-			c.enqueue(ctx, entry.Value)
-			enqueuedRevision = entry.Revision
-		}
-		c.board.ConfigConfirmed.Advance(requestedAt)
-		pause := watchPause
-		switch {
-		case watcher && len(entry.Value) < maxPolledSize:
-			pause = readInterval
-		case watcher:
-			c.watchChanges(ctx, revision)
-		}
-		control.Sleep(ctx, pause)
-	}
-}
-
-// startsWithoutRead reports whether a node that has just started leaves the first
-// read of the configuration to others.
-func (c *Controller) startsWithoutRead(storeFollower bool) bool {
-	if c.writer.Load().Version > 0 {
-		return false
-	}
-	start := fleet.Start{
-		Listed: !c.board.Store.Load().ListingRequestedAt.IsZero(), StoreFollower: storeFollower,
-		FleetSize: c.board.Fleet.Load().Size, Bootstrap: c.bootstrap,
-	}
-	return time.Since(c.started) < fleet.FirstReadDelay(start)
-}
-
-// storeUnavailable reports whether the newest call of control/registration to the
-// store failed. That controller probes the store at little cost, so that a read,
-// which is billed also when it is refused, can wait for the probe to succeed.
-func (c *Controller) storeUnavailable() bool {
-	status := c.board.Store.Load()
-	return !status.Reachable && !status.ReachabilityChangedAt.IsZero()
-}
-
-// watchRank returns the rank of this node in the order in which nodes take the
-// role of the watcher; 0 is the watcher.
-func (c *Controller) watchRank() int {
-	ids := fleet.FilterInstances(c.board.Fleet.Load(), func(r board.NodeRecord) bool { return !r.Leaving })
-	if len(ids) <= 1 && time.Since(c.started) < startupGrace {
-		// A node that has just started may not have found the others yet.
-		return backupWatchers + 1
-	}
-	return fleet.HashRank(ids, c.board.Self.Instance)
-}
-
-// watchChanges watches for changes after a revision until a watch fails or this
-// node is no longer the watcher.
-func (c *Controller) watchChanges(ctx context.Context, after uint64) {
-	for ctx.Err() == nil && c.watchRank() == 0 {
-		requestedAt := time.Now()
-		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, maxWatchWait)
-		if errors.Is(err, platform.ErrCompacted) {
-			c.log.Info().Str("event", "watch_compacted").Uint64("after", after).Send()
-			return
-		}
-		if err != nil {
-			c.log.Info().Err(err).Str("event", "watch_broken").Uint64("after", after).Send()
-			control.Sleep(ctx, fleet.RetryInterval)
-			return
-		}
-		for i := len(events) - 1; i >= 0; i-- {
-			if events[i].Key == platform.ConfigKey && !events[i].Deleted {
-				c.enqueue(ctx, events[i].Value)
-				break
-			}
-		}
-		c.board.ConfigConfirmed.Advance(requestedAt)
-		after = next
-		if len(events) > 0 {
-			control.Sleep(ctx, watchPause)
-		}
-	}
-}
-
-// enqueue hands a document from the store to Run.
-func (c *Controller) enqueue(ctx context.Context, document []byte) {
-	select {
-	case c.documents <- fetchedDocument{document: document, from: fromStore}:
-	case <-ctx.Done():
-	}
+	now := time.Now()
+	c.metrics.RecordConfigAge(now.Sub(fetched.readAt))
+	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", fetched.from).
+		Int("bytes", len(fetched.document)).Int("received_bytes", len(fetched.encoded.Data)).Uint64("difference_from", fetched.encoded.Base).
+		Dur("decoded_in", now.Sub(started)).Dur("age", now.Sub(fetched.readAt)).Send()
 }
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -16,6 +16,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/fleet"
+	"mangostand.example/mangostand/pkg/routedoc"
 	"mangostand.example/mangostand/pkg/standin/store"
 	"mangostand.example/mangostand/platform"
 )
@@ -72,7 +73,7 @@
 }
 
 // startController runs the controller of a node that knows the given other nodes.
-func startController(ctx context.Context, self board.InstanceID, others []board.InstanceID, s Store, pull Puller) *board.MeshBoard {
+func startController(ctx context.Context, self board.InstanceID, others []board.InstanceID, s Store, pull PullFunc) *board.MeshBoard {
 	b := board.NewMeshBoard(board.NodeIdentity{Instance: self})
 	fleetView := &board.Fleet{ByInstance: map[board.InstanceID]*board.MeshEndpoint{self: {}}}
 	for _, id := range others {
@@ -80,10 +81,22 @@
 	}
 	fleetView.Size = len(fleetView.ByInstance)
 	b.Fleet.Claim("test").Publish(fleetView)
-	go New(b, s, pull, false, zerolog.Nop()).Run(ctx)
+	go New(b, s, pull, false, nil, zerolog.Nop()).Run(ctx)
 	return b
 }
 
+// pullOf returns a PullFunc of nodes that send whole documents. A node without a
+// document fails.
+func pullOf(documents map[string][]byte) PullFunc {
+	return func(_ context.Context, addr string, _ *PullRequest, _ func()) (*PullResponse, error) {
+		if documents[addr] == nil {
+			return nil, errors.Errorf("no node at %s", addr)
+		}
+		data, err := routedoc.Compress(documents[addr], nil)
+		return &PullResponse{Version: 1, Data: data}, errors.Trace(err)
+	}
+}
+
 // sortByWatchRank returns the nodes in the order of their watch rank, the watcher
 // first.
 func sortByWatchRank(ids []board.InstanceID) []board.InstanceID {
@@ -169,12 +182,7 @@
 func TestVersionNeverDecreases(t *testing.T) {
 	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		putVersion(t, s, 9)
-		pull := func(_ context.Context, addr string) ([]byte, error) {
-			if addr == "broken" {
-				return []byte("{"), nil
-			}
-			return document(5), nil
-		}
+		pull := pullOf(map[string][]byte{"broken": []byte("{"), "old": document(5)})
 		b := startController(ctx, "a", nil, newClient(s), pull)
 		time.Sleep(time.Second)
 		require.EqualValues(t, 9, b.Routes.Load().Version)
@@ -218,7 +226,7 @@
 		b := startController(ctx, sortByWatchRank(ids)[len(ids)-1], ids, newClient(s), nil)
 		for range 40 {
 			time.Sleep(500 * time.Millisecond)
-			b.ConfigConfirmed.Advance(time.Now())
+			b.ConfigConfirmed.Confirm(1, time.Now())
 		}
 		require.EqualValues(t, 1, b.Routes.Load().Version)
 		require.EqualValues(t, 1, s.RequestStats().ByOperation[platform.OpList])
@@ -274,7 +282,7 @@
 
 // startInFleet runs the controller of a node that starts in a fleet whose records
 // it has listed, and publishes whether the store is reachable.
-func startInFleet(ctx context.Context, self board.InstanceID, ids []board.InstanceID, s Store, pull Puller, reachable bool) *board.MeshBoard {
+func startInFleet(ctx context.Context, self board.InstanceID, ids []board.InstanceID, s Store, pull PullFunc, reachable bool) *board.MeshBoard {
 	b := startController(ctx, self, ids, s, pull)
 	b.Store.Claim("test").Publish(&board.StoreStatus{Reachable: reachable, ReachabilityChangedAt: time.Now(), ListingRequestedAt: time.Now()})
 	return b
@@ -286,12 +294,12 @@
 	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
 		putVersion(t, s, 6)
 		ids := []board.InstanceID{"a", "b", "c", "d", "e"}
-		pull := func(context.Context, string) ([]byte, error) { return document(6), nil }
+		pull := pullOf(map[string][]byte{"b": document(6)})
 		ranked := sortByWatchRank(ids)
 		told := startInFleet(ctx, ranked[4], ids, newClient(s), pull, true)
 		time.Sleep(50 * time.Millisecond)
 		told.RouteTableHints.Post(board.RouteTableHint{From: "b", Version: 6})
-		told.ConfigConfirmed.Advance(time.Now())
+		told.ConfigConfirmed.Confirm(6, time.Now())
 		time.Sleep(time.Second)
 		require.EqualValues(t, 6, told.Routes.Load().Version)
 		require.Zero(t, s.RequestStats().ByOperation[platform.OpList])
--- a/pkg/dynconf/table.go
+++ b/pkg/dynconf/table.go
@@ -18,9 +18,6 @@
 	// Clusters maps the name of a service to its cluster.
 	Clusters map[string]*Cluster
 	Limits   CallerLimits
-	// EncodedDocument is the document that the table was decoded from, for nodes
-	// that pull the configuration from this one.
-	EncodedDocument []byte
 	// ReadFromStore is set at a node that read the document from the store. Such a
 	// node tells the other failure domains of a new version.
 	ReadFromStore bool
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -54,14 +54,14 @@
 	id, deadline := e.Codec.ParseCallerHeader(r.Header, r.ReceivedAt)
 	table := e.Board.Routes.Load()
 	if table.Version == 0 {
-		return e.refuse(id, http.StatusServiceUnavailable, board.ReasonNoConfiguration, noConfigRetryAfter)
+		return e.refuse(table.Version, id, http.StatusServiceUnavailable, board.ReasonNoConfiguration, noConfigRetryAfter)
 	}
 	if id == "" {
-		return e.refuse(id, http.StatusBadRequest, board.ReasonMalformedRequest, 0)
+		return e.refuse(table.Version, id, http.StatusBadRequest, board.ReasonMalformedRequest, 0)
 	}
 	rule := table.MatchRule(r.Host, r.Target)
 	if rule == nil {
-		return e.refuse(id, http.StatusNotFound, board.ReasonNoRoute, 0)
+		return e.refuse(table.Version, id, http.StatusNotFound, board.ReasonNoRoute, 0)
 	}
 	objective := r.ReceivedAt.Add(rule.LatencyObjective)
 	if !deadline.IsZero() {
@@ -79,7 +79,7 @@
 	h1.RemoveHopByHopHeaders(c.Header)
 	c.Header.Del(hopHeader)
 	if retryAfter := quarantineLeft(e.Board, c, r.ReceivedAt); retryAfter > 0 {
-		return e.refuse(id, http.StatusServiceUnavailable, board.ReasonQuarantined, retryAfter)
+		return e.refuse(table.Version, id, http.StatusServiceUnavailable, board.ReasonQuarantined, retryAfter)
 	}
 	e.Board.AttemptCounters.AddCall(service, e.AttemptWindow, time.Now())
 	return e.forwardCall(ctx, c)
@@ -98,10 +98,11 @@
 	return allowed
 }
 
-// refuse responds to a request that is not forwarded.
-func (e *Entry) refuse(id string, status int, reason board.Reason, retryAfter time.Duration) *h1.Response {
+// refuse responds to a request that is not forwarded, as a version of the routes
+// decided.
+func (e *Entry) refuse(version uint64, id string, status int, reason board.Reason, retryAfter time.Duration) *h1.Response {
 	e.Log.Info().Str("event", "refused").Str("id", id).Int("status", status).Str("reason", string(reason)).
-		Uint64("config_version", e.Board.Routes.Load().Version).Dur("retry_after", retryAfter).Send()
+		Uint64("config_version", version).Dur("retry_after", retryAfter).Send()
 	e.Metrics.RecordEntryCall("refused", string(reason), 0)
 	response := &h1.Response{Status: status, Header: http.Header{}, BufferedBody: []byte(string(reason) + "\n")}
 	e.Codec.SetLocalReplyHeader(response.Header, id, retryAfter)
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -79,6 +79,8 @@
 	serverPool *h1.Pool
 	executor   *mesh.Executor
 	entry      *mesh.Entry
+	// configServer responds to pulls of the configuration.
+	configServer *routefeed.Server
 
 	callerServer    *h1.Server
 	peerServer      *h1.Server
@@ -158,7 +160,7 @@
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
-		routefeed.New(n.board, store, n.fetchRouteTable, n.settings.Bootstrap, n.log),
+		routefeed.New(n.board, store, n.pullConfig, n.settings.Bootstrap, counters, n.log),
 		&healthcheck.Controller{
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
 			OnLoadReport: n.executor.OnLoadReport, Log: n.log,
@@ -168,6 +170,7 @@
 }
 
 func (n *Node) buildServers() {
+	n.configServer = &routefeed.Server{Board: n.board}
 	descriptors := n.descriptorLimit()
 	n.callerServer = &h1.Server{
 		Handler: n.entry.Handle, Limits: n.callerLimits, IdleTimeout: n.callerIdleTimeout,
--- a/pkg/meshnode/peers.go
+++ b/pkg/meshnode/peers.go
@@ -1,21 +1,27 @@
 package meshnode
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/control/directory"
+	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/mesh"
 )
 
 // Request targets between nodes, besides forwarded calls.
 const (
-	targetExchange   = "/mesh/exchange"
+	targetExchange = "/mesh/exchange"
+	targetConfig   = "/mesh/config"
+	// targetRouteTable returns the uncompressed configuration document. Nodes of
+	// earlier releases request it.
 	targetRouteTable = "/mesh/table"
 )
 
@@ -32,7 +38,9 @@
 	case r.Target == targetExchange:
 		return n.handleExchange(r)
 	case r.Target == targetRouteTable:
-		return &h1.Response{Status: http.StatusOK, BufferedBody: n.board.Routes.Load().EncodedDocument}
+		return &h1.Response{Status: http.StatusOK, BufferedBody: n.board.RouteDocument.Load().Document}
+	case r.Target == targetConfig:
+		return n.handleConfigPull(r)
 	}
 	n.log.Warn().Str("event", "peer_request_refused").Str("target", r.Target).Send()
 	return &h1.Response{Status: http.StatusNotFound}
@@ -60,7 +68,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	response, err := n.requestPeer(ctx, addr, http.MethodPost, targetExchange, data)
+	response, err := n.requestPeer(ctx, addr, targetExchange, data, func() {})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -68,26 +76,83 @@
 	return &reply, errors.Trace(cbor.Unmarshal(response, &reply))
 }
 
-// fetchRouteTable reads the configuration document of another node.
-func (n *Node) fetchRouteTable(ctx context.Context, addr string) ([]byte, error) {
-	return n.requestPeer(ctx, addr, http.MethodGet, targetRouteTable, nil)
+// handleConfigPull responds to a pull of the configuration.
+func (n *Node) handleConfigPull(r *h1.Request) *h1.Response {
+	var request routefeed.PullRequest
+	if err := cbor.Unmarshal(r.Body, &request); err != nil {
+		n.log.Warn().Err(err).Str("event", "config_pull_refused").Msg("malformed configuration request")
+		return &h1.Response{Status: http.StatusBadRequest}
+	}
+	response, done, err := n.configServer.Respond(&request, time.Now())
+	if err != nil {
+		n.log.Error().Err(err).Str("event", "config_not_encoded").Send()
+		return &h1.Response{Status: http.StatusInternalServerError}
+	}
+	data, err := cbor.Marshal(response)
+	if err != nil {
+		done(false)
+		n.log.Error().Err(err).Str("event", "config_not_encoded").Send()
+		return &h1.Response{Status: http.StatusInternalServerError}
+	}
+	return &h1.Response{Status: http.StatusOK, Body: &observedBody{Reader: bytes.NewReader(data), done: done}, ContentLength: int64(len(data))}
+}
+
+// observedReader calls progress after each read.
+type observedReader struct {
+	io.Reader
+	progress func()
+}
+
+// Read reads from the reader below.
+func (r *observedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
+
+// observedBody is a response body that reports whether it was read to its end.
+type observedBody struct {
+	*bytes.Reader
+	done func(sent bool)
+}
+
+// Close reports the end of the response.
+func (b *observedBody) Close() error {
+	b.done(b.Len() == 0)
+	return nil
+}
+
+// pullConfig asks another node for its configuration.
+func (n *Node) pullConfig(ctx context.Context, addr string, request *routefeed.PullRequest, progress func()) (*routefeed.PullResponse, error) {
+	data, err := cbor.Marshal(request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := n.requestPeer(ctx, addr, targetConfig, data, progress)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var response routefeed.PullResponse
+	return &response, errors.Trace(cbor.Unmarshal(body, &response))
 }
 
 // requestPeer sends one request to another node and returns the response
-// body.
-func (n *Node) requestPeer(ctx context.Context, addr, method, target string, body []byte) ([]byte, error) {
+// body. It calls progress with each part of the body that it receives.
+func (n *Node) requestPeer(ctx context.Context, addr, target string, body []byte, progress func()) ([]byte, error) {
 	response, err := n.peerPool.Do(ctx, addr, &h1.ClientRequest{
-		Method: method, Target: target, Host: addr, Header: http.Header{}, Body: body, MaxIdleTime: n.peerPool.IdleTimeout,
+		Method: http.MethodPost, Target: target, Host: addr, Header: http.Header{}, Body: body, MaxIdleTime: n.peerPool.IdleTimeout,
 	})
 	if err != nil {
 		// Idle connections to a node that does not respond are not reused.
 		n.peerPool.CloseIdleConns(addr)
 		return nil, errors.Annotatef(err, "request to %s", addr)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := io.ReadAll(io.LimitReader(&observedReader{response.Body, progress}, maxMessageBytes))
 	_ = response.Body.Close()
 	if err != nil {
-		return nil, errors.Annotatef(err, "request to %s", addr)
+		return nil, errors.Annotatef(err, "request to %s, %d bytes of the response received", addr, len(data))
 	}
 	if response.Status != http.StatusOK {
 		return nil, errors.Errorf("request to %s: status %d", addr, response.Status)
--- a/pkg/metrics/mesh.go
+++ b/pkg/metrics/mesh.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// RecordConfigAge records the time from the first read of a configuration version by
+// any node to its being in force at this one.
+func (m *MeshMetrics) RecordConfigAge(age time.Duration) {
+	if m != nil {
+		m.scope.Histogram("config_age_seconds", latencyBuckets).RecordDuration(age)
+	}
+}
+
 // IncrementCounter adds one to the counter with the given name and tags.
 func (m *MeshMetrics) IncrementCounter(name string, tags map[string]string) {
 	if m != nil {
