Evict idle connections only when Accept is short of descriptors or buffers

Cause: found in reading the change. A connection that was reset before it was accepted also closed idle ones; a server with busy connections above its limit logged a line for each new one; a node that failed as a source of the configuration was left out for up to 4 s, above the bound for a change. Change: the two kinds of errors are told apart, nothing is logged when nothing was closed, and a source is tried again after 1 s at the latest.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -376,7 +376,9 @@
 	for _, record := range store.ListedRecords {
 		records = append(records, record)
 	}
-	if store.ListedRecords[c.ownRecord.Instance].ServerID == "" && !store.ListingRequestedAt.IsZero() && c.reportedEarlier == nil {
+	// A record without a server says as much as no record.
+	listed := !store.ListingRequestedAt.IsZero()
+	if listed && store.ListedRecords[c.ownRecord.Instance].ServerID == "" && c.reportedEarlier == nil {
 		c.reportEarlierServer(board.BackendServer{})
 	}
 	alone := len(c.nodes) == 0
--- a/pkg/decide/distribution/distribution.go
+++ b/pkg/decide/distribution/distribution.go
@@ -41,7 +41,7 @@
 	// failureDelay is the time after which a node that failed is tried again. It is
 	// doubled with each further failure, up to maxFailureDelay.
 	failureDelay    = 500 * time.Millisecond
-	maxFailureDelay = 4 * time.Second
+	maxFailureDelay = time.Second
 	// pullTime is the time limit of a pull besides the transfer, and minPullRate the
 	// share of a slow link that a transfer gets, in bytes per second.
 	pullTime    = 800 * time.Millisecond
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -88,25 +88,31 @@
 			s.startConn(nc)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case isTransientAcceptError(err):
+		case isShortage(err):
 			open := s.openConns()
 			closed := s.closeLongestIdle(open - 1)
 			s.Log.Warn().Err(err).Str("event", "accept_failed").Int("open", open).Int("closed_idle", closed).Send()
 			time.Sleep(acceptRetryDelay)
+		case errors.Is(err, syscall.ECONNABORTED), isTimeout(err):
+			// The connection ended before it was accepted.
 		default:
 			return errors.Annotate(err, "accepting connections")
 		}
 	}
 }
 
-// isTransientAcceptError reports whether a later Accept can succeed: the connection
-// ended before it was accepted, or descriptors or buffers are short.
-func isTransientAcceptError(err error) bool {
-	for _, transient := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
-		if errors.Is(err, transient) {
+// isShortage reports whether an error of Accept means that descriptors or buffers are
+// short, so that a later Accept can succeed.
+func isShortage(err error) bool {
+	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, shortage) {
 			return true
 		}
 	}
+	return false
+}
+
+func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
@@ -129,8 +135,9 @@
 	go c.readLoop()
 	go c.writeLoop()
 	if s.MaxConns > 0 && open > s.MaxConns {
-		closed := s.closeLongestIdle(s.MaxConns)
-		s.Log.Warn().Str("event", "idle_conns_closed").Int("open", open).Int("limit", s.MaxConns).Int("closed_idle", closed).Send()
+		if closed := s.closeLongestIdle(s.MaxConns); closed > 0 {
+			s.Log.Warn().Str("event", "idle_conns_closed").Int("open", open).Int("limit", s.MaxConns).Int("closed_idle", closed).Send()
+		}
 	}
 }
 
@@ -402,8 +409,7 @@
 		if err == nil {
 			return true
 		}
-		var netErr net.Error
-		if !errors.As(err, &netErr) || !netErr.Timeout() {
+		if !isTimeout(err) {
 			return c.handleDisconnect()
 		}
 		if c.isStopped() {
