Use one rule for the same start of a server and one check for time-outs

Cause: found in reading the change. fleet.RetainWithdrawal repeated the rule of decide/server, and h1 checked for a time limit in two places. The queue of documents was buffered although each sender waits, and a pull kept its start beside its source. Change: board.SameServerIncarnation, h1.isTimeout in one place, no buffer, no copy of the start. Conclusion: same decisions, one copy each.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -274,6 +274,13 @@
 	return s.State == ServerReady && !s.Down && !s.Unconfirmed
 }
 
+// SameServerIncarnation reports whether two pairs of ID and start time name the same
+// incarnation of a backend server. If a start time is not known, which is 0, the IDs
+// decide.
+func SameServerIncarnation(idA string, startMillisA int64, idB string, startMillisB int64) bool {
+	return idA == idB && (startMillisA == startMillisB || startMillisA == 0 || startMillisB == 0)
+}
+
 // ServerEventKind is the kind of a server event.
 type ServerEventKind uint8
 
--- a/pkg/control/routefeed/pull.go
+++ b/pkg/control/routefeed/pull.go
@@ -36,7 +36,6 @@
 	// document is the decompressed document, nil if the node was busy.
 	document []byte
 	err      error
-	startAt  time.Time
 }
 
 // pullResultQueueSize is above the number of pulls at a time.
@@ -123,7 +122,7 @@
 		p.sources[addr] = source
 		progress := &atomic.Pointer[time.Time]{}
 		p.progress[addr] = progress
-		go p.pull(ctx, addr, now, func() {
+		go p.pull(ctx, addr, func() {
 			now := time.Now()
 			progress.Store(&now)
 		})
@@ -142,8 +141,8 @@
 }
 
 // pull pulls from a node and sends the result to the goroutine of the puller.
-func (p *puller) pull(ctx context.Context, addr string, now time.Time, progress func()) {
-	result := pullResult{addr: addr, startAt: now, err: errors.New("pull ended unexpectedly")}
+func (p *puller) pull(ctx context.Context, addr string, progress func()) {
+	result := pullResult{addr: addr, err: errors.New("pull ended unexpectedly")}
 	defer func() { p.results <- result }()
 	defer guard.Recover(p.controller.log, "pull", nil)
 	base := p.controller.board.RouteDocument.Load()
@@ -173,7 +172,7 @@
 	case result.err != nil:
 		c.metrics.IncrementCounter("config_pulls", map[string]string{"result": "failed"})
 		c.log.Info().Err(result.err).Str("event", "config_pull_failed").Str("from", result.addr).Uint64("version", source.Version).
-			Dur("took", now.Sub(result.startAt)).Int("failures", source.Failures+1).Send()
+			Dur("took", now.Sub(source.PullingSince)).Int("failures", source.Failures+1).Send()
 		p.sources[result.addr] = source.AfterFailure(now)
 	case result.response.Busy:
 		c.metrics.IncrementCounter("config_pulls", map[string]string{"result": "busy"})
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -67,17 +67,13 @@
 	handled chan struct{}
 }
 
-// documentQueueSize bounds the documents that wait for Run when versions come in
-// quick succession.
-const documentQueueSize = 16
-
 // New claims the sections. The argument bootstrap says that the whole deployment
 // starts for the first time.
 func New(b *board.MeshBoard, store Store, pull PullFunc, bootstrap bool, counters *metrics.MeshMetrics, log zerolog.Logger) *Controller {
 	return &Controller{
 		board: b, store: store, pull: pull, metrics: counters, log: log, writer: b.Routes.Claim("routefeed"),
 		documentWriter: b.RouteDocument.Claim("routefeed"), idleTimeouts: b.IdleTimeouts.Claim("routefeed"),
-		started: time.Now(), bootstrap: bootstrap, documents: make(chan *fetchedDocument, documentQueueSize),
+		started: time.Now(), bootstrap: bootstrap, documents: make(chan *fetchedDocument),
 	}
 }
 
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -196,8 +196,7 @@
 	if previous.State < board.ServerDraining || next.State >= previous.State {
 		return next
 	}
-	sameServer := next.ServerID == previous.ServerID &&
-		(next.ServerStartMillis == previous.ServerStartMillis || next.ServerStartMillis == 0 || previous.ServerStartMillis == 0)
+	sameServer := board.SameServerIncarnation(next.ServerID, next.ServerStartMillis, previous.ServerID, previous.ServerStartMillis)
 	if next.ServerID == "" || sameServer {
 		next.ServerID, next.ServerStartMillis, next.State = previous.ServerID, previous.ServerStartMillis, previous.State
 	}
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -65,7 +65,7 @@
 // the backend server. An event without a start time is matched by its ID
 // alone.
 func sameIncarnation(current board.BackendServer, announced board.BackendServer) bool {
-	return current.ID == announced.ID && (current.StartMillis == announced.StartMillis || announced.StartMillis == 0 || current.StartMillis == 0)
+	return board.SameServerIncarnation(current.ID, current.StartMillis, announced.ID, announced.StartMillis)
 }
 
 // fromEarlierIncarnation reports whether an event is about an incarnation that
--- a/pkg/h1/read.go
+++ b/pkg/h1/read.go
@@ -41,6 +41,12 @@
 	return n, err
 }
 
+// isTimeout reports whether an error is a time limit that has passed.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // statusForReadError returns the response status for an error in reading a request
 // header, or 0 when the caller has disconnected.
 func statusForReadError(err error) int {
@@ -48,7 +54,7 @@
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		return http.StatusRequestTimeout
 	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return 0
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -112,11 +112,6 @@
 	return false
 }
 
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
 func (s *Server) startConn(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &serverConn{
