Serve customers with API keys, uploads and public rules

Cause: documents with the kind upload were refused as a whole, so that nodes of deployments with uploads never had a configuration; customers and their keys were unknown to the product. Change: configuration documents have customers, keys, quotas, public rules and warm-up limits, checked with version and field. The entry resolves the key of a request once against the version that the call keeps, removes it and passes the name of the customer on. With strict revocation, keys are accepted only while the version in force was provably the newest one in the store; the age is counted on the clock that includes suspensions and only from responses, so that it never shrinks between nodes.

--- a/pkg/board/confirmedversion.go
+++ b/pkg/board/confirmedversion.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"mangostand.example/mangostand/pkg/bootclock"
 )
 
 // ConfirmedVersion is the configuration version that was last found to be the newest
@@ -46,6 +48,8 @@
 	// ConfirmedAgeMillis is the age of the last confirmation that Version is the
 	// newest one.
 	ConfirmedAgeMillis int64 `cbor:"2,keyasint"`
+	// ProvenAgeMillis is the age in ProvenVersion, rounded up, 0 when it is not known.
+	ProvenAgeMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // assumedTransitDelay is added to the age of a received confirmation for the
@@ -55,7 +59,30 @@
 // ConfigAdvertisement returns the advertisement of this node.
 func (b *MeshBoard) ConfigAdvertisement(now time.Time) ConfigAdvertisement {
 	version := b.Routes.Load().Version
-	return ConfigAdvertisement{Version: version, ConfirmedAgeMillis: b.ConfigConfirmed.Age(version, now).Milliseconds()}
+	advertisement := ConfigAdvertisement{Version: version, ConfirmedAgeMillis: b.ConfigConfirmed.Age(version, now).Milliseconds()}
+	if b.ConfigProven.Required {
+		advertisement.ProvenAgeMillis = b.ConfigProven.Age(version, bootclock.Now()).Milliseconds() + 1
+	}
+	return advertisement
+}
+
+// ConfigRequestSentAt returns the time from which the age of the configuration in a
+// response counts. A node that needs no proof reads no clock for it.
+func (b *MeshBoard) ConfigRequestSentAt() time.Duration {
+	if !b.ConfigProven.Required {
+		return 0
+	}
+	return bootclock.Now()
+}
+
+// ReceiveConfigProof processes the advertisement in a response to a request that this
+// node sent at a time of ConfigRequestSentAt. The responder read its clock after that
+// time, so its proof is at most as old as it says, counted from there.
+func (b *MeshBoard) ReceiveConfigProof(ad ConfigAdvertisement, sentAt time.Duration) {
+	if !b.ConfigProven.Required || ad.ProvenAgeMillis <= 0 || ad.Version != b.Routes.Load().Version {
+		return
+	}
+	b.ConfigProven.Prove(ad.Version, sentAt-time.Duration(ad.ProvenAgeMillis)*time.Millisecond)
 }
 
 // ReceiveConfigAdvertisement processes the advertisement of the node with the
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -58,6 +58,9 @@
 	// ConfigConfirmed is the last time at which some node found in the store that
 	// the routes in force here are the newest ones.
 	ConfigConfirmed *ConfirmedVersion
+	// ConfigProven is the same with an age that is never underestimated. API keys are
+	// accepted by it.
+	ConfigProven *ProvenVersion
 
 	// Announcements carries events about the local backend server to
 	// control/localserver.
@@ -109,6 +112,7 @@
 		CallStats:        &StatsByRule{},
 		AttemptCounters:  NewAttemptCounters(time.Now()),
 		ConfigConfirmed:  &ConfirmedVersion{},
+		ConfigProven:     &ProvenVersion{},
 		Announcements:    NewInbox[ServerEvent](serverEventInboxSize),
 		SuspectedServers: NewInbox[BackendServer](suspectedServerInboxSize),
 		NodeRecords:      NewInbox[NodeRecordBatch](nodeRecordInboxSize),
--- a/pkg/board/reason.go
+++ b/pkg/board/reason.go
@@ -50,6 +50,18 @@
 const (
 	// ReasonNoConfiguration means that the node has no configuration yet.
 	ReasonNoConfiguration Reason = "no-configuration"
+	// ReasonUnknownAPIKey means that no customer holds the API key of the request, or
+	// that it carries none.
+	ReasonUnknownAPIKey Reason = "unknown-api-key"
+	// ReasonAPIKeyUnconfirmed means that the API key may have been withdrawn since the
+	// node last confirmed its configuration.
+	ReasonAPIKeyUnconfirmed Reason = "api-key-unconfirmed"
+	// ReasonQuotaExceeded means that the customer has used up its quota.
+	ReasonQuotaExceeded Reason = "quota-exceeded"
+	// ReasonWarmingUp means that the backend server is cold and gets no more calls now.
+	ReasonWarmingUp Reason = "warming-up"
+	// ReasonEvacuated means that the failure domain of the backend server is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonSlowerThanAlternative means that another backend server is expected
 	// to respond sooner.
 	ReasonSlowerThanAlternative Reason = "slower-than-alternative"
--- a/pkg/control/directory/exchange.go
+++ b/pkg/control/directory/exchange.go
@@ -101,6 +101,7 @@
 	defer guard.Recover(c.log, "exchange", nil)
 	exchangeCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sentAt := c.board.ConfigRequestSentAt()
 	response, err := c.exchange(exchangeCtx, endpoint.Record.PeerAddr, message)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -115,6 +116,7 @@
 	} else {
 		endpoint.Reachability.RecordResponse(time.Now())
 	}
+	c.board.ReceiveConfigProof(response.Config, sentAt)
 	Dispatch(c.board, response)
 }
 
--- a/pkg/control/routefeed/pull_test.go
+++ b/pkg/control/routefeed/pull_test.go
@@ -45,7 +45,7 @@
 		fleetView.ByInstance[id] = &board.MeshEndpoint{Record: board.NodeRecord{Instance: id, PeerAddr: "addr-" + string(id)}}
 	}
 	b.Fleet.Claim("test").Publish(fleetView)
-	go New(b, s, pull, false, nil, zerolog.Nop()).Run(ctx)
+	go New(b, s, pull, Options{}, nil, zerolog.Nop()).Run(ctx)
 	return &Server{Board: b}
 }
 
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -33,6 +33,15 @@
 // each part of the response that it receives.
 type PullFunc func(ctx context.Context, addr string, request *PullRequest, progress func()) (*PullResponse, error)
 
+// Options are the settings of the controller.
+type Options struct {
+	// Bootstrap is true when the whole deployment starts for the first time.
+	Bootstrap bool
+	// RevocationTime is the time in which a withdrawn API key is void on every node, 0
+	// for no such limit.
+	RevocationTime time.Duration
+}
+
 // Controller writes the Routes section.
 type Controller struct {
 	board   *board.MeshBoard
@@ -48,8 +57,7 @@
 	idleTimeouts   *board.Writer[idle.Timeouts]
 
 	started time.Time
-	// bootstrap is true when the whole deployment starts for the first time.
-	bootstrap bool
+	options Options
 	// documents passes documents to Run, which publishes them.
 	documents chan *fetchedDocument
 }
@@ -67,13 +75,12 @@
 	handled chan struct{}
 }
 
-// New claims the sections. The argument bootstrap says that the whole deployment
-// starts for the first time.
-func New(b *board.MeshBoard, store Store, pull PullFunc, bootstrap bool, counters *metrics.MeshMetrics, log zerolog.Logger) *Controller {
+// New claims the sections.
+func New(b *board.MeshBoard, store Store, pull PullFunc, options Options, counters *metrics.MeshMetrics, log zerolog.Logger) *Controller {
 	return &Controller{
 		board: b, store: store, pull: pull, metrics: counters, log: log, writer: b.Routes.Claim("routefeed"),
 		documentWriter: b.RouteDocument.Claim("routefeed"), idleTimeouts: b.IdleTimeouts.Claim("routefeed"),
-		started: time.Now(), bootstrap: bootstrap, documents: make(chan *fetchedDocument),
+		started: time.Now(), options: options, documents: make(chan *fetchedDocument),
 	}
 }
 
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -81,7 +81,7 @@
 	}
 	fleetView.Size = len(fleetView.ByInstance)
 	b.Fleet.Claim("test").Publish(fleetView)
-	go New(b, s, pull, false, nil, zerolog.Nop()).Run(ctx)
+	go New(b, s, pull, Options{}, nil, zerolog.Nop()).Run(ctx)
 	return b
 }
 
--- a/pkg/control/routefeed/store.go
+++ b/pkg/control/routefeed/store.go
@@ -1,6 +1,7 @@
 package routefeed
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -8,7 +9,9 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/bootclock"
 	"mangostand.example/mangostand/pkg/control"
+	"mangostand.example/mangostand/pkg/decide/customer"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/platform"
 )
@@ -63,7 +66,7 @@
 		if watcherOrBackup {
 			maxAge = backupMaxAge
 		}
-		if age := c.confirmedAge(); !watcher && age < maxAge {
+		if age := c.confirmedAge(); !watcher && age < maxAge && !c.proofDue() {
 			control.Sleep(ctx, min(recheckInterval, maxAge-age))
 			continue
 		}
@@ -75,7 +78,7 @@
 			control.Sleep(ctx, recheckInterval)
 			continue
 		}
-		requestedAt := time.Now()
+		requestedAt, proofAt := time.Now(), c.board.ConfigRequestSentAt()
 		entry, revision, err := c.store.GetAsOf(ctx, platform.ConfigKey)
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
@@ -87,13 +90,13 @@
 			c.publish(ctx, &fetchedDocument{document: entry.Value, from: fromStore, readAt: requestedAt})
 			handledRevision = entry.Revision
 		}
-		c.board.ConfigConfirmed.Confirm(c.writer.Load().Version, requestedAt)
+		c.confirm(entry.Value, requestedAt, proofAt)
 		pause := watchPause
 		switch {
 		case watcher && len(entry.Value) < maxPolledSize:
 			pause = readInterval
 		case watcher:
-			c.watchChanges(ctx, revision)
+			c.watchChanges(ctx, revision, entry.Value)
 		}
 		control.Sleep(ctx, pause)
 	}
@@ -107,7 +110,7 @@
 	}
 	start := fleet.Start{
 		Listed: !c.board.Store.Load().ListingRequestedAt.IsZero(), StoreFollower: storeFollower,
-		FleetSize: c.board.Fleet.Load().Size, Bootstrap: c.bootstrap,
+		FleetSize: c.board.Fleet.Load().Size, Bootstrap: c.options.Bootstrap,
 	}
 	return time.Since(c.started) < fleet.FirstReadDelay(start)
 }
@@ -131,11 +134,11 @@
 	return fleet.HashRank(ids, c.board.Self.Instance)
 }
 
-// watchChanges watches for changes after a revision until a watch fails or this
-// node is no longer the watcher.
-func (c *Controller) watchChanges(ctx context.Context, after uint64) {
+// watchChanges watches for changes after a revision, at which the store had a document,
+// until a watch fails or this node is no longer the watcher.
+func (c *Controller) watchChanges(ctx context.Context, after uint64, document []byte) {
 	for ctx.Err() == nil && c.watchRank() == 0 {
-		requestedAt := time.Now()
+		requestedAt, proofAt := time.Now(), c.board.ConfigRequestSentAt()
 		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, maxWatchWait)
 		if errors.Is(err, platform.ErrCompacted) {
 			c.log.Info().Str("event", "watch_compacted").Uint64("after", after).Send()
@@ -148,11 +151,12 @@
 		}
 		for i := len(events) - 1; i >= 0; i-- {
 			if events[i].Key == platform.ConfigKey && !events[i].Deleted {
-				c.publish(ctx, &fetchedDocument{document: events[i].Value, from: fromStore, readAt: time.Now()})
+				document = events[i].Value
+				c.publish(ctx, &fetchedDocument{document: document, from: fromStore, readAt: time.Now()})
 				break
 			}
 		}
-		c.board.ConfigConfirmed.Confirm(c.writer.Load().Version, requestedAt)
+		c.confirm(document, requestedAt, proofAt)
 		after = next
 		if len(events) > 0 {
 			control.Sleep(ctx, watchPause)
@@ -164,3 +168,28 @@
 func (c *Controller) confirmedAge() time.Duration {
 	return c.board.ConfigConfirmed.Age(c.writer.Load().Version, time.Now())
 }
+
+// confirm records that the version in force is the newest one, as a read of the store
+// has shown that was sent at a time.
+func (c *Controller) confirm(document []byte, requestedAt time.Time, proofAt time.Duration) {
+	inForce := c.writer.Load().Version
+	c.board.ConfigConfirmed.Confirm(inForce, requestedAt)
+	if !c.board.ConfigProven.Required {
+		return
+	}
+	// A document that was refused, or is older than the one in force, proves nothing.
+	if bytes.Equal(document, c.board.RouteDocument.Load().Document) {
+		c.board.ConfigProven.Prove(inForce, proofAt)
+	}
+}
+
+// proofDue reports whether API keys will soon be refused because other nodes have not
+// confirmed the version in force.
+func (c *Controller) proofDue() bool {
+	table := c.writer.Load()
+	if c.options.RevocationTime == 0 || table.Customers.Len() == 0 {
+		return false
+	}
+	age := c.board.ConfigProven.Age(table.Version, bootclock.Now())
+	return customer.Confirmation{Strict: true, Age: age, RevocationTime: c.options.RevocationTime}.RefreshDue()
+}
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -11,8 +11,10 @@
 
 // Job is a call that asks for an execution slot of a backend server.
 type Job struct {
-	// Rank is the priority of the job; 0 is served first.
-	Rank int
+	// CustomerRank is the priority of the customer and Rank that of the rule; 0 is
+	// served first.
+	CustomerRank int
+	Rank         int
 	// NominalTime is its service time at normal speed. MinSlowdown is the
 	// minimum recent slowdown of the backend server; values up to 1 are
 	// normal.
@@ -29,9 +31,12 @@
 	MaxResponseTime time.Duration
 }
 
-// ServedBefore reports whether a is served before b: by rank, then by
-// objective.
+// ServedBefore reports whether a is served before b: by the rank of the customer,
+// the rank of the rule, then by objective.
 func ServedBefore(a, b Job) bool {
+	if a.CustomerRank != b.CustomerRank {
+		return a.CustomerRank < b.CustomerRank
+	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
--- a/pkg/dynconf/table.go
+++ b/pkg/dynconf/table.go
@@ -18,6 +18,9 @@
 	// Clusters maps the name of a service to its cluster.
 	Clusters map[string]*Cluster
 	Limits   CallerLimits
+	// Customers holds the customers and their API keys. Without customers, requests
+	// need no key.
+	Customers *CustomerIndex
 	// ReadFromStore is set at a node that read the document from the store. Such a
 	// node tells the other failure domains of a new version.
 	ReadFromStore bool
@@ -35,6 +38,10 @@
 	WeightedServices []WeightedService
 	// Idempotent allows a call to be executed more than once.
 	Idempotent bool
+	// Public is true if the calls need no API key.
+	Public bool
+	// LargeRequests is true if the request bodies are large, such as uploads.
+	LargeRequests bool
 	// LargeResponses is true if the responses are large, such as downloads.
 	LargeResponses bool
 	// Timeout is the longest time that a caller waits for the response.
@@ -65,6 +72,18 @@
 	// MaxConnections is the number of connections that one backend server
 	// accepts from all its callers together.
 	MaxConnections int
+	// Warmup limits the calls to a backend server that has just started.
+	Warmup WarmupLimit
+}
+
+// WarmupLimit limits the calls to a cold backend server, which fails under its usual
+// load.
+type WarmupLimit struct {
+	// Duration is how long a backend server stays cold after its start.
+	Duration time.Duration
+	// Rate is the number of calls per second that it bears while it is cold, 0 for no
+	// limit.
+	Rate float64
 }
 
 // CallerLimits holds the limits on requests and connections of callers.
@@ -83,7 +102,7 @@
 
 // EmptyRouteTable returns a table without routes.
 func EmptyRouteTable() *RouteTable {
-	return &RouteTable{Hosts: map[string][]*RouteRule{}, Clusters: map[string]*Cluster{}, Limits: DefaultCallerLimits()}
+	return &RouteTable{Hosts: map[string][]*RouteRule{}, Clusters: map[string]*Cluster{}, Limits: DefaultCallerLimits(), Customers: NewCustomerIndex()}
 }
 
 // SortRules sorts the rules of each host by descending length of the prefix.
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/customer"
 	"mangostand.example/mangostand/pkg/dynconf"
 )
 
@@ -39,6 +40,10 @@
 	Idempotent  bool
 	MaxAttempts int
 	Service     string
+	// Customer is the customer whose API key the caller used, "" for none. CustomerRank
+	// is its priority, which goes before Rank.
+	Customer     string
+	CustomerRank int
 	// CallerService is the service of the backend server beside the entry.
 	CallerService string
 	// ConfigVersion is the version of the configuration that routed the call.
@@ -125,6 +130,8 @@
 	ServerID string
 	// CallerService is the service of the backend server beside the entry.
 	CallerService string
+	// Customer is the customer whose API key the caller used, "" for none.
+	Customer string
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 }
@@ -153,6 +160,9 @@
 	// ParseCallerHeader returns the request ID and the deadline from a caller's
 	// header. The deadline is zero if the caller sent no valid one.
 	ParseCallerHeader(header http.Header, received time.Time) (id string, deadline time.Time)
+	// TakeAPIKey removes the API key and the name of the customer from a caller's
+	// header and returns the key.
+	TakeAPIKey(header http.Header) customer.Credential
 	// SetRequestHeader sets the headers of a request to a backend server.
 	SetRequestHeader(header http.Header, metadata RequestMetadata)
 	// MatchesRequest reports whether a response belongs to the request with the
--- /dev/null
+++ b/pkg/mesh/customer.go
@@ -0,0 +1,49 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/bootclock"
+	"mangostand.example/mangostand/pkg/decide/customer"
+	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/pkg/h1"
+)
+
+// unconfirmedKeyRetryAfter is the Retry-After while the age of the configuration does
+// not allow API keys. A node in contact with others confirms it every 250 ms.
+const unconfirmedKeyRetryAfter = 300 * time.Millisecond
+
+// identifyCustomer takes the API key from the header of a request and returns its
+// holder. Without customers in the configuration the header stays as it is.
+func (e *Entry) identifyCustomer(table *dynconf.RouteTable, rule *dynconf.RouteRule, header http.Header) customer.Decision {
+	if table.Customers.Len() == 0 {
+		return customer.Decision{}
+	}
+	credential := e.Codec.TakeAPIKey(header)
+	if credential.Key == "" {
+		return customer.Check(table.Customers, rule.Public, credential, customer.Confirmation{})
+	}
+	return customer.Check(table.Customers, rule.Public, credential, e.confirmation(table.Version))
+}
+
+// confirmation returns what is known about the age of a version.
+func (e *Entry) confirmation(version uint64) customer.Confirmation {
+	if e.RevocationTime == 0 {
+		return customer.Confirmation{}
+	}
+	return customer.Confirmation{Strict: true, Age: e.Board.ConfigProven.Age(version, bootclock.Now()), RevocationTime: e.RevocationTime}
+}
+
+// refuseCredential returns the response to a request whose API key is not accepted, or
+// nil.
+func (e *Entry) refuseCredential(version uint64, id string, decision customer.Decision) *h1.Response {
+	switch decision.Result {
+	case customer.UnknownKey:
+		return e.refuse(version, id, http.StatusUnauthorized, board.ReasonUnknownAPIKey, 0)
+	case customer.Unconfirmed:
+		return e.refuse(version, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, unconfirmedKeyRetryAfter)
+	}
+	return nil
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -31,6 +31,9 @@
 	// uses an equal share.
 	AttemptLimit  attempts.Limit
 	AttemptWindow time.Duration
+	// RevocationTime is the time in which a withdrawn API key is void, also without
+	// contact to the store. 0 means that there is no such limit.
+	RevocationTime time.Duration
 
 	inFlight atomic.Int64
 }
@@ -63,6 +66,10 @@
 	if rule == nil {
 		return e.refuse(table.Version, id, http.StatusNotFound, board.ReasonNoRoute, 0)
 	}
+	identified := e.identifyCustomer(table, rule, r.Header)
+	if response := e.refuseCredential(table.Version, id, identified); response != nil {
+		return response
+	}
 	objective := r.ReceivedAt.Add(rule.LatencyObjective)
 	if !deadline.IsZero() {
 		objective = objective.Add(-e.Board.CallStats.ForRule(rule.Name).ObserveCallerTimeout(deadline.Sub(r.ReceivedAt)))
@@ -76,6 +83,9 @@
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	c.Received, c.Deadline, c.Objective = r.ReceivedAt, deadline, objective
 	c.CallerService, c.ConfigVersion = e.Board.Self.Service, table.Version
+	if holder := identified.Customer; holder != nil {
+		c.Customer, c.CustomerRank = holder.Name, holder.PriorityRank
+	}
 	h1.RemoveHopByHopHeaders(c.Header)
 	c.Header.Del(hopHeader)
 	if retryAfter := quarantineLeft(e.Board, c, r.ReceivedAt); retryAfter > 0 {
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -125,7 +125,7 @@
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
 	job := queueing.Job{
-		Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
+		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
 	load := x.queue.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
--- a/pkg/mesh/forwarder_test.go
+++ b/pkg/mesh/forwarder_test.go
@@ -25,12 +25,12 @@
 		return http.Header{hopHeader: {encodeHop(hopResponse{Outcome: Answered})}}
 	}
 	truncated := io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
-	result := f.readPeerResponse(&h1.ClientResponse{Status: http.StatusOK, Header: header(), ContentLength: 10, Body: truncated}, &board.MeshEndpoint{})
+	result := f.readPeerResponse(&h1.ClientResponse{Status: http.StatusOK, Header: header(), ContentLength: 10, Body: truncated}, &board.MeshEndpoint{}, 0)
 	require.Equal(t, Unknown, result.Outcome)
 	require.Nil(t, result.Body)
 
 	complete := io.NopCloser(strings.NewReader("whole"))
-	result = f.readPeerResponse(&h1.ClientResponse{Status: http.StatusOK, Header: header(), ContentLength: 5, Body: complete}, &board.MeshEndpoint{})
+	result = f.readPeerResponse(&h1.ClientResponse{Status: http.StatusOK, Header: header(), ContentLength: 5, Body: complete}, &board.MeshEndpoint{}, 0)
 	require.Equal(t, Answered, result.Outcome)
 	got, err := io.ReadAll(result.Body)
 	require.NoError(t, err)
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -35,6 +35,9 @@
 	// entry's peer address.
 	Config   board.ConfigAdvertisement `cbor:"13,keyasint"`
 	FromAddr string                    `cbor:"14,keyasint"`
+	// Customer is the customer whose API key the caller used, "" for none.
+	Customer     string `cbor:"15,keyasint,omitempty"`
+	CustomerRank int    `cbor:"16,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -74,7 +77,7 @@
 		ID: c.ID, Service: c.Service, ServerID: serverID, CallerService: c.CallerService, Rule: c.Rule,
 		Rank: c.Rank, Idempotent: c.Idempotent, TimeToDeadlineMicros: c.Deadline.Sub(now).Microseconds(),
 		TimeToObjectiveMicros: c.Objective.Sub(now).Microseconds(), MaxResponseTimeMicros: maxResponseTime.Microseconds(),
-		ConfigVersion: c.ConfigVersion,
+		ConfigVersion: c.ConfigVersion, Customer: c.Customer, CustomerRank: c.CustomerRank,
 	}
 }
 
@@ -82,6 +85,7 @@
 	return &Call{
 		ID: h.ID, Service: h.Service, CallerService: h.CallerService, Rule: h.Rule, Rank: h.Rank,
 		Idempotent: h.Idempotent, ConfigVersion: h.ConfigVersion, Received: now,
+		Customer: h.Customer, CustomerRank: h.CustomerRank,
 		Deadline:  now.Add(time.Duration(h.TimeToDeadlineMicros) * time.Microsecond),
 		Objective: now.Add(time.Duration(h.TimeToObjectiveMicros) * time.Microsecond),
 	}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -19,6 +19,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/attempts"
+	"mangostand.example/mangostand/pkg/decide/customer"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/mesh"
@@ -31,6 +32,8 @@
 	headerExpectServer = "Expect-Server"
 	headerNotExecuted  = "Not-Run"
 	headerSignature    = "Signature"
+	headerAPIKey       = "Api-Key"
+	headerCustomer     = "Customer"
 )
 
 // testCodec uses other header names than the platform, which shows that the
@@ -45,10 +48,20 @@
 	return header.Get(headerID), received.Add(time.Duration(ms) * time.Millisecond)
 }
 
+func (testCodec) TakeAPIKey(header http.Header) customer.Credential {
+	key := header.Get(headerAPIKey)
+	header.Del(headerAPIKey)
+	header.Del(headerCustomer)
+	return customer.Credential{Key: key, Malformed: strings.Contains(key, " ")}
+}
+
 func (testCodec) SetRequestHeader(header http.Header, metadata mesh.RequestMetadata) {
 	header.Set(headerID, metadata.ID)
 	header.Set(headerCaller, metadata.CallerService)
 	header.Set(headerExpectServer, metadata.ServerID)
+	if metadata.Customer != "" {
+		header.Set(headerCustomer, metadata.Customer)
+	}
 	header.Set(headerDeadline, strconv.FormatInt(metadata.TimeLeft.Milliseconds(), 10))
 }
 
--- a/pkg/mesh/peercall.go
+++ b/pkg/mesh/peercall.go
@@ -36,6 +36,7 @@
 	hop := newHopRequest(c, endpoint.Record.ServerID, maxResponseTime, now)
 	hop.Config, hop.FromAddr = f.entry.Board.ConfigAdvertisement(now), f.entry.Board.Self.PeerAddr
 	header.Set(hopHeader, encodeHop(hop))
+	sentAt := f.entry.Board.ConfigRequestSentAt()
 	var acceptTimedOut atomic.Bool
 	acceptTimer := time.AfterFunc(acceptTimeout, func() {
 		acceptTimedOut.Store(true)
@@ -56,7 +57,7 @@
 		cancel()
 		return f.classifyPeerError(endpoint, err, acceptTimedOut.Load(), canceled)
 	}
-	result := f.readPeerResponse(response, endpoint)
+	result := f.readPeerResponse(response, endpoint, sentAt)
 	result.Body = onClose(result.Body, cancel)
 	return result
 }
@@ -86,14 +87,16 @@
 	return unknown(reason)
 }
 
-// readPeerResponse reads the response of an executor on another node.
-func (f *forwarder) readPeerResponse(response *h1.ClientResponse, endpoint *board.MeshEndpoint) *Result {
+// readPeerResponse reads the response of an executor on another node to a request
+// that was sent at a time of ConfigRequestSentAt.
+func (f *forwarder) readPeerResponse(response *h1.ClientResponse, endpoint *board.MeshEndpoint, sentAt time.Duration) *Result {
 	reply, err := takeHopResponse(response.Header)
 	if err != nil {
 		_ = response.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
 	f.entry.Board.ReceiveConfigAdvertisement(reply.Config, endpoint.Record.PeerAddr, time.Now())
+	f.entry.Board.ReceiveConfigProof(reply.Config, sentAt)
 	result := &Result{
 		Outcome: reply.Outcome, Reason: reply.Reason, Load: &reply.Load,
 		ServiceTime: time.Duration(reply.ServiceTimeMicros) * time.Microsecond, QueueWait: time.Duration(reply.QueueWaitMicros) * time.Microsecond,
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -31,7 +31,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	x.Codec.SetRequestHeader(header, RequestMetadata{ID: c.ID, ServerID: server.ID, CallerService: c.CallerService, TimeLeft: time.Until(c.Deadline)})
+	x.Codec.SetRequestHeader(header, RequestMetadata{ID: c.ID, ServerID: server.ID, CallerService: c.CallerService, Customer: c.Customer, TimeLeft: time.Until(c.Deadline)})
 	maxIdle := x.Servers.IdleTimeout
 	if !c.Idempotent {
 		maxIdle = nonIdempotentMaxIdle
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -103,6 +103,7 @@
 		Instance: board.InstanceID(s.Instance), Region: s.Region, FailureDomain: s.FailureDomain,
 		Service: s.Service, PeerAddr: s.AdvertisedPeerAddr, ServerAddr: s.BackendAddr, LinkRate: pacing.UsableRate(s.LinkMbps),
 	})
+	n.board.ConfigProven.Required = s.PlatformLimits.StrictRevocation
 	n.shutdownWriter = n.board.Shutdown.Claim("meshnode")
 	scope, handler, closer := metrics.New(map[string]string{"node": s.Instance})
 	n.metricsHandler, n.closeMetrics = handler, closer.Close
@@ -134,9 +135,19 @@
 	n.entry = &mesh.Entry{
 		Board: n.board, Peers: n.peerPool, LocalExecutor: n.executor, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
 		AttemptLimit: n.attemptLimit(), AttemptWindow: n.settings.PlatformLimits.AttemptWindow,
+		RevocationTime: n.strictRevocationTime(),
 	}
 }
 
+// strictRevocationTime returns the time in which a withdrawn API key has to be void on
+// every node, 0 if nodes without contact to the store may accept it for longer.
+func (n *Node) strictRevocationTime() time.Duration {
+	if !n.settings.PlatformLimits.StrictRevocation {
+		return 0
+	}
+	return n.settings.PlatformLimits.RevocationTime
+}
+
 // attemptShare is the share of the configured limit on additional attempts
 // that the nodes use. The rest is a margin, since nodes do not see each other's
 // attempts.
@@ -160,7 +171,7 @@
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
-		routefeed.New(n.board, store, n.pullConfig, n.settings.Bootstrap, counters, n.log),
+		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
 		&healthcheck.Controller{
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
 			OnLoadReport: n.executor.OnLoadReport, Log: n.log,
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -74,10 +74,33 @@
 	AttemptRatio  float64
 	AttemptWindow time.Duration
 	AttemptSlack  float64
+	// StrictRevocation requires that a withdrawn API key is void on all nodes, in
+	// contact with the store or not, RevocationTime after the withdrawal. Defaults: no,
+	// 5s.
+	StrictRevocation bool
+	RevocationTime   time.Duration
+	// QuotaWindow, QuotaOvershoot and QuotaSlack say how exact the quotas of customers
+	// are: in each window at most 1 plus QuotaOvershoot times the quota, plus
+	// QuotaSlack requests, over all nodes. Defaults: 5s, 0.1 and 20.
+	QuotaWindow    time.Duration
+	QuotaOvershoot float64
+	QuotaSlack     float64
+	// WarmupOvershoot and WarmupSlack say how exact the limit of a cold backend server
+	// is: in any second at most WarmupOvershoot times its rate, plus WarmupSlack
+	// requests. Defaults: 1.5 and 8.
+	WarmupOvershoot float64
+	WarmupSlack     float64
+	// EvacuationTime is the time in which an evacuated failure domain gets no more
+	// calls. Default: 5s.
+	EvacuationTime time.Duration
 }
 
 func defaultPlatformLimits() PlatformLimits {
-	return PlatformLimits{DrainTime: 2 * time.Second, StopGracePeriod: 6 * time.Second, AttemptRatio: 0.2, AttemptWindow: 10 * time.Second, AttemptSlack: 50}
+	return PlatformLimits{
+		DrainTime: 2 * time.Second, StopGracePeriod: 6 * time.Second, AttemptRatio: 0.2, AttemptWindow: 10 * time.Second, AttemptSlack: 50,
+		RevocationTime: 5 * time.Second, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20,
+		WarmupOvershoot: 1.5, WarmupSlack: 8, EvacuationTime: 5 * time.Second,
+	}
 }
 
 func defaultMeshNode() *MeshNode {
@@ -208,6 +231,22 @@
 				WithDescription("Window over which additional attempts are counted."),
 			inifile.Float("attempt_slack", &m.PlatformLimits.AttemptSlack, 0, maxAttemptSlack).
 				WithDescription("Additional attempts of all nodes for a service in a window, besides the ratio."),
+			inifile.Bool("strict_revocation", &m.PlatformLimits.StrictRevocation).
+				WithDescription("Whether a withdrawn API key has to be void in time on nodes without contact to the store, too. Such nodes then refuse requests with keys."),
+			inifile.Duration("revocation_time", &m.PlatformLimits.RevocationTime, time.Second, maxPlatformDuration).
+				WithDescription("Time in which a withdrawn API key is void, with strict_revocation."),
+			inifile.Duration("quota_window", &m.PlatformLimits.QuotaWindow, time.Second, maxPlatformDuration).
+				WithDescription("Window over which requests are counted against the quota of a customer."),
+			inifile.Float("quota_overshoot", &m.PlatformLimits.QuotaOvershoot, 0, 1).
+				WithDescription("Share by which a quota may be exceeded in a window."),
+			inifile.Float("quota_slack", &m.PlatformLimits.QuotaSlack, 0, maxAttemptSlack).
+				WithDescription("Requests by which a quota may be exceeded in a window, besides the share."),
+			inifile.Float("warmup_overshoot", &m.PlatformLimits.WarmupOvershoot, 0, maxWarmupOvershoot).
+				WithDescription("Requests to a cold backend server in any second, as a multiple of the rate that it bears."),
+			inifile.Float("warmup_slack", &m.PlatformLimits.WarmupSlack, 0, maxAttemptSlack).
+				WithDescription("Requests to a cold backend server in any second, besides the multiple."),
+			inifile.Duration("evacuation_time", &m.PlatformLimits.EvacuationTime, time.Millisecond, maxPlatformDuration).
+				WithDescription("Time in which an evacuated failure domain gets no more calls."),
 		}
 	}
 	return nil
@@ -219,5 +258,8 @@
 // maxMaxDescriptors is above the descriptors that any process can have.
 const maxMaxDescriptors = 1 << 30
 
+// maxWarmupOvershoot is the largest multiple that the platform may set.
+const maxWarmupOvershoot = 1000
+
 // maxLinkMbps is above the link rate that any instance can have.
 const maxLinkMbps = 1e6
