Receive large request bodies at the rate of the executor's link

Change: an executor takes large bodies of uploads one after the other at three quarters of its link's rate, refuses one that cannot arrive in time, and reports the backlog, which entries add to the expected time. Senders pace bodies on their own link. Only rules with large requests are affected.

--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -34,6 +34,9 @@
 	// LinkBacklogMicros is the time that the network link of the machine needs
 	// for the responses in progress and expected, in microseconds.
 	LinkBacklogMicros uint32 `cbor:"10,keyasint,omitempty" json:"link_us"`
+	// InboundBacklogMicros is the time that the network link of the machine needs for
+	// the request bodies that other nodes are sending or may send, in microseconds.
+	InboundBacklogMicros uint32 `cbor:"13,keyasint,omitempty" json:"inbound_us"`
 	// ReceivedAt is set by the receiver of the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/decide/idle"
+	"mangostand.example/mangostand/pkg/decide/pacing"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/routedoc"
 )
@@ -48,6 +49,9 @@
 	ServerLoad *ServerLoad
 	// Link schedules the bytes sent on the network link of the machine.
 	Link *LinkPacer
+	// InboundLink schedules the request bodies that this machine receives from other
+	// nodes.
+	InboundLink *LinkPacer
 	// CallStats holds the service time and response size of the calls of each
 	// rule.
 	CallStats *StatsByRule
@@ -109,6 +113,7 @@
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
+		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)),
 		CallStats:        &StatsByRule{},
 		AttemptCounters:  NewAttemptCounters(time.Now()),
 		ConfigConfirmed:  &ConfirmedVersion{},
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -20,6 +20,34 @@
 	payloadShare = 0.95
 )
 
+// bodyShare is the share of the usable rate at which request bodies are received. The
+// rest is for calls, responses and messages of other nodes, which wait behind bodies on
+// a link that these fill.
+const bodyShare = 0.75
+
+// BodyRate returns the rate at which request bodies are received on a link with a
+// usable rate, in the same unit.
+func BodyRate(usableRate float64) float64 { return bodyShare * usableRate }
+
+// Upload is a request body that another node wants to send.
+type Upload struct {
+	Bytes int64
+	// Backlog is the time that the link needs for the bodies before it.
+	Backlog time.Duration
+	// Rate is the rate of the link for bodies in bytes per second, 0 when not known.
+	Rate float64
+	// ServiceTime is the least time that the call needs on the backend server, and
+	// TimeLeft the time until its response is due.
+	ServiceTime time.Duration
+	TimeLeft    time.Duration
+}
+
+// AcceptUpload reports whether a body can arrive early enough for its call to be in
+// time. A body that arrives too late would only delay others.
+func AcceptUpload(u Upload) bool {
+	return u.Backlog+TransferTime(u.Bytes, u.Rate)+u.ServiceTime <= u.TimeLeft
+}
+
 // UsableRate returns the payload rate in bytes per second of a link with a
 // rate in Mbit/s, 0 when the rate is not known.
 func UsableRate(mbps float64) float64 { return payloadShare * mbps * 1e6 / 8 }
--- a/pkg/decide/pacing/pacing_test.go
+++ b/pkg/decide/pacing/pacing_test.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -36,3 +37,39 @@
 	require.Equal(t, 100*ms, ResponseDelay(300*ms, 200*ms, 0, slowLink))
 	require.Zero(t, ResponseDelay(150*ms, 200*ms, 0, slowLink), "the backlog is gone when the response is ready")
 }
+
+// A body that can't arrive in time must be refused before it is sent: on a link that is
+// full of such bodies no call is in time, not even a small one.
+func TestAcceptUpload(t *testing.T) {
+	rate := BodyRate(UsableRate(15))
+	u := Upload{Bytes: 60_000, Rate: rate, ServiceTime: 80 * time.Millisecond, TimeLeft: 600 * time.Millisecond}
+	require.True(t, AcceptUpload(u))
+	u.Backlog = 400 * time.Millisecond
+	require.True(t, AcceptUpload(u))
+	u.Backlog = 500 * time.Millisecond
+	require.False(t, AcceptUpload(u))
+	require.True(t, AcceptUpload(Upload{Bytes: 1 << 30, TimeLeft: time.Second}), "the rate of the link is not known")
+}
+
+// Plays uploads at 1.5 times what a link of 15 Mbit/s carries, with bodies of 15 to 180
+// kB and 600 ms for each. Accepted bodies must arrive in time and use most of the link;
+// without the decision all would be late after the first second.
+func TestUploadsBeyondTheLinkRate(t *testing.T) {
+	rate := BodyRate(UsableRate(15))
+	random := rand.New(rand.NewPCG(3, 4))
+	const meanBytes, objective, service = 60_000, 600 * time.Millisecond, 80 * time.Millisecond
+	interval := time.Duration(float64(TransferTime(meanBytes, rate)) / 1.5)
+	var freeAt time.Duration
+	var sent int64
+	end := 20 * time.Second
+	for now := time.Duration(0); now < end; now += interval {
+		bytes := int64(meanBytes * (0.25 + 1.5*random.Float64()))
+		if !AcceptUpload(Upload{Bytes: bytes, Backlog: max(0, freeAt-now), Rate: rate, ServiceTime: service, TimeLeft: objective}) {
+			continue
+		}
+		_, freeAt = Reserve(freeAt, now, bytes, rate)
+		require.LessOrEqual(t, freeAt+service-now, objective)
+		sent += bytes
+	}
+	require.Greater(t, TransferTime(sent, rate), time.Duration(0.95*float64(end)))
+}
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -28,6 +28,8 @@
 	ResponseBytes int64
 	LinkRate      float64
 	LinkBacklog   time.Duration
+	// UploadTime is the time until a large request body has arrived.
+	UploadTime time.Duration
 	// Excluded candidates are used only when there is no other.
 	Excluded bool
 }
@@ -74,7 +76,7 @@
 	load.Speed = load.Decayed(age, typicalMin)
 	responseTime := estimate.ResponseTime(load, nominal)
 	backlog := max(0, c.LinkBacklog-age)
-	total := responseTime + 2*c.OneWayLatency + c.TransferCost + pacing.ResponseDelay(backlog, responseTime, c.ResponseBytes, c.LinkRate)
+	total := responseTime + 2*c.OneWayLatency + c.UploadTime + c.TransferCost + pacing.ResponseDelay(backlog, responseTime, c.ResponseBytes, c.LinkRate)
 	return total + time.Duration(c.FailureRatio*failurePenalty*float64(nominal))
 }
 
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -81,7 +81,7 @@
 	switch {
 	case load.Waiting >= maxWaitingPerSlot*max(1, load.Slots):
 		decision.Result = QueueFull
-	case now.Add(minServiceTime(job)).After(job.Deadline):
+	case now.Add(MinServiceTime(job)).After(job.Deadline):
 		decision.Result = TooLate
 	case busy(load) && now.Add(decision.QueueWait+likelyServiceTime(job, load)).After(job.Objective):
 		decision.Result = TooLate
@@ -95,8 +95,8 @@
 // assumed to need. Service times vary by about a third around their mean.
 const minServiceShare = 0.6
 
-// minServiceTime returns the shortest service time to assume for a job.
-func minServiceTime(job Job) time.Duration {
+// MinServiceTime returns the shortest service time to assume for a job.
+func MinServiceTime(job Job) time.Duration {
 	return time.Duration(minServiceShare * max(1, job.MinSlowdown) * float64(job.NominalTime))
 }
 
@@ -125,7 +125,7 @@
 // job would take the slot of one that can be in time, and the caller may still
 // retry.
 func LatestStart(job Job) time.Time {
-	return job.Objective.Add(-minServiceTime(job))
+	return job.Objective.Add(-MinServiceTime(job))
 }
 
 // Bounds of the Retry-After advice. The lower one is long enough for one call
@@ -161,7 +161,7 @@
 func Next(jobs []Job, now time.Time) int {
 	best, bestLate := 0, true
 	for i, job := range jobs {
-		late := now.Add(minServiceTime(job)).After(job.Objective)
+		late := now.Add(MinServiceTime(job)).After(job.Objective)
 		switch {
 		case i == 0, bestLate && !late:
 			best, bestLate = i, late
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/decide/pacing"
 )
 
 // ClientRequest is a request that a Pool sends.
@@ -25,6 +27,9 @@
 	// ExpectContinue sends the header with Expect: 100-continue and the body only
 	// after a 100 response. Until then the server cannot have executed the request.
 	ExpectContinue bool
+	// PaceBody, if not nil, is called with the size of the next part of a body that is
+	// sent after a 100 response, and returns when that part may be sent.
+	PaceBody func(bytes int)
 	// MaxIdleTime is the longest time that a reused connection may have been idle.
 	// Zero requires a new connection.
 	MaxIdleTime time.Duration
@@ -329,15 +334,31 @@
 		return nil
 	}
 	rt.requestSent = true
+	rest := rt.request.Body
+	if rt.request.PaceBody != nil {
+		for len(rest) > pacedPartBytes {
+			rt.request.PaceBody(pacedPartBytes)
+			var part bytes.Buffer
+			_ = writeChunk(&part, rest[:pacedPartBytes])
+			if _, err := rt.conn.netConn.Write(part.Bytes()); err != nil {
+				return errors.Annotate(err, "writing the request body")
+			}
+			rest = rest[pacedPartBytes:]
+		}
+		rt.request.PaceBody(len(rest))
+	}
 	var buf bytes.Buffer
-	if len(rt.request.Body) > 0 {
-		_ = writeChunk(&buf, rt.request.Body)
+	if len(rest) > 0 {
+		_ = writeChunk(&buf, rest)
 	}
 	buf.WriteString("0\r\n\r\n")
 	_, err := rt.conn.netConn.Write(buf.Bytes())
 	return errors.Annotate(err, "writing the request body")
 }
 
+// pacedPartBytes is the size of a part of a paced body, see pacing.ChunkBytes.
+const pacedPartBytes = pacing.ChunkBytes
+
 func (rt *roundTrip) writeRequest() error {
 	var buf bytes.Buffer
 	req := rt.request
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -39,7 +39,10 @@
 	Rank        int
 	Idempotent  bool
 	MaxAttempts int
-	Service     string
+	// BodyBytes is the size of a large body that the entry sends to the executor when
+	// its link has room, 0 for other bodies.
+	BodyBytes int64
+	Service   string
 	// Customer is the customer whose API key the caller used, "" for none. CustomerRank
 	// is its priority, which goes before Rank.
 	Customer     string
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -7,6 +7,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/pacing"
 	"mangostand.example/mangostand/pkg/decide/pick/earliest"
 )
 
@@ -102,6 +103,9 @@
 			c.OneWayLatency = crossDomainLatency
 			c.TransferCost = earliest.CrossDomainCost(nominalTime, responseBytes, f.offers == 0)
 		}
+		if f.call.BodyBytes > 0 {
+			c.UploadTime = f.uploadTime(endpoint.Record.LinkRate, report, now)
+		}
 		if report != nil {
 			c.LinkBacklog = time.Duration(report.LinkBacklogMicros) * time.Microsecond
 		}
@@ -117,3 +121,14 @@
 	}
 	return c
 }
+
+// uploadTime returns the expected time until the body of the call has arrived at an
+// executor.
+func (f *forwarder) uploadTime(linkRate float64, report *board.LoadReport, now time.Time) time.Duration {
+	transfer := pacing.TransferTime(f.call.BodyBytes, pacing.BodyRate(linkRate))
+	if report == nil {
+		return transfer
+	}
+	backlog := time.Duration(report.InboundBacklogMicros)*time.Microsecond - now.Sub(report.ReceivedAt)
+	return max(0, backlog) + transfer
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -11,6 +11,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/attempts"
+	"mangostand.example/mangostand/pkg/decide/pacing"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/metrics"
@@ -81,6 +82,9 @@
 	service := rule.PickService(rand.Float64())
 	c := newCall(id, rule, service)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
+	if rule.LargeRequests && len(c.Body) >= pacing.MinPacedBytes {
+		c.BodyBytes = int64(len(c.Body))
+	}
 	c.Received, c.Deadline, c.Objective = r.ReceivedAt, deadline, objective
 	c.CallerService, c.ConfigVersion = e.Board.Self.Service, table.Version
 	if holder := identified.Customer; holder != nil {
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -59,7 +59,7 @@
 		Limit: uint32(x.concurrencyLimit(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
 		Draining: !server.AcceptsCalls() || x.Board.Shutdown.Load().Leaving, Sequence: x.reportSequence.Add(1),
 		SlowdownPercent: uint32(100 * speed.CurrentSlowdown()), MinSlowdownPercent: uint32(100 * max(1, speed.MinSlowdown)),
-		LinkBacklogMicros: uint32(x.Board.Link.Backlog(now).Microseconds()),
+		LinkBacklogMicros: uint32(x.Board.Link.Backlog(now).Microseconds()), InboundBacklogMicros: uint32(x.Board.InboundLink.Backlog(now).Microseconds()),
 	}
 }
 
@@ -134,7 +134,10 @@
 		result.QueueWait = decision.QueueWait
 		return result
 	}
-	body, err := from.Accept(ctx)
+	if reason := x.awaitLink(ctx, c, job, from); reason != "" {
+		return notSent(reason)
+	}
+	body, err := from.Accept(ctx, x.bodyTimeoutFor(c))
 	if err != nil {
 		return notSent(board.ReasonBodyMissing)
 	}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -499,11 +499,13 @@
 // pausedSender is an entry whose executor is paused while it accepts a call.
 type pausedSender struct{ pause time.Duration }
 
-func (s pausedSender) Accept(context.Context) ([]byte, error) {
+func (s pausedSender) Accept(context.Context, time.Duration) ([]byte, error) {
 	time.Sleep(s.pause)
 	return nil, nil
 }
 
+func (pausedSender) NotifyQueued() {}
+
 func (pausedSender) NotifySlow() {}
 
 // Guards against a call that is sent after its deadline because the process was
--- a/pkg/mesh/peercall.go
+++ b/pkg/mesh/peercall.go
@@ -42,9 +42,13 @@
 		acceptTimedOut.Store(true)
 		cancel()
 	})
+	var paceBody func(int)
+	if c.BodyBytes > 0 {
+		paceBody = f.paceUpload
+	}
 	response, err := f.entry.Peers.Do(ctx, endpoint.Record.PeerAddr, &h1.ClientRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
-		ExpectContinue: true, MaxIdleTime: peerMaxIdle, OnInterimResponse: func(status int) {
+		ExpectContinue: true, PaceBody: paceBody, MaxIdleTime: peerMaxIdle, OnInterimResponse: func(status int) {
 			acceptTimer.Stop()
 			if status == statusSlow {
 				notifySlow()
