Recognise nested calls and serve them until their deadline

Change: pkg/decide/nesting recognises calls of backend servers by the nodes at which they enter: those beside servers of one service only. Executors serve them first and until their deadline.

--- a/pkg/board/callstats.go
+++ b/pkg/board/callstats.go
@@ -24,6 +24,49 @@
 	low atomic.Int64
 	// longestTimeoutNanos is the longest caller timeout observed.
 	longestTimeoutNanos atomic.Int64
+	// origins counts the nodes at which the calls entered.
+	origins callOrigins
+}
+
+// callOrigins counts calls by whether they entered at nodes beside servers of one
+// service, the one that most calls come from. Concurrent updates may lose a count.
+type callOrigins struct {
+	service     atomic.Pointer[string]
+	same, other atomic.Int64
+}
+
+// maxOriginCount is the count at which both counts are halved, so that they follow a
+// change of the callers.
+const maxOriginCount = 1024
+
+// ObserveOrigin records that a call entered at a node beside a server of a service.
+func (s *Stats) ObserveOrigin(service string) {
+	o := &s.origins
+	current := o.service.Load()
+	switch {
+	case current == nil:
+		if o.service.CompareAndSwap(nil, &service) {
+			o.same.Add(1)
+		}
+	case *current == service:
+		if o.same.Add(1) >= maxOriginCount {
+			o.same.Store(maxOriginCount / 2)
+			o.other.Store(o.other.Load() / 2)
+		}
+	case o.other.Add(1) > o.same.Load():
+		o.service.Store(&service)
+		o.same.Store(1)
+		o.other.Store(0)
+	}
+}
+
+// Origins returns the service beside whose servers most calls entered, the number of
+// those calls and of all others.
+func (s *Stats) Origins() (service string, same, other int64) {
+	if current := s.origins.service.Load(); current != nil {
+		service = *current
+	}
+	return service, s.origins.same.Load(), s.origins.other.Load()
 }
 
 // maxCallerTimeout limits the timeouts that callers state.
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -11,6 +11,10 @@
 
 // Job is a call that asks for an execution slot of a backend server.
 type Job struct {
+	// Nested is set for a call that a backend server makes while it runs another one.
+	// It is served first: its parent holds a slot meanwhile, and the work of the parent
+	// is lost without the response.
+	Nested bool
 	// CustomerRank is the priority of the customer and Rank that of the rule; 0 is
 	// served first.
 	CustomerRank int
@@ -31,9 +35,12 @@
 	MaxResponseTime time.Duration
 }
 
-// ServedBefore reports whether a is served before b: by the rank of the customer,
+// ServedBefore reports whether a is served before b: nested calls first, then by the rank of the customer,
 // the rank of the rule, then by objective.
 func ServedBefore(a, b Job) bool {
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	if a.CustomerRank != b.CustomerRank {
 		return a.CustomerRank < b.CustomerRank
 	}
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -12,6 +12,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/nesting"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/metrics"
@@ -124,8 +125,9 @@
 	}
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
+	nested := x.observeOrigin(c)
 	job := queueing.Job{
-		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
+		Nested: nested, CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: nesting.Objective(nested, c.Objective, c.Deadline), Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
 	load := x.queue.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
@@ -153,6 +155,19 @@
 	return x.runOnServer(ctx, c, server, job, from)
 }
 
+// observeOrigin records where a call entered and reports whether it is nested.
+func (x *Executor) observeOrigin(c *Call) bool {
+	stats := x.Board.CallStats.ForRule(c.Rule)
+	stats.ObserveOrigin(c.CallerService)
+	service, same, other := stats.Origins()
+	if service != c.CallerService {
+		return false
+	}
+	fleet := x.Board.Fleet.Load()
+	share := float64(len(fleet.ByService[service])) / float64(max(1, fleet.Size))
+	return nesting.MadeByServers(nesting.Origins{Same: same, Other: other, Share: share})
+}
+
 // meanServiceTimeOr returns the mean service time of all calls, or the given
 // time if there are no samples yet.
 func (x *Executor) meanServiceTimeOr(nominalTime time.Duration) time.Duration {
