Use one queue type in both executors

Cause: pkg/mesh/admission.go and pkg/call/admission.go held two copies of the queue of calls that wait for a slot. The order among customers would have been built into one of them only. Change: slotqueue.Queue holds the slots, the waiting calls and their wake-ups. Its users pass the order and the decision on a new call as functions that are called while the queue is locked. Waiting calls are kept in the order of their arrival; pkg/call finds the next and the last one by priority, which gives the order that its sorted insertion gave. In the tests of pkg/call only the names of the accessors change.

--- a/pkg/call/admission_test.go
+++ b/pkg/call/admission_test.go
@@ -46,14 +46,14 @@
 				admitted.Add(1)
 				time.Sleep(time.Millisecond)
 				running.Add(-1)
-				x.queue.release(limit)
+				x.queue.Release(limit, nextByPriority)
 			})
 		}
 		wg.Wait()
 		require.Equal(t, int64(limit), peak.Load())
 		require.Equal(t, int64(calls), admitted.Load())
-		require.Zero(t, x.queue.running.Load())
-		require.Zero(t, x.queue.waiting.Load())
+		require.Zero(t, x.queue.Running())
+		require.Zero(t, x.queue.Waiting())
 	})
 }
 
@@ -71,13 +71,13 @@
 					refused.Add(1)
 					return
 				}
-				x.queue.release(limit)
+				x.queue.Release(limit, nextByPriority)
 			}
 		})
 	}
 	wg.Wait()
 	require.Zero(t, refused.Load())
-	require.Zero(t, x.queue.running.Load())
+	require.Zero(t, x.queue.Running())
 }
 
 // Guards against background calls that keep calls of a higher priority out of
@@ -95,7 +95,7 @@
 				order = append(order, name+string(reason))
 				mu.Unlock()
 				if reason == "" {
-					x.queue.release(1)
+					x.queue.Release(1, nextByPriority)
 				}
 			}()
 			synctest.Wait()
@@ -109,10 +109,10 @@
 		require.Equal(t, []string{
 			"second background:shed-by-priority", "background:shed-by-priority", "second normal:overloaded",
 		}, order)
-		x.queue.release(1)
+		x.queue.Release(1, nextByPriority)
 		synctest.Wait()
 		require.Equal(t, []string{"critical:", "normal:"}, order[3:])
-		require.Zero(t, x.queue.running.Load())
+		require.Zero(t, x.queue.Running())
 	})
 }
 
@@ -131,8 +131,8 @@
 		withDeadline, cancelDeadline := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancelDeadline()
 		require.Equal(t, board.ReasonOverloaded, acquireSlot(withDeadline, x, dynconf.PriorityNormal))
-		require.Zero(t, x.queue.waiting.Load())
-		x.queue.release(1)
-		require.Zero(t, x.queue.running.Load())
+		require.Zero(t, x.queue.Waiting())
+		x.queue.Release(1, nextByPriority)
+		require.Zero(t, x.queue.Running())
 	})
 }
--- a/pkg/call/executor.go
+++ b/pkg/call/executor.go
@@ -15,6 +15,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/metrics"
 	"mangostand.example/mangostand/pkg/peer"
+	"mangostand.example/mangostand/pkg/slotqueue"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
@@ -33,20 +34,20 @@
 	// Metrics holds the counters of admission. If it is nil, nothing is counted.
 	Metrics *metrics.TrafficMetrics
 
-	queue          admissionQueue
+	queue          slotqueue.Queue[queuedCall]
 	reportSequence atomic.Uint64
 }
 
 // InFlight returns the number of calls that run on the backend server.
-func (x *Executor) InFlight() int64 { return x.queue.running.Load() }
+func (x *Executor) InFlight() int64 { return int64(x.queue.Running()) }
 
 // LoadReport returns the current load of the executor, which is sent with each
 // response.
 func (x *Executor) LoadReport() board.LoadReport {
 	local := x.Board.LocalServer.Load()
 	return board.LoadReport{
-		InFlight:               uint32(x.queue.running.Load()),
-		Queued:                 uint32(x.queue.waiting.Load()),
+		InFlight:               uint32(x.queue.Running()),
+		Queued:                 uint32(x.queue.Waiting()),
 		Limit:                  x.admissionLimits(local).ConcurrencyLimit,
 		LatencyMicros:          uint32(min(x.Board.ServiceTimes.Median().Microseconds(), math.MaxUint32)),
 		Draining:               local.Draining,
@@ -145,7 +146,7 @@
 	ctx, cancel, execution, refusal := x.beginAtMostOnce(ctx, cancel, message)
 	if refusal != nil {
 		cancel()
-		x.queue.release(x.admissionLimits(local).ConcurrencyLimit)
+		x.release(local)
 		return refusal
 	}
 	record.Advance(board.RequestRunning)
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -2,144 +2,63 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/queueing"
+	"mangostand.example/mangostand/pkg/slotqueue"
 )
 
-// admissionQueue limits the calls that run on the backend server of this
-// node and queues the others. A call that finds a free slot and an empty
-// queue takes no lock.
-type admissionQueue struct {
-	running atomic.Int64
-	waiting atomic.Int64
-
-	mu      sync.Mutex
-	waiters []*waiter
-}
-
-// waiter is one queued call. It is removed from the queue either by wait, when
-// the call gives up, or by another goroutine, which then sends exactly one
-// decision; an empty reason grants a slot.
-type waiter struct {
-	job      queueing.Job
-	decision chan board.Reason
-}
-
-// tryAcquire takes a slot if fewer than slots calls run.
-func (q *admissionQueue) tryAcquire(slots int) bool {
-	for {
-		running := q.running.Load()
-		if running >= int64(slots) {
-			return false
-		}
-		if q.running.CompareAndSwap(running, running+1) {
-			return true
-		}
-	}
-}
-
-// release frees a slot and grants it to a queued call. The slot is freed
-// before the queue is read, and enqueue adds a call before it tries for a
-// slot, so no call stays queued while a slot is free.
-func (q *admissionQueue) release(slots int) {
-	q.running.Add(-1)
-	q.grantSlots(slots)
-}
-
-// grantSlots grants free slots to queued calls.
-func (q *admissionQueue) grantSlots(slots int) {
-	if q.waiting.Load() == 0 {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for len(q.waiters) > 0 && q.tryAcquire(slots) {
-		i := queueing.Next(q.jobs(), time.Now())
-		q.dequeue(i).decision <- ""
-	}
-}
-
-// refuseAll refuses all queued calls.
-func (q *admissionQueue) refuseAll(reason board.Reason) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for len(q.waiters) > 0 {
-		q.dequeue(0).decision <- reason
-	}
-}
-
-func (q *admissionQueue) jobs() []queueing.Job {
-	jobs := make([]queueing.Job, len(q.waiters))
-	for i, w := range q.waiters {
-		jobs[i] = w.job
-	}
-	return jobs
-}
-
-func (q *admissionQueue) dequeue(i int) *waiter {
-	w := q.waiters[i]
-	q.waiters = slices.Delete(q.waiters, i, i+1)
-	q.waiting.Add(-1)
-	return w
-}
-
-// enqueue adds a call to the queue.
-func (q *admissionQueue) enqueue(job queueing.Job, slots int) *waiter {
-	w := &waiter{job: job, decision: make(chan board.Reason, 1)}
-	q.mu.Lock()
-	q.waiters = append(q.waiters, w)
-	q.waiting.Add(1)
-	q.mu.Unlock()
-	q.grantSlots(slots)
-	return w
-}
+// nextJob returns the index of the waiting job that gets a free slot.
+func nextJob(waiting []queueing.Job) int { return queueing.Next(waiting, time.Now()) }
 
 // loadFor returns base with the calls that are ahead of a job: all running
 // calls and the queued calls that are served before it.
-func (q *admissionQueue) loadFor(job queueing.Job, base estimate.Load) estimate.Load {
-	base.Running = int(q.running.Load())
-	if q.waiting.Load() == 0 {
-		return base
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, w := range q.waiters {
-		if !queueing.ServedBefore(job, w.job) {
+func (x *Executor) loadFor(job queueing.Job, base estimate.Load) estimate.Load {
+	base.Running = x.queue.Running()
+	for _, waiting := range x.queue.Jobs() {
+		if !queueing.ServedBefore(job, waiting) {
 			base.Waiting++
 		}
 	}
 	return base
 }
 
-// wait blocks until a decision arrives, until it is too late to start the call
-// and still meet its objective, or until ctx ends. If the waiter has already
-// been removed from the queue by then, the decision that was sent to it applies.
-func (q *admissionQueue) wait(ctx context.Context, w *waiter) board.Reason {
-	timer := time.NewTimer(time.Until(queueing.LatestStart(w.job)))
-	defer timer.Stop()
-	var reason board.Reason
-	select {
-	case reason = <-w.decision:
+// acquireSlot acquires a slot for a call, or returns why the call is
+// refused.
+func (x *Executor) acquireSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
+	if x.queue.TryAcquire(slots) {
+		return ""
+	}
+	if reason := x.waitForSlot(ctx, job, slots); reason != "" {
 		return reason
-	case <-timer.C:
-		reason = board.ReasonDeadlineBeforeStart
-	case <-ctx.Done():
-		reason = board.ReasonCanceledByCaller
 	}
-	q.mu.Lock()
-	i := slices.Index(q.waiters, w)
-	if i >= 0 {
-		q.dequeue(i)
+	if ctx.Err() != nil {
+		x.releaseSlot(slots)
+		return board.ReasonCanceledByCaller
 	}
-	q.mu.Unlock()
-	if i >= 0 {
+	return ""
+}
+
+// waitForSlot queues a call until it gets a slot, until it is too late to start it
+// and still meet its objective, or until ctx ends.
+func (x *Executor) waitForSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
+	w, reason := x.queue.Enqueue(slots, func([]queueing.Job) slotqueue.Admission[queueing.Job] {
+		return slotqueue.Admission[queueing.Job]{Job: job}
+	}, nextJob)
+	if w == nil {
 		return reason
 	}
-	return <-w.decision
+	end, reason := x.queue.Wait(ctx, w, queueing.LatestStart(job))
+	switch end {
+	case slotqueue.Expired:
+		return board.ReasonDeadlineBeforeStart
+	case slotqueue.Canceled:
+		return board.ReasonCanceledByCaller
+	}
+	return reason
 }
+
+// releaseSlot frees the slot of a call.
+func (x *Executor) releaseSlot(slots int) { x.queue.Release(slots, nextJob) }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -15,6 +15,7 @@
 	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/metrics"
+	"mangostand.example/mangostand/pkg/slotqueue"
 )
 
 const (
@@ -41,21 +42,21 @@
 	// DrainTime is how long a draining backend server may still get calls.
 	DrainTime time.Duration
 
-	queue           admissionQueue
+	queue           slotqueue.Queue[queueing.Job]
 	tracker         callTracker
 	meanServiceTime board.Stats
 	reportSequence  atomic.Uint64
 }
 
 // InFlight returns the number of running and queued calls.
-func (x *Executor) InFlight() int { return int(x.queue.running.Load() + x.queue.waiting.Load()) }
+func (x *Executor) InFlight() int { return x.queue.Running() + x.queue.Waiting() }
 
 // LoadReport returns a load report for other nodes.
 func (x *Executor) LoadReport() board.LoadReport {
 	server, now := x.Board.LocalServer.Load(), time.Now()
 	speed := x.currentSpeed(server, now)
 	return board.LoadReport{
-		InFlight: uint32(x.queue.running.Load()), Queued: uint32(x.queue.waiting.Load()),
+		InFlight: uint32(x.queue.Running()), Queued: uint32(x.queue.Waiting()),
 		Limit: uint32(x.concurrencyLimit(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
 		Draining: !server.AcceptsCalls() || x.Board.Shutdown.Load().Leaving, Sequence: x.reportSequence.Add(1),
 		SlowdownPercent: uint32(100 * speed.CurrentSlowdown()), MinSlowdownPercent: uint32(100 * max(1, speed.MinSlowdown)),
@@ -127,7 +128,7 @@
 	job := queueing.Job{
 		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
-	load := x.queue.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
+	load := x.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
 	if decision.Result != queueing.Accepted {
 		result := notSent(refusalReason(decision.Result))
@@ -185,28 +186,11 @@
 	return ""
 }
 
-// acquireSlot acquires a slot for a call, or returns why the call is
-// refused.
-func (x *Executor) acquireSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
-	if x.queue.waiting.Load() == 0 && x.queue.tryAcquire(slots) {
-		return ""
-	}
-	reason := x.queue.wait(ctx, x.queue.enqueue(job, slots))
-	if reason != "" {
-		return reason
-	}
-	if ctx.Err() != nil {
-		x.queue.release(slots)
-		return board.ReasonCanceledByCaller
-	}
-	return ""
-}
-
 // runOnServer sends a call that holds a slot to the backend server.
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
 	slots := x.concurrencyLimit(server)
-	release := sync.OnceFunc(func() { x.queue.release(slots) })
+	release := sync.OnceFunc(func() { x.releaseSlot(slots) })
 	slotPassedOn := false
 	defer func() {
 		if !slotPassedOn {
@@ -224,14 +208,14 @@
 		return notSent(board.ReasonDeadlineBeforeStart)
 	}
 	tracked := x.tracker.start(job, x.currentSpeed(server, now).CurrentSlowdown(), now, from.NotifySlow)
-	concurrent := x.queue.running.Load()
+	concurrent := x.queue.Running()
 	expectedBytes := x.Board.CallStats.ForRule(c.Rule).ResponseSize()
 	x.Board.Link.AddPending(expectedBytes)
 	result := x.sendToServer(ctx, c, server)
 	reportExecutionResult(x.Board, c, server, result)
 	x.Board.Link.AddPending(-expectedBytes)
 	serviceTime := x.tracker.finish(tracked, time.Now())
-	concurrent = (concurrent + x.queue.running.Load() + 1) / 2
+	concurrent = (concurrent + x.queue.Running() + 1) / 2
 	if result.buffered || result.Body == nil {
 		release()
 	} else {
@@ -242,7 +226,7 @@
 		x.Board.SuspectedServers.Post(*server)
 	}
 	if result.Outcome == Answered && result.Status < http.StatusInternalServerError {
-		x.recordSample(c, serviceTime, tracked.maxSlowdown, int(concurrent), server.Slots)
+		x.recordSample(c, serviceTime, tracked.maxSlowdown, concurrent, server.Slots)
 		x.meanServiceTime.AddServiceTime(serviceTime)
 		x.Board.CallStats.ForRule(c.Rule).AddServiceTime(serviceTime)
 	}
@@ -329,7 +313,7 @@
 			return
 		case <-changed:
 			if server := x.Board.LocalServer.Load(); server.Down || server.State == board.ServerGone {
-				x.queue.refuseAll(board.ReasonBackendDown)
+				x.queue.RefuseAll(board.ReasonBackendDown)
 			}
 		}
 	}
