Use all slots until high load has been sampled

Cause: without a decision on contention each server kept a fifth of its slots empty. Change: all slots are used first; then a quarter of the servers of a service, or all of fewer than eight, sample low load on purpose, and their majority decides for the others.

--- a/pkg/decide/concurrency/concurrency.go
+++ b/pkg/decide/concurrency/concurrency.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
 )
 
 const (
@@ -26,12 +27,13 @@
 	decisionTTL = 60 * time.Second
 )
 
-// State is what is known about a server. It goes through a cycle. The zero
-// value has no samples and limits the concurrency to HighLoadShare, unless
-// most other servers of the service show no contention. Once there are enough
-// samples under low load, all slots are used to sample high load. The decision
-// that follows holds for decisionTTL, after which the state starts again from
-// zero.
+// State is what is known about a server. It goes through a cycle. The zero value has
+// no samples and uses all slots, unless most other servers of the service show
+// contention: where nothing is known, a fifth of the slots is worth more than what
+// contention costs until the decision. Once there are enough samples under high load,
+// some servers limit the concurrency to HighLoadShare to sample low load, if low load
+// has not come by itself. The decision that follows holds for decisionTTL, after which the state
+// starts again from zero.
 type State struct {
 	lowLoad, highLoad average
 	// limited is the decision, which holds until decidedUntil. Before the
@@ -98,12 +100,31 @@
 	return s
 }
 
-// Limit returns the number of calls that may run at once. The majority is the
-// decision of most servers of the service.
-func (s State) Limit(slots int, majority board.Contention, now time.Time) int {
-	reduced := s.lowLoad.samples < minSamples && majority != board.ContentionNone
-	if now.Before(s.decidedUntil) {
+// samplerShare is the divisor for the share of the servers of a service that sample low
+// load on purpose. minSamplers is the number of servers below which all of them do.
+const (
+	samplerShare = 4
+	minSamplers  = 8
+)
+
+// SamplesLowLoad reports whether a server is one of those that sample low load on
+// purpose. Their majority decides for the others, which keep all slots in use.
+func SamplesLowLoad(instance board.InstanceID, servers int) bool {
+	return servers < minSamplers || hashing.String(string(instance))%samplerShare == 0
+}
+
+// Limit returns the number of calls that may run at once. The majority is the decision
+// of most servers of the service, sampler the result of SamplesLowLoad.
+func (s State) Limit(slots int, majority board.Contention, sampler bool, now time.Time) int {
+	var reduced bool
+	switch {
+	case now.Before(s.decidedUntil):
 		reduced = s.limited
+	case s.lowLoad.samples >= minSamples:
+	case majority == board.ContentionUnknown:
+		reduced = sampler && s.highLoad.samples >= minSamples
+	default:
+		reduced = majority == board.ContentionSlowdown
 	}
 	if reduced {
 		return max(1, int(HighLoadShare*float64(slots)))
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -86,7 +86,9 @@
 // concurrencyLimit returns how many calls may run on the backend server at
 // once.
 func (x *Executor) concurrencyLimit(server *board.BackendServer) int {
-	return x.tracker.limit(server.Slots, x.Board.Fleet.Load().Contention, time.Now())
+	fleet := x.Board.Fleet.Load()
+	sampler := concurrency.SamplesLowLoad(x.Board.Self.Instance, len(fleet.ByService[server.Service]))
+	return x.tracker.limit(server.Slots, fleet.Contention, sampler, time.Now())
 }
 
 // Execute admits a call and runs it on the backend server. The result
@@ -269,7 +271,7 @@
 		if decision := x.tracker.addSample(sample, now); decision != nil {
 			x.Board.ServerLoad.SetContention(decision.Contention())
 			x.Log.Info().Str("event", "concurrency").Float64("full_to_calm", decision.HighToLowLoadRatio()).
-				Int("limit", decision.Limit(slots, board.ContentionUnknown, now)).Int("slots", slots).Send()
+				Int("limit", decision.Limit(slots, board.ContentionUnknown, false, now)).Int("slots", slots).Send()
 		}
 	}
 }
--- a/pkg/mesh/tracker.go
+++ b/pkg/mesh/tracker.go
@@ -27,13 +27,14 @@
 }
 
 // limit returns how many calls may run at once. majority is the contention that
-// most nodes of the service have observed.
-func (t *callTracker) limit(slots int, majority board.Contention, now time.Time) int {
+// most nodes of the service have observed, sampler says whether this server samples low
+// load on purpose.
+func (t *callTracker) limit(slots int, majority board.Contention, sampler bool, now time.Time) int {
 	var state concurrency.State
 	if current := t.limitState.Load(); current != nil {
 		state = *current
 	}
-	return state.Limit(slots, majority, now)
+	return state.Limit(slots, majority, sampler, now)
 }
 
 // addSample adds a completed call and returns the new state if the call led
