Bound the expected wait of a call as a share of its time

Cause: under overload the queue grew until each call was answered just before its objective; nested calls and slow hosts then made it late. Change: a busy executor refuses a call whose expected wait is above 0.3 of the time to its objective. Nested calls are exempt.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -77,6 +77,12 @@
 	QueueWait time.Duration
 }
 
+// maxWaitShare bounds the expected wait of a call as a share of the time to its
+// objective. Without it the queue of a service with too much load grows until each call
+// is answered just before its objective, if its host and its nested calls are as fast as
+// expected, and late otherwise. A shorter queue serves as many calls, and sooner.
+const maxWaitShare = 0.3
+
 // maxWaitingPerSlot bounds the number of waiting calls per slot. Calls beyond
 // it would miss any common objective.
 const maxWaitingPerSlot = 8
@@ -90,6 +96,8 @@
 		decision.Result = QueueFull
 	case now.Add(MinServiceTime(job)).After(job.Deadline):
 		decision.Result = TooLate
+	case !job.Nested && busy(load) && float64(decision.QueueWait) > maxWaitShare*float64(job.Objective.Sub(now)):
+		decision.Result = TooLate
 	case busy(load) && now.Add(decision.QueueWait+likelyServiceTime(job, load)).After(job.Objective):
 		decision.Result = TooLate
 	case job.MaxResponseTime > 0 && decision.ResponseTime > job.MaxResponseTime:
