Reserve slots for nested calls

Cause: parents held all slots of a service while their nested calls waited at one that was short of servers, and blocked nested calls of other parents. Change: as many slots as nested calls have used lately, with some headroom, at most half, are kept from other calls (nesting.ReservedSlots). A slot queue may leave a free slot unused.

--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -44,6 +44,7 @@
 	DrainTime time.Duration
 
 	queue           slotqueue.Queue[queueing.Job]
+	slots           slotUse
 	tracker         callTracker
 	meanServiceTime board.Stats
 	reportSequence  atomic.Uint64
@@ -132,7 +133,7 @@
 	job := queueing.Job{
 		Nested: nested, CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: nesting.Objective(nested, c.Objective, c.Deadline), Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
-	load := x.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
+	load := x.loadFor(job, x.concurrencyLimit(server), now, estimate.Load{Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
 	if decision.Result != queueing.Accepted {
 		result := notSent(refusalReason(decision.Result))
@@ -210,7 +211,7 @@
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
 	slots := x.concurrencyLimit(server)
-	release := sync.OnceFunc(func() { x.releaseSlot(slots) })
+	release := sync.OnceFunc(func() { x.releaseSlot(job, slots) })
 	slotPassedOn := false
 	defer func() {
 		if !slotPassedOn {
@@ -234,7 +235,11 @@
 	result := x.sendToServer(ctx, c, server)
 	reportExecutionResult(x.Board, c, server, result)
 	x.Board.Link.AddPending(-expectedBytes)
-	serviceTime := x.tracker.finish(tracked, time.Now())
+	ended := time.Now()
+	serviceTime := x.tracker.finish(tracked, ended)
+	if job.Nested {
+		x.slots.addNested(ended.Sub(now), ended)
+	}
 	concurrent = (concurrent + x.queue.Running() + 1) / 2
 	if result.buffered || result.Body == nil {
 		release()
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -34,8 +34,9 @@
 	decision chan board.Reason
 }
 
-// Next returns the index of the waiting job that gets a free slot. The jobs are in
-// the order of their arrival. It is called while the queue is locked.
+// Next returns the index of the waiting job that gets a free slot, or -1 if none of
+// them may have it. The jobs are in the order of their arrival. It is called while the
+// queue is locked.
 type Next[J any] func(waiting []J) int
 
 // Eviction is a queued job that is refused to make room for another one.
@@ -79,6 +80,12 @@
 // call stays queued while a slot is free.
 func (q *Queue[J]) Release(slots int, next Next[J]) {
 	q.running.Add(-1)
+	q.Grant(slots, next)
+}
+
+// Grant grants free slots to queued calls. Release does so by itself; a user calls it
+// when next may choose a job that it has left waiting before.
+func (q *Queue[J]) Grant(slots int, next Next[J]) {
 	if q.waiting.Load() == 0 {
 		return
 	}
@@ -90,7 +97,12 @@
 // grantSlots grants free slots to queued calls. The caller must hold mu.
 func (q *Queue[J]) grantSlots(slots int, next Next[J]) {
 	for len(q.waiters) > 0 && q.tryAcquire(slots) {
-		q.dequeue(next(q.jobs())).decision <- ""
+		i := next(q.jobs())
+		if i < 0 {
+			q.running.Add(-1)
+			return
+		}
+		q.dequeue(i).decision <- ""
 	}
 }
 
