Do not take statuses that HTTP does not have for responses

Cause: http.ReadResponse accepts any three digits. From a backend server in trouble, 000 to 099 were skipped like interim responses, 600 to 999 and an unrequested 101 were passed to the caller; the path of net/http passed all of them on. Change: a status outside 200 to 599 is no final response. The connection is closed and the call may have run, on the platform's path, on the product's own path and between nodes.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/h1"
 )
 
 // ErrNotSent means that the request was not assigned a connection, so that the
@@ -101,6 +103,10 @@
 		}
 		return nil, errors.Trace(err)
 	}
+	if !h1.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, errors.Errorf("invalid status %03d", resp.StatusCode)
+	}
 	removeHopByHopHeaders(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, ContentLength: resp.ContentLength}, nil
 }
--- a/pkg/call/send.go
+++ b/pkg/call/send.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/peer"
 	"mangostand.example/mangostand/pkg/wire"
 )
@@ -93,6 +94,10 @@
 		Header: decodeHeader(head.Header), ContentLength: head.ContentLength,
 		AttemptsUsed: int(head.AttemptsUsed), LoadReport: head.LoadReport, Epoch: head.Epoch, fromExecutor: true,
 	}
+	hasResponse := head.Outcome == board.OutcomeSucceeded || head.Outcome == board.OutcomeFailed
+	if hasResponse && !h1.IsFinalStatus(result.Status) {
+		return UnknownResult(board.ReasonMalformedAnswer)
+	}
 	switch head.Outcome {
 	case board.OutcomeSucceeded, board.OutcomeFailed:
 		result.Body = io.NopCloser(body)
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -285,7 +285,7 @@
 			}
 			return nil, errors.Annotate(err, "reading the response header")
 		}
-		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		if IsInterimStatus(resp.StatusCode) {
 			if err := rt.handleInterim(resp.StatusCode); err != nil {
 				return nil, err
 			}
@@ -297,6 +297,9 @@
 			}
 			continue
 		}
+		if !IsFinalStatus(resp.StatusCode) {
+			return nil, errors.Annotatef(errInvalidStatus, "status %03d", resp.StatusCode)
+		}
 		rt.conn.input.remaining = -1
 		if rt.maxBodyBytes > 0 && resp.ContentLength > rt.maxBodyBytes {
 			return nil, errors.Annotatef(errBodyTooLarge, "length %d", resp.ContentLength)
