Write 100 responses in the order of the requests

Change: a 100 response is an entry in the queue of the writer. It is left out when the body arrives first. Unknown expectations get 417.

--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -228,6 +229,12 @@
 
 // pendingResponse is the slot of a response in the write order of a connection.
 type pendingResponse struct {
+	// interim is set for a 100 response, which tells the caller to send the body of the
+	// request that is being read. Its other fields are not used.
+	interim bool
+	// bodyReceived is set when the body has arrived, so that no 100 response is needed.
+	bodyReceived atomic.Bool
+
 	method     string
 	response   chan *Response
 	closeAfter bool
@@ -363,16 +370,25 @@
 		ReceivedAt: received, conn: c,
 	}
 	closeAfter := parsed.Close
-	expects := parsed.Header.Get("Expect") != ""
+	expects, known := expectation(parsed)
+	if !known {
+		return c.rejectRequest(http.StatusExpectationFailed)
+	}
 	if expects && c.server.ManualContinue {
 		return c.dispatchBeforeBody(r, parsed, limits, closeAfter)
 	}
-	if expects {
-		if err := c.sendInterim(http.StatusContinue); err != nil {
-			return c.handleDisconnect()
-		}
+	if expects && parsed.ContentLength > int64(limits.MaxBodyBytes) {
+		return c.rejectRequest(http.StatusRequestEntityTooLarge)
+	}
+	var interim pendingResponse
+	if expects && parsed.ContentLength != 0 && c.br.Buffered() == 0 {
+		// The body may take as long as the responses to earlier requests.
+		c.setReadDeadline(time.Time{})
+		interim.interim = true
+		c.responses <- &interim
 	}
 	body, status, err := readBody(parsed, limits.MaxBodyBytes)
+	interim.bodyReceived.Store(true)
 	if err != nil || status != 0 {
 		if status == 0 {
 			return c.handleDisconnect()
@@ -383,6 +399,18 @@
 	return c.dispatch(r, closeAfter) && !closeAfter
 }
 
+// expectation returns whether a request waits for a 100 response before it sends its
+// body, and whether its expectation is known. HTTP/1.0 has no expectations (RFC 9110,
+// section 10.1.1).
+func expectation(r *http.Request) (expectsContinue, known bool) {
+	value := r.Header.Get("Expect")
+	if value == "" || !r.ProtoAtLeast(1, 1) {
+		return false, true
+	}
+	expectsContinue = strings.EqualFold(value, "100-continue")
+	return expectsContinue, expectsContinue
+}
+
 // awaitFirstByte waits for the first byte of the next request. It returns false
 // when the connection has ended or is stopped, or was idle for too long. In the last
 // case it closes the connection, so that the caller learns that a request which it
@@ -482,9 +510,23 @@
 	}
 }
 
+// writeContinue writes a 100 response and limits the time for the body that follows. It
+// reports whether another response may follow.
+func (c *serverConn) writeContinue() bool {
+	if c.ctx.Err() != nil || c.sendInterim(http.StatusContinue) != nil {
+		c.close()
+		return false
+	}
+	c.setReadDeadline(time.Now().Add(readBodyTimeout))
+	return true
+}
+
 // writeNext writes one response and reports whether another one may follow. It
 // counts the request as answered before it closes the connection.
 func (c *serverConn) writeNext(w *bufio.Writer, p *pendingResponse) bool {
+	if p.interim {
+		return p.bodyReceived.Load() || c.writeContinue()
+	}
 	resp := <-p.response
 	closeAfter := c.isLastResponse(p)
 	sent := c.sendResponse(w, p, resp, closeAfter)
@@ -521,6 +563,9 @@
 // discardResponse waits for the response to a request whose connection has ended,
 // and drops it.
 func (c *serverConn) discardResponse(p *pendingResponse) {
+	if p.interim {
+		return
+	}
 	resp := <-p.response
 	if resp.Body != nil {
 		_ = resp.Body.Close()
