Decide the order of waiting calls among customers

Cause: calls wait by rank and objective only, so that a customer with high demand keeps the calls of others waiting until these are late. Nothing sets standings yet.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/fairshare"
 )
 
 // Job is a call that asks for an execution slot of a backend server.
@@ -29,17 +30,29 @@
 	// accepts, since another backend server is expected to take that long; 0
 	// accepts any.
 	MaxResponseTime time.Duration
+	// Customer identifies the customer, 0 for none.
+	Customer fairshare.Customer
+	// Retry is set if the caller retries after a refusal.
+	Retry bool
+	// Standing is the place among the calls of other customers, see SetStandings.
+	Standing fairshare.Standing
 }
 
 // ServedBefore reports whether a is served before b: by the rank of the customer,
-// the rank of the rule, then by objective.
+// the rank of the rule, the standings, then by objective.
 func ServedBefore(a, b Job) bool {
+	if a.Standing.Class != b.Standing.Class {
+		return a.Standing.Class < b.Standing.Class
+	}
 	if a.CustomerRank != b.CustomerRank {
 		return a.CustomerRank < b.CustomerRank
 	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if order := fairshare.Compare(a.Standing, b.Standing); order != 0 {
+		return order < 0
+	}
 	return a.Objective.Before(b.Objective)
 }
 
