Serve waiting calls in the order among customers

Cause: the executor did not know what service customers received, and counted all waiting calls of other customers as ahead of a new one. A call adds its expected time when it gets its slot and the rest when it leaves it. The queue sets the standings of its calls from it, under its own lock, at each grant and each admission, so that a call is refused only for calls that are served before it. Without customers in the configuration nothing is recorded, and order and admission are as before. The mark of a retry travels in field 23 of the hop header. Counters show the time on slots and the refusals of the largest customers, which control/largestcustomers publishes, and `other`; log lines of calls have the customer.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -43,6 +43,8 @@
 	Shutdown *Section[*ShutdownState]
 	// Quarantine is written by control/quarantine.
 	Quarantine *Section[*Quarantine]
+	// LargestCustomers is written by control/largestcustomers.
+	LargestCustomers *Section[*LargestCustomers]
 
 	// ServerLoad holds the latest load report of the local backend server.
 	ServerLoad *ServerLoad
@@ -51,6 +53,9 @@
 	// CallStats holds the service time and response size of the calls of each
 	// rule.
 	CallStats *StatsByRule
+	// CustomerService holds the recent service of customers on the local backend
+	// server.
+	CustomerService *CustomerService
 	// AttemptCounters counts the calls and the additional attempts of each
 	// service.
 	AttemptCounters *AttemptCounters
@@ -107,9 +112,11 @@
 		Store:            NewSection("store", &StoreStatus{}),
 		Shutdown:         NewSection("stopping", &ShutdownState{}),
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
+		LargestCustomers: NewSection("largest_customers", &LargestCustomers{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		CallStats:        &StatsByRule{},
+		CustomerService:  NewCustomerService(time.Now()),
 		AttemptCounters:  NewAttemptCounters(time.Now()),
 		ConfigConfirmed:  &ConfirmedVersion{},
 		ConfigProven:     &ProvenVersion{},
--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -163,6 +163,10 @@
 	return min(advice, maxRetryAfter)
 }
 
+// IsRetry reports whether a caller has been refused before, from the time that its
+// earlier attempts have taken: a refused caller waits at least minRetryAfter.
+func IsRetry(timeUsed time.Duration) bool { return timeUsed >= minRetryAfter }
+
 // retryTimeFactor is the time that a retry needs, as a multiple of the nominal
 // time. It covers the network latency and a host below normal speed.
 const retryTimeFactor = 1.3
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -10,15 +11,71 @@
 	"mangostand.example/mangostand/pkg/slotqueue"
 )
 
-// nextJob returns the index of the waiting job that gets a free slot.
-func nextJob(waiting []queueing.Job) int { return queueing.Next(waiting, time.Now()) }
+// hasCustomers reports whether the order among customers applies: it does if the
+// configuration in force has customers.
+func (x *Executor) hasCustomers() bool { return x.Board.Routes.Load().Customers.Len() > 0 }
+
+// newJob returns what the queue needs to know of a call.
+func (x *Executor) newJob(c *Call, speed estimate.Speed, maxResponseTime time.Duration) queueing.Job {
+	job := queueing.Job{
+		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
+	}
+	if x.hasCustomers() {
+		job.Customer, job.Retry = x.Board.CustomerService.ID(c.Customer), c.Retry
+	}
+	return job
+}
+
+// setStandings sets the standings of jobs, if there are customers.
+func (x *Executor) setStandings(jobs []queueing.Job, now time.Time) {
+	if !x.hasCustomers() {
+		return
+	}
+	service := queueing.Service{ByJob: make([]time.Duration, len(jobs))}
+	service.Keyless, service.Customers = x.Board.CustomerService.ByClass(now)
+	for i, job := range jobs {
+		if job.Customer == 0 {
+			continue
+		}
+		if first := slices.IndexFunc(jobs[:i], func(other queueing.Job) bool { return other.Customer == job.Customer }); first >= 0 {
+			service.ByJob[i] = service.ByJob[first]
+			continue
+		}
+		service.ByJob[i] = x.Board.CustomerService.Received(job.Customer, now)
+	}
+	queueing.SetStandings(jobs, service, now)
+}
+
+// nextJob returns the index of the waiting job that gets a free slot, and counts
+// its expected service: further slots may become free before the call starts.
+func (x *Executor) nextJob(waiting []queueing.Job) int {
+	now := time.Now()
+	x.setStandings(waiting, now)
+	next := queueing.Next(waiting, now)
+	x.addService(waiting[next], queueing.ExpectedService(waiting[next]), now)
+	return next
+}
+
+// addService adds to the service that the customer of a job received.
+func (x *Executor) addService(job queueing.Job, service time.Duration, now time.Time) {
+	if x.hasCustomers() {
+		x.Board.CustomerService.Add(job.Customer, service, now)
+	}
+}
 
 // loadFor returns base with the calls that are ahead of a job: all running
 // calls and the queued calls that are served before it.
 func (x *Executor) loadFor(job queueing.Job, base estimate.Load) estimate.Load {
 	base.Running = x.queue.Running()
-	for _, waiting := range x.queue.Jobs() {
-		if !queueing.ServedBefore(job, waiting) {
+	if !x.hasCustomers() {
+		base.Waiting = x.queue.Count(func(other queueing.Job) bool { return !queueing.ServedBefore(job, other) })
+		return base
+	}
+	jobs := append(x.queue.Jobs(), job)
+	x.setStandings(jobs, time.Now())
+	job, jobs = jobs[len(jobs)-1], jobs[:len(jobs)-1]
+	for _, other := range jobs {
+		if !queueing.ServedBefore(job, other) {
 			base.Waiting++
 		}
 	}
@@ -29,13 +86,14 @@
 // refused.
 func (x *Executor) acquireSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
 	if x.queue.TryAcquire(slots) {
+		x.addService(job, queueing.ExpectedService(job), time.Now())
 		return ""
 	}
 	if reason := x.waitForSlot(ctx, job, slots); reason != "" {
 		return reason
 	}
 	if ctx.Err() != nil {
-		x.releaseSlot(slots)
+		x.releaseSlot(job, 0, slots)
 		return board.ReasonCanceledByCaller
 	}
 	return ""
@@ -44,9 +102,9 @@
 // waitForSlot queues a call until it gets a slot, until it is too late to start it
 // and still meet its objective, or until ctx ends.
 func (x *Executor) waitForSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
-	w, reason := x.queue.Enqueue(slots, func([]queueing.Job) slotqueue.Admission[queueing.Job] {
-		return slotqueue.Admission[queueing.Job]{Job: job}
-	}, nextJob)
+	w, reason := x.queue.Enqueue(slots, func(waiting []queueing.Job) slotqueue.Admission[queueing.Job] {
+		return x.admitToQueue(waiting, job, slots)
+	}, x.nextJob)
 	if w == nil {
 		return reason
 	}
@@ -60,5 +118,28 @@
 	return reason
 }
 
-// releaseSlot frees the slot of a call.
-func (x *Executor) releaseSlot(slots int) { x.queue.Release(slots, nextJob) }
+// admitToQueue adds a job to the queue. If the queue is full of calls that are
+// served later, the last one of these makes room.
+func (x *Executor) admitToQueue(waiting []queueing.Job, job queueing.Job, slots int) slotqueue.Admission[queueing.Job] {
+	admitted := slotqueue.Admission[queueing.Job]{Job: job}
+	if !x.hasCustomers() {
+		return admitted
+	}
+	jobs := append(waiting, job)
+	x.setStandings(jobs, time.Now())
+	switch last := queueing.Overflow(jobs, slots); last {
+	case -1:
+	case len(waiting):
+		admitted.Refusal = board.ReasonOverloaded
+	default:
+		admitted.Evict = &slotqueue.Eviction{Index: last, Reason: board.ReasonOverloaded}
+	}
+	return admitted
+}
+
+// releaseSlot frees the slot of a call that had it for some time, and replaces the
+// expected service by that time.
+func (x *Executor) releaseSlot(job queueing.Job, held time.Duration, slots int) {
+	x.addService(job, held-queueing.ExpectedService(job), time.Now())
+	x.queue.Release(slots, x.nextJob)
+}
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -44,6 +44,8 @@
 	// is its priority, which goes before Rank.
 	Customer     string
 	CustomerRank int
+	// Retry is set if the customer's caller was refused before and tries again.
+	Retry bool
 	// CallerService is the service of the backend server beside the entry.
 	CallerService string
 	// ConfigVersion is the version of the configuration that routed the call.
--- a/pkg/mesh/customer.go
+++ b/pkg/mesh/customer.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/bootclock"
 	"mangostand.example/mangostand/pkg/decide/customer"
@@ -43,7 +45,29 @@
 	case customer.UnknownKey:
 		return e.refuse(version, id, http.StatusUnauthorized, board.ReasonUnknownAPIKey, 0)
 	case customer.Unconfirmed:
-		return e.refuse(version, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, unconfirmedKeyRetryAfter)
+		return e.refuseCustomer(version, decision.Customer.Name, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, unconfirmedKeyRetryAfter)
 	}
 	return nil
 }
+
+// withCustomer adds the customer of a call to a log line, if it has one.
+func withCustomer(event *zerolog.Event, name string) *zerolog.Event {
+	if name == "" {
+		return event
+	}
+	return event.Str("customer", name)
+}
+
+// recordSlotTime counts how long a call held its slot.
+func (x *Executor) recordSlotTime(c *Call, held time.Duration) {
+	if x.hasCustomers() {
+		x.Metrics.RecordCustomerSlotTime(x.Board.LargestCustomers.Load().Label(c.Customer), held)
+	}
+}
+
+// recordRefusal counts a call of a customer that was refused.
+func (e *Entry) recordRefusal(name string, reason board.Reason) {
+	if name != "" {
+		e.Metrics.RecordCustomerRefusal(e.Board.LargestCustomers.Load().Label(name), string(reason))
+	}
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -70,9 +70,10 @@
 	if response := e.refuseCredential(table.Version, id, identified); response != nil {
 		return response
 	}
-	objective := r.ReceivedAt.Add(rule.LatencyObjective)
+	objective, timeUsed := r.ReceivedAt.Add(rule.LatencyObjective), time.Duration(0)
 	if !deadline.IsZero() {
-		objective = objective.Add(-e.Board.CallStats.ForRule(rule.Name).ObserveCallerTimeout(deadline.Sub(r.ReceivedAt)))
+		timeUsed = e.Board.CallStats.ForRule(rule.Name).ObserveCallerTimeout(deadline.Sub(r.ReceivedAt))
+		objective = objective.Add(-timeUsed)
 	}
 	timeoutAt := r.ReceivedAt.Add(rule.Timeout)
 	if deadline.IsZero() || deadline.After(timeoutAt) {
@@ -84,12 +85,12 @@
 	c.Received, c.Deadline, c.Objective = r.ReceivedAt, deadline, objective
 	c.CallerService, c.ConfigVersion = e.Board.Self.Service, table.Version
 	if holder := identified.Customer; holder != nil {
-		c.Customer, c.CustomerRank = holder.Name, holder.PriorityRank
+		c.Customer, c.CustomerRank, c.Retry = holder.Name, holder.PriorityRank, queueing.IsRetry(timeUsed)
 	}
 	h1.RemoveHopByHopHeaders(c.Header)
 	c.Header.Del(hopHeader)
 	if retryAfter := quarantineLeft(e.Board, c, r.ReceivedAt); retryAfter > 0 {
-		return e.refuse(table.Version, id, http.StatusServiceUnavailable, board.ReasonQuarantined, retryAfter)
+		return e.refuseCustomer(table.Version, c.Customer, id, http.StatusServiceUnavailable, board.ReasonQuarantined, retryAfter)
 	}
 	e.Board.AttemptCounters.AddCall(service, e.AttemptWindow, time.Now())
 	return e.forwardCall(ctx, c)
@@ -111,7 +112,13 @@
 // refuse responds to a request that is not forwarded, as a version of the routes
 // decided.
 func (e *Entry) refuse(version uint64, id string, status int, reason board.Reason, retryAfter time.Duration) *h1.Response {
-	e.Log.Info().Str("event", "refused").Str("id", id).Int("status", status).Str("reason", string(reason)).
+	return e.refuseCustomer(version, "", id, status, reason, retryAfter)
+}
+
+// refuseCustomer is refuse for a request of a customer, "" for none.
+func (e *Entry) refuseCustomer(version uint64, customer, id string, status int, reason board.Reason, retryAfter time.Duration) *h1.Response {
+	e.recordRefusal(customer, reason)
+	withCustomer(e.Log.Info(), customer).Str("event", "refused").Str("id", id).Int("status", status).Str("reason", string(reason)).
 		Uint64("config_version", version).Dur("retry_after", retryAfter).Send()
 	e.Metrics.RecordEntryCall("refused", string(reason), 0)
 	response := &h1.Response{Status: status, Header: http.Header{}, BufferedBody: []byte(string(reason) + "\n")}
@@ -176,7 +183,10 @@
 	if result.Outcome != Answered {
 		event = e.Log.Warn()
 	}
-	event.Str("event", "call").Str("id", c.ID).Str("rule", c.Rule).Str("service", c.Service).
+	if result.Outcome == NotSent || result.Outcome == Rejected {
+		e.recordRefusal(c.Customer, result.Reason)
+	}
+	withCustomer(event, c.Customer).Str("event", "call").Str("id", c.ID).Str("rule", c.Rule).Str("service", c.Service).
 		Uint64("config_version", c.ConfigVersion).Str("outcome", result.Outcome.String()).Str("reason", string(result.Reason)).
 		Int("status", status).Str("executor", string(f.lastExecutor)).Int("offers", f.offers).Int("sent", f.attemptsSent).
 		Dur("expected", f.expectedTime).Dur("load_age", f.loadAge).Dur("took", elapsed).
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -103,7 +103,7 @@
 }
 
 func (x *Executor) logExecuted(c *Call, result *Result, started time.Time) {
-	x.Log.Info().Str("event", "executed").Str("id", c.ID).Str("rule", c.Rule).Str("outcome", result.Outcome.String()).
+	withCustomer(x.Log.Info(), c.Customer).Str("event", "executed").Str("id", c.ID).Str("rule", c.Rule).Str("outcome", result.Outcome.String()).
 		Str("reason", string(result.Reason)).Int("status", result.Status).Dur("took", time.Since(started)).
 		Uint32("running", result.Load.InFlight).Uint32("queued", result.Load.Queued).Uint32("slots", result.Load.Limit).
 		Uint32("slowdown_percent", result.Load.SlowdownPercent).Dur("load_age", x.loadReportAge()).
@@ -125,9 +125,7 @@
 	}
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
-	job := queueing.Job{
-		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
-	}
+	job := x.newJob(c, speed, maxResponseTime)
 	load := x.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
 	if decision.Result != queueing.Accepted {
@@ -190,7 +188,12 @@
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
 	slots := x.concurrencyLimit(server)
-	release := sync.OnceFunc(func() { x.releaseSlot(slots) })
+	granted := time.Now()
+	release := sync.OnceFunc(func() {
+		held := time.Since(granted)
+		x.releaseSlot(job, held, slots)
+		x.recordSlotTime(c, held)
+	})
 	slotPassedOn := false
 	defer func() {
 		if !slotPassedOn {
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -38,6 +38,9 @@
 	// Customer is the customer whose API key the caller used, "" for none.
 	Customer     string `cbor:"15,keyasint,omitempty"`
 	CustomerRank int    `cbor:"16,keyasint,omitempty"`
+	// Retry is set if the customer's caller tries again after a refusal. Nodes of
+	// earlier versions do not send it.
+	Retry bool `cbor:"23,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -77,7 +80,7 @@
 		ID: c.ID, Service: c.Service, ServerID: serverID, CallerService: c.CallerService, Rule: c.Rule,
 		Rank: c.Rank, Idempotent: c.Idempotent, TimeToDeadlineMicros: c.Deadline.Sub(now).Microseconds(),
 		TimeToObjectiveMicros: c.Objective.Sub(now).Microseconds(), MaxResponseTimeMicros: maxResponseTime.Microseconds(),
-		ConfigVersion: c.ConfigVersion, Customer: c.Customer, CustomerRank: c.CustomerRank,
+		ConfigVersion: c.ConfigVersion, Customer: c.Customer, CustomerRank: c.CustomerRank, Retry: c.Retry,
 	}
 }
 
@@ -85,7 +88,7 @@
 	return &Call{
 		ID: h.ID, Service: h.Service, CallerService: h.CallerService, Rule: h.Rule, Rank: h.Rank,
 		Idempotent: h.Idempotent, ConfigVersion: h.ConfigVersion, Received: now,
-		Customer: h.Customer, CustomerRank: h.CustomerRank,
+		Customer: h.Customer, CustomerRank: h.CustomerRank, Retry: h.Retry,
 		Deadline:  now.Add(time.Duration(h.TimeToDeadlineMicros) * time.Microsecond),
 		Objective: now.Add(time.Duration(h.TimeToObjectiveMicros) * time.Microsecond),
 	}
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -19,6 +19,7 @@
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/control/directory"
 	"mangostand.example/mangostand/pkg/control/healthcheck"
+	"mangostand.example/mangostand/pkg/control/largestcustomers"
 	"mangostand.example/mangostand/pkg/control/localserver"
 	"mangostand.example/mangostand/pkg/control/quarantine"
 	"mangostand.example/mangostand/pkg/control/registration"
@@ -169,6 +170,7 @@
 		localserver.New(n.board, n.log),
 		n.executor,
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
+		largestcustomers.New(n.board, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
--- a/pkg/metrics/mesh.go
+++ b/pkg/metrics/mesh.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// RecordCustomerSlotTime adds to the time for which the calls of a customer held
+// slots of the backend server.
+func (m *MeshMetrics) RecordCustomerSlotTime(customer string, held time.Duration) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"customer": customer}).Counter("customer_slot_microseconds").Inc(held.Microseconds())
+	}
+}
+
+// RecordCustomerRefusal counts a call of a customer that was refused.
+func (m *MeshMetrics) RecordCustomerRefusal(customer, reason string) {
+	m.IncrementCounter("customer_refusals", map[string]string{"customer": customer, "reason": reason})
+}
+
 // RecordConfigAge records the time from the first read of a configuration version by
 // any node to its being in force at this one.
 func (m *MeshMetrics) RecordConfigAge(age time.Duration) {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -35,7 +35,8 @@
 }
 
 // Next returns the index of the waiting job that gets a free slot. The jobs are in
-// the order of their arrival. It is called while the queue is locked.
+// the order of their arrival, in a copy that may be changed; the job at the index
+// gets the slot. It is called while the queue is locked.
 type Next[J any] func(waiting []J) int
 
 // Eviction is a queued job that is refused to make room for another one.
@@ -113,8 +114,25 @@
 	return q.jobs()
 }
 
+// Count returns the number of queued jobs for which a condition holds.
+func (q *Queue[J]) Count(condition func(J) bool) int {
+	if q.waiting.Load() == 0 {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	count := 0
+	for _, w := range q.waiters {
+		if condition(w.job) {
+			count++
+		}
+	}
+	return count
+}
+
+// jobs returns the queued jobs, with room for one more.
 func (q *Queue[J]) jobs() []J {
-	jobs := make([]J, len(q.waiters))
+	jobs := make([]J, len(q.waiters), len(q.waiters)+1)
 	for i, w := range q.waiters {
 		jobs[i] = w.job
 	}
