Recognise retries and spread Retry-After for customers

Cause: callers of a customer that were refused at one moment got the same Retry-After and came back together. A call that was overtaken in the queue was told to retry after 20 ms, however long the queue was. Change: refused callers of customers get a Retry-After within a range of half its length that begins at the advice or ends at the latest useful one; so do keys that cannot be confirmed. A customer's call that leaves the queue without a slot reports the expected wait. The entry marks a call as a retry when its caller's deadline is shorter by 20 ms or more than the longest of the rule. Advice without customers is as before.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -152,15 +152,41 @@
 // That is the expected queue wait, shortened so that the retry can still meet
 // the objective or, when that is not possible, the deadline.
 func RetryAfter(wait, objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
-	advice := max(wait, minRetryAfter)
+	return min(max(wait, minRetryAfter), latestRetry(objectiveLeft, deadlineLeft, nominal))
+}
+
+// latestRetry returns the longest useful advice: the retry can meet the objective
+// or, when that is not possible, the deadline.
+func latestRetry(objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
 	needed := time.Duration(retryTimeFactor * float64(nominal))
 	switch {
 	case objectiveLeft-needed > minRetryAfter:
-		advice = min(advice, objectiveLeft-needed)
+		return min(objectiveLeft-needed, maxRetryAfter)
 	case deadlineLeft-needed > minRetryAfter:
-		advice = min(advice, deadlineLeft-needed)
+		return min(deadlineLeft-needed, maxRetryAfter)
 	}
-	return min(advice, maxRetryAfter)
+	return maxRetryAfter
+}
+
+// retrySpread is the width of the range of SpreadRetryAfter, relative to the
+// advice.
+const retrySpread = 0.5
+
+// SpreadRetryAfter returns the advice of RetryAfter at a position from 0 to 1 within
+// a range of half its length, so that callers that were refused together do not
+// retry together. The range begins at the advice, or ends at the latest useful one.
+func SpreadRetryAfter(wait, objectiveLeft, deadlineLeft, nominal time.Duration, position float64) time.Duration {
+	advice := RetryAfter(wait, objectiveLeft, deadlineLeft, nominal)
+	width := time.Duration(retrySpread * float64(advice))
+	last := min(advice+width, latestRetry(objectiveLeft, deadlineLeft, nominal))
+	first := max(last-width, minRetryAfter)
+	return first + time.Duration(position*float64(last-first))
+}
+
+// Spread returns a fixed Retry-After at a position from 0 to 1 within the range from
+// it to half more.
+func Spread(advice time.Duration, position float64) time.Duration {
+	return advice + time.Duration(position*retrySpread*float64(advice))
 }
 
 // IsRetry reports whether a caller has been refused before, from the time that its
--- a/pkg/decide/queueing/standing_test.go
+++ b/pkg/decide/queueing/standing_test.go
@@ -183,3 +183,44 @@
 	SetStandings(withSame, service, now)
 	require.Equal(t, len(jobs), Overflow(withSame, slots))
 }
+
+// Guards against a change of the advice in deployments without customers.
+func TestRetryAfterIsUnchanged(t *testing.T) {
+	former := func(wait, objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
+		advice := max(wait, minRetryAfter)
+		needed := time.Duration(retryTimeFactor * float64(nominal))
+		switch {
+		case objectiveLeft-needed > minRetryAfter:
+			advice = min(advice, objectiveLeft-needed)
+		case deadlineLeft-needed > minRetryAfter:
+			advice = min(advice, deadlineLeft-needed)
+		}
+		return min(advice, maxRetryAfter)
+	}
+	r := rand.New(rand.NewPCG(5, 6))
+	random := func(limit int) time.Duration { return time.Duration(r.IntN(limit)) * ms }
+	for range 10_000 {
+		wait, objectiveLeft, deadlineLeft, nominal := random(4000), random(1000)-200*ms, random(4000)-200*ms, random(300)
+		require.Equal(t, former(wait, objectiveLeft, deadlineLeft, nominal), RetryAfter(wait, objectiveLeft, deadlineLeft, nominal))
+	}
+}
+
+// Guards against spread advice that is too late for the retry, or too early for a
+// call to end, and against a range that shrinks to one moment where there is time.
+func TestSpreadRetryAfter(t *testing.T) {
+	for name, c := range map[string]struct{ wait, objectiveLeft, deadlineLeft, first, last time.Duration }{
+		"from the expected wait":        {100 * ms, 500 * ms, s, 100 * ms, 150 * ms},
+		"until the latest useful retry": {s, 330 * ms, s, 100 * ms, 200 * ms},
+		"until the deadline":            {s, 0, 530 * ms, 200 * ms, 400 * ms},
+		"not before a call can end":     {0, 154 * ms, s, 20 * ms, 24 * ms},
+		"too late in any case":          {0, 0, 0, 20 * ms, 30 * ms},
+		"long waits":                    {time.Hour, time.Hour, time.Hour, s, 2 * s},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.first, SpreadRetryAfter(c.wait, c.objectiveLeft, c.deadlineLeft, 100*ms, 0))
+			require.Equal(t, c.last, SpreadRetryAfter(c.wait, c.objectiveLeft, c.deadlineLeft, 100*ms, 1))
+		})
+	}
+	require.Equal(t, 300*ms, Spread(200*ms, 1))
+	require.Equal(t, 200*ms, Spread(200*ms, 0))
+}
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -99,6 +99,17 @@
 	return ""
 }
 
+// refusedInQueue returns the result of a call that was admitted and then got no slot.
+// A call of a customer was overtaken by those of others, so its caller is told the
+// expected wait again.
+func refusedInQueue(job queueing.Job, reason board.Reason, expectedWait time.Duration) *Result {
+	result := notSent(reason)
+	if job.Customer != 0 {
+		result.QueueWait = expectedWait
+	}
+	return result
+}
+
 // waitForSlot queues a call until it gets a slot, until it is too late to start it
 // and still meet its objective, or until ctx ends.
 func (x *Executor) waitForSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
--- a/pkg/mesh/admission_test.go
+++ b/pkg/mesh/admission_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -147,6 +149,45 @@
 	var received hopRequest
 	require.NoError(t, decodeHop(encodeHop(hop), &received))
 	require.True(t, received.toCall(time.Now()).Retry)
+
+	// The entry sends the mark to the executor.
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = peers.Close() })
+	offered := make(chan hopRequest, 2*maxOffers)
+	server := &h1.Server{
+		Handler: func(_ context.Context, r *h1.Request) *h1.Response {
+			var hop hopRequest
+			_ = decodeHop(r.Header.Get(hopHeader), &hop)
+			offered <- hop
+			header := http.Header{}
+			header.Set(hopHeader, encodeHop(hopResponse{Outcome: NotSent, Reason: board.ReasonOverloaded, Executor: "peer"}))
+			return &h1.Response{Status: http.StatusServiceUnavailable, Header: header}
+		},
+		Limits: func() h1.Limits {
+			return h1.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: time.Second}
+		},
+		IdleTimeout: func(time.Time) time.Duration { return time.Minute }, ManualContinue: true,
+	}
+	go func() { _ = server.Serve(peers) }()
+	entry := &Entry{Board: boardWithCustomer(t), Peers: &h1.Pool{DialTimeout: time.Second, IdleTimeout: time.Minute}, Codec: refusingCodec{}, Log: zerolog.Nop(), AttemptWindow: time.Second}
+	endpoint := &board.MeshEndpoint{
+		Record:        board.NodeRecord{Instance: "peer", PeerAddr: peers.Addr().String(), Service: "desk", Slots: 4, State: board.ServerReady},
+		EndpointStats: &board.EndpointStats{}, Reachability: &board.Reachability{},
+	}
+	entry.Board.Fleet.Claim("test").Publish(&board.Fleet{
+		ByInstance: map[board.InstanceID]*board.MeshEndpoint{"peer": endpoint}, ByService: map[string][]*board.MeshEndpoint{"desk": {endpoint}}, Size: 1,
+	})
+	for _, c := range []struct {
+		timeout, customer string
+		retry             bool
+	}{{"900", "bakery", false}, {"600", "bakery", true}, {"900", "bakery", false}} {
+		entry.Handle(t.Context(), &h1.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Timeout": {c.timeout}}, ReceivedAt: time.Now()})
+		got := <-offered
+		require.Equal(t, c.customer, got.Customer)
+		require.Equal(t, c.retry, got.Retry, c.timeout)
+	}
+
 	require.False(t, queueing.IsRetry(0))
 	require.False(t, queueing.IsRetry(time.Millisecond))
 	require.True(t, queueing.IsRetry(20*time.Millisecond))
@@ -156,18 +197,17 @@
 type refusingCodec struct{ Codec }
 
 func (refusingCodec) ParseCallerHeader(header http.Header, received time.Time) (string, time.Time) {
-	return "id", received.Add(time.Second)
+	ms, _ := strconv.Atoi(header.Get("Timeout"))
+	return "id", received.Add(time.Duration(ms) * time.Millisecond)
 }
 func (refusingCodec) TakeAPIKey(http.Header) customer.Credential {
 	return customer.Credential{Key: "key"}
 }
 func (refusingCodec) SetLocalReplyHeader(http.Header, string, time.Duration) {}
 
-// Guards against refused calls whose customer shows neither in the log nor in the
-// counters, and against a counter for each of many customers.
-func TestRefusalsNameTheCustomer(t *testing.T) {
-	var logged bytes.Buffer
-	scope, handler, closer := metrics.New(map[string]string{"node": "n"})
+// boardWithCustomer returns a board whose configuration has the customer bakery.
+func boardWithCustomer(t *testing.T) *board.MeshBoard {
+	t.Helper()
 	b := board.NewMeshBoard(board.NodeIdentity{Instance: "n", Service: "desk"})
 	table := dynconf.EmptyRouteTable()
 	table.Version, table.Customers = 1, dynconf.NewCustomerIndex()
@@ -176,6 +216,15 @@
 	table.Hosts["h"] = []*dynconf.RouteRule{{Name: "read", Prefix: "/", WeightedServices: []dynconf.WeightedService{{Service: "desk", Weight: 1}}, Timeout: time.Second, LatencyObjective: time.Second, MaxAttempts: 1}}
 	table.SortRules()
 	b.Routes.Claim("test").Publish(table)
+	return b
+}
+
+// Guards against refused calls whose customer shows neither in the log nor in the
+// counters, and against a counter for each of many customers.
+func TestRefusalsNameTheCustomer(t *testing.T) {
+	var logged bytes.Buffer
+	scope, handler, closer := metrics.New(map[string]string{"node": "n"})
+	b := boardWithCustomer(t)
 	largest := b.LargestCustomers.Claim("test")
 	entry := &Entry{Board: b, Codec: refusingCodec{}, Log: zerolog.New(&logged), Metrics: metrics.NewMeshMetrics(scope), AttemptWindow: time.Second}
 	x := &Executor{Board: b, Metrics: entry.Metrics}
@@ -183,7 +232,7 @@
 		if i == 2 {
 			largest.Publish(&board.LargestCustomers{Names: []string{"bakery"}})
 		}
-		response := entry.Handle(t.Context(), &h1.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{}, ReceivedAt: time.Now()})
+		response := entry.Handle(t.Context(), &h1.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Timeout": {"1000"}}, ReceivedAt: time.Now()})
 		require.Equal(t, http.StatusServiceUnavailable, response.Status)
 		x.recordSlotTime(&Call{Customer: "bakery"}, time.Second)
 		x.recordSlotTime(&Call{Customer: fmt.Sprintf("small%d", i)}, time.Second)
@@ -213,3 +262,25 @@
 
 func (r *bodyRecorder) Header() http.Header { return r.header }
 func (r *bodyRecorder) WriteHeader(int)     {}
+
+// Guards against callers of a customer that were refused together and return
+// together, and against other advice for callers without a customer.
+func TestRetryAfterIsSpreadForCustomersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		result := &Result{Outcome: NotSent, Reason: board.ReasonOverloaded, QueueWait: 100 * time.Millisecond, ServiceTime: 50 * time.Millisecond}
+		perMoment := map[time.Duration]int{}
+		for i := range 100 {
+			position := float64(i) / 100
+			c := &Call{Customer: "bakery", Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+			perMoment[retryAfter(c, result, position)/(5*time.Millisecond)]++
+			c.Customer = ""
+			require.Equal(t, 100*time.Millisecond, retryAfter(c, result, position))
+		}
+		for _, callers := range perMoment {
+			require.LessOrEqual(t, callers, 10)
+		}
+		require.Zero(t, refusedInQueue(queueing.Job{}, board.ReasonOverloaded, time.Second).QueueWait)
+		require.Equal(t, time.Second, refusedInQueue(queueing.Job{Customer: 1}, board.ReasonOverloaded, time.Second).QueueWait)
+	})
+}
--- a/pkg/mesh/customer.go
+++ b/pkg/mesh/customer.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/bootclock"
 	"mangostand.example/mangostand/pkg/decide/customer"
+	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
 )
@@ -45,7 +47,7 @@
 	case customer.UnknownKey:
 		return e.refuse(version, id, http.StatusUnauthorized, board.ReasonUnknownAPIKey, 0)
 	case customer.Unconfirmed:
-		return e.refuseCustomer(version, decision.Customer.Name, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, unconfirmedKeyRetryAfter)
+		return e.refuseCustomer(version, decision.Customer.Name, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, queueing.Spread(unconfirmedKeyRetryAfter, rand.Float64()))
 	}
 	return nil
 }
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -157,8 +157,7 @@
 	switch {
 	case result.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
-		retryAfter := queueing.RetryAfter(max(result.QueueWait, minRetryAfter(result.Reason)), time.Until(c.Objective), time.Until(c.Deadline), result.ServiceTime)
-		e.Codec.SetLocalReplyHeader(response.Header, c.ID, retryAfter)
+		e.Codec.SetLocalReplyHeader(response.Header, c.ID, retryAfter(c, result, rand.Float64()))
 		return response
 	case time.Now().Before(c.Deadline):
 		response.Status = http.StatusBadGateway
@@ -169,6 +168,16 @@
 	return response
 }
 
+// retryAfter returns the Retry-After of a refused call. Callers of customers return
+// at different times, given by a position from 0 to 1.
+func retryAfter(c *Call, result *Result, position float64) time.Duration {
+	wait, objectiveLeft, deadlineLeft := max(result.QueueWait, minRetryAfter(result.Reason)), time.Until(c.Objective), time.Until(c.Deadline)
+	if c.Customer != "" {
+		return queueing.SpreadRetryAfter(wait, objectiveLeft, deadlineLeft, result.ServiceTime, position)
+	}
+	return queueing.RetryAfter(wait, objectiveLeft, deadlineLeft, result.ServiceTime)
+}
+
 // minRetryAfter returns the least Retry-After for a refusal with the reason.
 func minRetryAfter(reason board.Reason) time.Duration {
 	if reason == board.ReasonNoServer {
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -144,7 +144,7 @@
 		return notSent(board.ReasonQuarantined)
 	}
 	if reason := x.acquireSlot(ctx, job, x.concurrencyLimit(server)); reason != "" {
-		return notSent(reason)
+		return refusedInQueue(job, reason, decision.QueueWait)
 	}
 	return x.runOnServer(ctx, c, server, job, from)
 }
--- a/pkg/mesh/fairshare_test.go
+++ b/pkg/mesh/fairshare_test.go
@@ -60,20 +60,14 @@
 	return playResult{r.calls + other.calls, r.served + other.served, r.inTime + other.inTime, r.attempts + other.attempts}
 }
 
-// adviceFunc returns the Retry-After of a refusal.
-type adviceFunc func(r *rand.Rand, wait, objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration
-
-func plainAdvice(_ *rand.Rand, wait, objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
-	return queueing.RetryAfter(wait, objectiveLeft, deadlineLeft, nominal)
-}
-
 type play struct {
 	callers []playCaller
 	// withCustomers is set if the configuration has customers.
 	withCustomers bool
 	// restart is set if all executors lose their state in the middle.
 	restart bool
-	advice  adviceFunc
+	// advice returns the Retry-After, by default that of the entry.
+	advice func(c *Call, result *Result, position float64) time.Duration
 
 	executors [playExecutors]atomic.Pointer[Executor]
 	mu        sync.Mutex
@@ -101,7 +95,7 @@
 	t.Helper()
 	p.results = make([]playResult, len(p.callers))
 	if p.advice == nil {
-		p.advice = plainAdvice
+		p.advice = retryAfter
 	}
 	synctest.Test(t, func(t *testing.T) {
 		for i := range p.executors {
@@ -180,7 +174,7 @@
 // returns the Retry-After of a refusal.
 func (p *play) attempt(ctx context.Context, r *rand.Rand, call *Call, c playCaller, service time.Duration) (served bool, retryAfter time.Duration) {
 	offered := map[int]bool{}
-	var wait time.Duration
+	var refusal *Result
 	for range playOffers {
 		i := p.pick(r, c, offered)
 		offered[i] = true
@@ -188,15 +182,19 @@
 		job := x.newJob(call, estimate.Speed{}, 0)
 		load := x.loadFor(job, estimate.Load{Slots: playSlots, MeanServiceTime: playServiceTime})
 		decision := queueing.Admit(job, load, time.Now())
-		wait = decision.QueueWait
-		if decision.Result != queueing.Accepted || x.acquireSlot(ctx, job, playSlots) != "" {
-			continue
+		refusal = &Result{Outcome: NotSent, QueueWait: decision.QueueWait}
+		if decision.Result == queueing.Accepted {
+			reason := x.acquireSlot(ctx, job, playSlots)
+			if reason == "" {
+				time.Sleep(service)
+				x.releaseSlot(job, service, playSlots)
+				return true, 0
+			}
+			refusal = refusedInQueue(job, reason, decision.QueueWait)
 		}
-		time.Sleep(service)
-		x.releaseSlot(job, service, playSlots)
-		return true, 0
+		refusal.ServiceTime = c.serviceTime
 	}
-	return false, p.advice(r, wait, time.Until(call.Objective), time.Until(call.Deadline), c.serviceTime)
+	return false, p.advice(call, refusal, r.Float64())
 }
 
 // pick returns the executor for an offer. The first offers go to executors near the
@@ -341,6 +339,30 @@
 	}
 }
 
+// Guards against spread advice that costs customers calls: compared with the plain
+// advice, as many calls are served and meet their objective, to a hundredth, and
+// callers do not try more often.
+func TestSpreadAdviceCostsNoCalls(t *testing.T) {
+	plain := func(c *Call, result *Result, _ float64) time.Duration {
+		return queueing.RetryAfter(result.QueueWait, time.Until(c.Objective), time.Until(c.Deadline), result.ServiceTime)
+	}
+	var summaries [2]summary
+	t.Run("plays", func(t *testing.T) {
+		for i, advice := range []func(*Call, *Result, float64) time.Duration{plain, retryAfter} {
+			t.Run(fmt.Sprintf("spread %v", i == 1), func(t *testing.T) {
+				t.Parallel()
+				p := &play{callers: zipfCallers(0, 1.5*playCapacity), withCustomers: true, advice: advice}
+				p.run(t)
+				summaries[i] = summarize(p.results, 0)
+				t.Logf("%+v", summaries[i])
+			})
+		}
+	})
+	require.InDelta(t, summaries[0].overall, summaries[1].overall, 0.01)
+	require.InDelta(t, summaries[0].inTime, summaries[1].inTime, 0.01)
+	require.LessOrEqual(t, summaries[1].attempts, summaries[0].attempts)
+}
+
 // classCallers returns customers with short and long calls, and callers without a
 // key. The load of each class is relative to the capacity.
 func classCallers(short, long, keyless float64) []playCaller {
