--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/fairshare"
 )
 
 // Job is a call that asks for an execution slot of a backend server.
@@ -33,11 +34,21 @@
 	// accepts, since another backend server is expected to take that long; 0
 	// accepts any.
 	MaxResponseTime time.Duration
+	// Customer identifies the customer, 0 for none.
+	Customer fairshare.Customer
+	// Retry is set if the caller retries after a refusal.
+	Retry bool
+	// Standing is the place among the calls of other customers, see SetStandings.
+	Standing fairshare.Standing
 }
 
-// ServedBefore reports whether a is served before b: nested calls first, then by the rank of the customer,
-// the rank of the rule, then by objective.
+// ServedBefore reports whether a is served before b: by the class of the standing, nested
+// calls first, then by the rank of the customer, the rank of the rule, the standings,
+// then by objective.
 func ServedBefore(a, b Job) bool {
+	if a.Standing.Class != b.Standing.Class {
+		return a.Standing.Class < b.Standing.Class
+	}
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
@@ -47,6 +58,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if order := fairshare.Compare(a.Standing, b.Standing); order != 0 {
+		return order < 0
+	}
 	return a.Objective.Before(b.Objective)
 }
 
@@ -154,17 +168,47 @@
 // That is the expected queue wait, shortened so that the retry can still meet
 // the objective or, when that is not possible, the deadline.
 func RetryAfter(wait, objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
-	advice := max(wait, minRetryAfter)
+	return min(max(wait, minRetryAfter), latestRetry(objectiveLeft, deadlineLeft, nominal))
+}
+
+// latestRetry returns the longest useful advice: the retry can meet the objective
+// or, when that is not possible, the deadline.
+func latestRetry(objectiveLeft, deadlineLeft, nominal time.Duration) time.Duration {
 	needed := time.Duration(retryTimeFactor * float64(nominal))
 	switch {
 	case objectiveLeft-needed > minRetryAfter:
-		advice = min(advice, objectiveLeft-needed)
+		return min(objectiveLeft-needed, maxRetryAfter)
 	case deadlineLeft-needed > minRetryAfter:
-		advice = min(advice, deadlineLeft-needed)
+		return min(deadlineLeft-needed, maxRetryAfter)
 	}
-	return min(advice, maxRetryAfter)
+	return maxRetryAfter
 }
 
+// retrySpread is the width of the range of SpreadRetryAfter, relative to the
+// advice.
+const retrySpread = 0.5
+
+// SpreadRetryAfter returns the advice of RetryAfter at a position from 0 to 1 within
+// a range of half its length, so that callers that were refused together do not
+// retry together. The range begins at the advice, or ends at the latest useful one.
+func SpreadRetryAfter(wait, objectiveLeft, deadlineLeft, nominal time.Duration, position float64) time.Duration {
+	advice := RetryAfter(wait, objectiveLeft, deadlineLeft, nominal)
+	width := time.Duration(retrySpread * float64(advice))
+	last := min(advice+width, latestRetry(objectiveLeft, deadlineLeft, nominal))
+	first := max(last-width, minRetryAfter)
+	return first + time.Duration(position*float64(last-first))
+}
+
+// Spread returns a fixed Retry-After at a position from 0 to 1 within the range from
+// it to half more.
+func Spread(advice time.Duration, position float64) time.Duration {
+	return advice + time.Duration(position*retrySpread*float64(advice))
+}
+
+// IsRetry reports whether a caller has been refused before, from the time that its
+// earlier attempts have taken: a refused caller waits at least minRetryAfter.
+func IsRetry(timeUsed time.Duration) bool { return timeUsed >= minRetryAfter }
+
 // retryTimeFactor is the time that a retry needs, as a multiple of the nominal
 // time. It covers the network latency and a host below normal speed.
 const retryTimeFactor = 1.3
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -12,67 +12,63 @@
 	"mangostand.example/mangostand/pkg/slotqueue"
 )
 
-// slotUse tells calls of callers from nested calls on the slots of the backend server.
-type slotUse struct {
-	// ordinary counts the calls on slots that are not nested.
-	ordinary atomic.Int64
-	nested   atomic.Pointer[nesting.Load]
-}
+// hasCustomers reports whether the order among customers applies: it does if the
+// configuration in force has customers.
+func (x *Executor) hasCustomers() bool { return x.Board.Routes.Load().Customers.Len() > 0 }
 
-// tryOrdinary counts a call that is not nested if fewer than limit hold a slot.
-func (u *slotUse) tryOrdinary(limit int) bool {
-	for {
-		n := u.ordinary.Load()
-		if n >= int64(limit) {
-			return false
-		}
-		if u.ordinary.CompareAndSwap(n, n+1) {
-			return true
-		}
+// newJob returns what the queue needs to know of a call.
+func (x *Executor) newJob(c *Call, speed estimate.Speed, maxResponseTime time.Duration) queueing.Job {
+	nested := x.observeOrigin(c)
+	job := queueing.Job{
+		Nested: nested, CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown,
+		Objective: nesting.Objective(nested, c.Objective, c.Deadline), Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
-}
-
-// addNested records that a nested call held a slot for a time.
-func (u *slotUse) addNested(held time.Duration, now time.Time) {
-	for {
-		old := u.nested.Load()
-		var load nesting.Load
-		if old != nil {
-			load = *old
-		}
-		load = load.Add(held, now)
-		if u.nested.CompareAndSwap(old, &load) {
-			return
-		}
+	if x.hasCustomers() {
+		job.Customer, job.Retry = x.Board.CustomerService.ID(c.Customer), c.Retry
 	}
+	return job
 }
 
-// reserved returns how many of the slots only nested calls may use.
-func (u *slotUse) reserved(slots int, now time.Time) int {
-	load := u.nested.Load()
-	if load == nil {
-		return 0
+// setStandings sets the standings of jobs, if there are customers.
+func (x *Executor) setStandings(jobs []queueing.Job, now time.Time) {
+	if !x.hasCustomers() {
+		return
 	}
-	return nesting.ReservedSlots(load.Mean(now), slots)
-}
-
-// slotsFor returns how many of the slots a job may use.
-func (x *Executor) slotsFor(job queueing.Job, slots int, now time.Time) int {
-	if job.Nested {
-		return slots
+	service := queueing.Service{ByJob: make([]time.Duration, len(jobs))}
+	service.Keyless, service.Customers = x.Board.CustomerService.ByClass(now)
+	for i, job := range jobs {
+		if job.Customer == 0 {
+			continue
+		}
+		if first := slices.IndexFunc(jobs[:i], func(other queueing.Job) bool { return other.Customer == job.Customer }); first >= 0 {
+			service.ByJob[i] = service.ByJob[first]
+			continue
+		}
+		service.ByJob[i] = x.Board.CustomerService.Received(job.Customer, now)
 	}
-	return max(1, slots-x.slots.reserved(slots, now))
+	queueing.SetStandings(jobs, service, now)
 }
 
-// nextJob returns the function that chooses the waiting job that gets a free slot.
+// nextJob returns the function that chooses the waiting job that gets a free slot. It
+// counts the expected service of the job: further slots may become free before the call
+// starts.
 func (x *Executor) nextJob(slots int) slotqueue.Next[queueing.Job] {
 	return func(waiting []queueing.Job) int {
 		now := time.Now()
-		i := queueing.Next(waiting, now)
-		if waiting[i].Nested || x.slots.tryOrdinary(x.slotsFor(waiting[i], slots, now)) {
-			return i
+		x.setStandings(waiting, now)
+		next := queueing.Next(waiting, now)
+		if !waiting[next].Nested && !x.slots.tryOrdinary(x.slotsFor(waiting[next], slots, now)) {
+			return -1
 		}
-		return -1
+		x.addService(waiting[next], queueing.ExpectedService(waiting[next]), now)
+		return next
+	}
+}
+
+// addService adds to the service that the customer of a job received.
+func (x *Executor) addService(job queueing.Job, service time.Duration, now time.Time) {
+	if x.hasCustomers() {
+		x.Board.CustomerService.Add(job.Customer, service, now)
 	}
 }
 
@@ -82,8 +78,15 @@
 	base.Slots = x.slotsFor(job, slots, now)
 	running, ordinary := x.queue.Running(), int(x.slots.ordinary.Load())
 	base.Running = ordinary + max(0, running-ordinary-(slots-base.Slots))
-	for _, waiting := range x.queue.Jobs() {
-		if !queueing.ServedBefore(job, waiting) {
+	if !x.hasCustomers() {
+		base.Waiting = x.queue.Count(func(other queueing.Job) bool { return !queueing.ServedBefore(job, other) })
+		return base
+	}
+	jobs := append(x.queue.Jobs(), job)
+	x.setStandings(jobs, now)
+	job, jobs = jobs[len(jobs)-1], jobs[:len(jobs)-1]
+	for _, other := range jobs {
+		if !queueing.ServedBefore(job, other) {
 			base.Waiting++
 		}
 	}
@@ -94,23 +97,35 @@
 // refused.
 func (x *Executor) acquireSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
 	if x.tryAcquireSlot(job, slots) {
+		x.addService(job, queueing.ExpectedService(job), time.Now())
 		return ""
 	}
 	if reason := x.waitForSlot(ctx, job, slots); reason != "" {
 		return reason
 	}
 	if ctx.Err() != nil {
-		x.releaseSlot(job, slots)
+		x.releaseSlot(job, 0, slots)
 		return board.ReasonCanceledByCaller
 	}
 	return ""
 }
 
+// refusedInQueue returns the result of a call that was admitted and then got no slot.
+// A call of a customer was overtaken by those of others, so its caller is told the
+// expected wait again.
+func refusedInQueue(job queueing.Job, reason board.Reason, expectedWait time.Duration) *Result {
+	result := notSent(reason)
+	if job.Customer != 0 {
+		result.QueueWait = expectedWait
+	}
+	return result
+}
+
 // waitForSlot queues a call until it gets a slot, until it is too late to start it
 // and still meet its objective, or until ctx ends.
 func (x *Executor) waitForSlot(ctx context.Context, job queueing.Job, slots int) board.Reason {
-	w, reason := x.queue.Enqueue(slots, func([]queueing.Job) slotqueue.Admission[queueing.Job] {
-		return slotqueue.Admission[queueing.Job]{Job: job}
+	w, reason := x.queue.Enqueue(slots, func(waiting []queueing.Job) slotqueue.Admission[queueing.Job] {
+		return x.admitToQueue(waiting, job, slots)
 	}, x.nextJob(slots))
 	if w == nil {
 		return reason
@@ -125,25 +140,29 @@
 	return reason
 }
 
-// tryAcquireSlot takes a slot for a call if no call waits and one is free.
-func (x *Executor) tryAcquireSlot(job queueing.Job, slots int) bool {
-	if job.Nested {
-		return x.queue.TryAcquire(slots)
+// admitToQueue adds a job to the queue. If the queue is full of calls that are
+// served later, the last one of these makes room.
+func (x *Executor) admitToQueue(waiting []queueing.Job, job queueing.Job, slots int) slotqueue.Admission[queueing.Job] {
+	admitted := slotqueue.Admission[queueing.Job]{Job: job}
+	if !x.hasCustomers() {
+		return admitted
 	}
-	if !x.slots.tryOrdinary(x.slotsFor(job, slots, time.Now())) {
-		return false
-	}
-	if !x.queue.TryAcquire(slots) {
-		x.slots.ordinary.Add(-1)
-		// Another goroutine may have counted this call and left a job waiting.
-		x.queue.Grant(slots, x.nextJob(slots))
-		return false
+	jobs := append(waiting, job)
+	x.setStandings(jobs, time.Now())
+	switch last := queueing.Overflow(jobs, slots); last {
+	case -1:
+	case len(waiting):
+		admitted.Refusal = board.ReasonOverloaded
+	default:
+		admitted.Evict = &slotqueue.Eviction{Index: last, Reason: board.ReasonOverloaded}
 	}
-	return true
+	return admitted
 }
 
-// releaseSlot frees the slot of a call.
-func (x *Executor) releaseSlot(job queueing.Job, slots int) {
+// releaseSlot frees the slot of a call that had it for some time, and replaces the
+// expected service by that time.
+func (x *Executor) releaseSlot(job queueing.Job, held time.Duration, slots int) {
+	x.addService(job, held-queueing.ExpectedService(job), time.Now())
 	if !job.Nested {
 		x.slots.ordinary.Add(-1)
 	}
--- a/pkg/mesh/customer.go
+++ b/pkg/mesh/customer.go
@@ -1,12 +1,16 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/bootclock"
 	"mangostand.example/mangostand/pkg/decide/customer"
+	"mangostand.example/mangostand/pkg/decide/queueing"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
 )
@@ -43,7 +47,40 @@
 	case customer.UnknownKey:
 		return e.refuse(version, id, http.StatusUnauthorized, board.ReasonUnknownAPIKey, 0)
 	case customer.Unconfirmed:
-		return e.refuse(version, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, unconfirmedKeyRetryAfter)
+		return e.refuseCustomer(version, decision.Customer.Name, id, http.StatusServiceUnavailable, board.ReasonAPIKeyUnconfirmed, queueing.Spread(unconfirmedKeyRetryAfter, rand.Float64()))
 	}
 	return nil
 }
+
+// withCustomer adds the customer of a call to a log line, if it has one.
+func withCustomer(event *zerolog.Event, name string) *zerolog.Event {
+	if name == "" {
+		return event
+	}
+	return event.Str("customer", name)
+}
+
+// withRefusedCustomer adds to the log line of a customer's call that got no slot what
+// the order is based on: the service that the customer received lately, and the
+// version of the configuration.
+func (x *Executor) withRefusedCustomer(event *zerolog.Event, c *Call, result *Result) *zerolog.Event {
+	if c.Customer == "" || result.Outcome != NotSent {
+		return event
+	}
+	received := x.Board.CustomerService.Received(x.Board.CustomerService.ID(c.Customer), time.Now())
+	return event.Dur("customer_service", received).Uint64("config_version", c.ConfigVersion)
+}
+
+// recordSlotTime counts how long a call held its slot.
+func (x *Executor) recordSlotTime(c *Call, held time.Duration) {
+	if x.hasCustomers() {
+		x.Metrics.RecordCustomerSlotTime(x.Board.LargestCustomers.Load().Label(c.Customer), held)
+	}
+}
+
+// recordRefusal counts a call of a customer that was refused.
+func (e *Entry) recordRefusal(name string, reason board.Reason) {
+	if name != "" {
+		e.Metrics.RecordCustomerRefusal(e.Board.LargestCustomers.Load().Label(name), string(reason))
+	}
+}
