Limit the calls to cold backend servers

Cause: servers that start at the same time, while the demand exceeds what they bear, crash under their usual load, come back cold and crash again. Change: the executor counts its sends in an atomic window and admits, while its server is cold, a little more than warmup_per_s in a second and a fifth of that in a fifth of a second (pkg/decide/warmup). Calls without room wait in the queue or are refused at once with the reason warming-up. Load reports carry the wait until a further call is admitted; entries add it to the expected time, and refuse without an offer if no server has room before the objective. Retry-After is the time at which there is room, later for each further refused caller. A heartbeat without warmup_left_s no longer counts as the report of a warm server. Health checks fetch the warm-up while calls run.

--- a/pkg/board/backendserver.go
+++ b/pkg/board/backendserver.go
@@ -38,6 +38,11 @@
 	Slots    int
 	// WarmupEndsAt is when it reaches its full speed after the start.
 	WarmupEndsAt time.Time
+	// WarmupReported is set if the backend server itself reported WarmupEndsAt.
+	WarmupReported bool
+	// StartedAt is when it started, at the latest: the time of StartMillis, or when this
+	// node first saw it or saw it again after it was down.
+	StartedAt time.Time
 	// DrainingSince is when this node learned that it drains. The zero time means
 	// that an earlier process learned it.
 	DrainingSince time.Time
@@ -96,6 +101,9 @@
 	// node was found, or that the store has none. In the latter case the ID of the
 	// server is "".
 	ServerEventEarlierRecord
+	// ServerEventWarmup means that the backend server reported in a response how long it
+	// stays cold.
+	ServerEventWarmup
 )
 
 // ServerEvent is an announcement of the local backend server or an observation
@@ -103,8 +111,10 @@
 type ServerEvent struct {
 	Kind   ServerEventKind
 	Server BackendServer
-	// Warmup is how long the backend server stays slow after its start.
-	Warmup time.Duration
+	// Warmup is how long the backend server stays cold. It is valid if WarmupReported is
+	// set.
+	Warmup         time.Duration
+	WarmupReported bool
 	// Applied receives whether the event is in force. It is nil when no goroutine
 	// waits for the result.
 	Applied chan bool
--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -34,6 +34,10 @@
 	// LinkBacklogMicros is the time that the network link of the machine needs
 	// for the responses in progress and expected, in microseconds.
 	LinkBacklogMicros uint32 `cbor:"10,keyasint,omitempty" json:"link_us"`
+	// AdmissionWaitMicros is the time in microseconds until a further call may be sent
+	// to the backend server, which gets few calls while it is cold; 0 if there is no
+	// such limit now.
+	AdmissionWaitMicros uint32 `cbor:"11,keyasint,omitempty" json:"admission_wait_us,omitempty"`
 	// ReceivedAt is set by the receiver of the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- a/pkg/control/healthcheck/healthcheck.go
+++ b/pkg/control/healthcheck/healthcheck.go
@@ -31,6 +31,9 @@
 	// maxLoadAge is the age at which a load report is refreshed. The speed of the
 	// hosts changes about every 500 ms.
 	maxLoadAge = 100 * time.Millisecond
+	// maxWarmupAge is the age at which the warm-up is fetched again. With busyInterval, a
+	// backend server that turns cold is seen within 100 ms.
+	maxWarmupAge = 75 * time.Millisecond
 	// idleAfter is the time without calls after which the load is not fetched.
 	idleAfter = time.Second
 	// healthCheckTimeout bounds a health check.
@@ -57,7 +60,10 @@
 	InFlight func() int
 	// OnLoadReport is called with each load report of the backend server.
 	OnLoadReport func(board.ServerLoadReport)
-	Log          zerolog.Logger
+	// OnWarmup, if set, is called when a backend server has reported how long it stays
+	// cold. The backend server is the one that was known when the request was sent.
+	OnWarmup func(*board.BackendServer, time.Duration)
+	Log      zerolog.Logger
 
 	// lastBusy is when calls were last seen in flight.
 	lastBusy          time.Time
@@ -105,7 +111,7 @@
 		if now.Sub(c.lastHealthCheck) >= discoveryInterval {
 			c.pollHealth(ctx, now, c.Board.Self.ServerAddr)
 		}
-	case server.State == board.ServerReady && now.Sub(c.lastBusy) < idleAfter && c.loadStale(now):
+	case server.State == board.ServerReady && now.Sub(c.lastBusy) < idleAfter && (c.loadStale(now) || c.warmupStale(now)):
 		c.pollHealth(ctx, now, server.Addr)
 	}
 }
@@ -117,6 +123,18 @@
 	return (report == nil || now.Sub(report.ReceivedAt) >= maxLoadAge) && now.Sub(c.lastHealthCheck) >= maxLoadAge
 }
 
+// warmupStale reports whether a health check is due to find out whether the backend
+// server has turned cold. Responses to calls need not say so.
+func (c *Controller) warmupStale(now time.Time) bool {
+	return c.warmupLimited() && now.Sub(c.lastHealthCheck) >= maxWarmupAge
+}
+
+// warmupLimited reports whether the configuration limits cold backend servers.
+func (c *Controller) warmupLimited() bool {
+	cluster := c.Board.Routes.Load().Clusters[c.Board.Self.Service]
+	return cluster != nil && cluster.Warmup.Rate > 0
+}
+
 // healthPath returns the health path of the node's own service, "" when not
 // known.
 func (c *Controller) healthPath() string {
@@ -136,6 +154,7 @@
 	c.lastHealthCheck = now
 	if err := c.requestHealth(ctx, addr, path, c.Servers.IdleTimeout); err != nil {
 		c.Log.Debug().Err(err).Str("event", "health_failed").Str("addr", addr).Send()
+		c.announceRefused(err, addr)
 	}
 }
 
@@ -144,6 +163,7 @@
 func (c *Controller) requestHealth(ctx context.Context, addr, path string, maxIdle time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	known := c.Board.LocalServer.Load()
 	response, err := c.Servers.Do(ctx, addr, &h1.ClientRequest{
 		Method: http.MethodGet, Target: path, Host: addr, Header: http.Header{}, MaxIdleTime: maxIdle,
 	})
@@ -155,10 +175,23 @@
 	if metadata.Load != nil {
 		c.OnLoadReport(*metadata.Load)
 	}
+	if metadata.Warmup != nil && c.OnWarmup != nil && (metadata.ServerID == "" || metadata.ServerID == known.ID) {
+		c.OnWarmup(known, *metadata.Warmup)
+	}
 	c.announceServer(response.Status, metadata, addr)
 	return nil
 }
 
+// announceRefused announces that the backend server has ended if it refused a
+// connection and is cold after its next start. Elsewhere the next call finds out.
+func (c *Controller) announceRefused(err error, addr string) {
+	server := c.Board.LocalServer.Load()
+	var exchangeErr *h1.Error
+	if c.warmupLimited() && errors.As(err, &exchangeErr) && exchangeErr.ConnRefused && server.ID != "" && server.Addr == addr && !server.Down {
+		c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventUnreachable, Server: *server})
+	}
+}
+
 // checkLiveness finds out whether the suspected incarnation of the backend server
 // has terminated, after a connection to it was lost, and announces it as
 // unreachable if so. New connections that are closed without a response prove
@@ -210,13 +243,21 @@
 		return
 	}
 	if server.ID == metadata.ServerID && server.Down {
-		c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventReachable, Server: *server})
+		c.Board.Announcements.Post(withWarmup(board.ServerEvent{Kind: board.ServerEventReachable, Server: *server}, metadata))
 		return
 	}
 	if server.ID != "" && !server.Unconfirmed || metadata.Load == nil || metadata.Load.Slots <= 0 {
 		return
 	}
-	c.Board.Announcements.Post(board.ServerEvent{Kind: board.ServerEventHealthResponse, Server: board.BackendServer{
+	c.Board.Announcements.Post(withWarmup(board.ServerEvent{Kind: board.ServerEventHealthResponse, Server: board.BackendServer{
 		ID: metadata.ServerID, Service: c.Board.Self.Service, Addr: addr, Slots: metadata.Load.Slots, State: board.ServerReady,
-	}})
+	}}, metadata))
+}
+
+// withWarmup returns the event with the warm-up that the response reports, if any.
+func withWarmup(event board.ServerEvent, metadata mesh.ResponseMetadata) board.ServerEvent {
+	if metadata.Warmup != nil {
+		event.Warmup, event.WarmupReported = *metadata.Warmup, true
+	}
+	return event
 }
--- a/pkg/control/localserver/localserver.go
+++ b/pkg/control/localserver/localserver.go
@@ -50,7 +50,8 @@
 	if result == server.Applied {
 		c.log.Info().Str("event", "server_state").Str("server", next.ID).Str("service", next.Service).
 			Str("state", next.State.String()).Int64("born", next.StartMillis).Int64("sequence", next.Sequence).
-			Bool("down", next.Down).Bool("unconfirmed", next.Unconfirmed).Int("slots", next.Slots).Uint8("kind", uint8(event.Kind)).
+			Bool("down", next.Down).Bool("unconfirmed", next.Unconfirmed).Int("slots", next.Slots).Bool("warmup_reported", next.WarmupReported).
+			Dur("warmup_left", max(0, next.WarmupEndsAt.Sub(now))).Uint8("kind", uint8(event.Kind)).
 			Str("earlier", next.Earlier.ID).Str("earlier_state", next.Earlier.State.String()).Send()
 	}
 	if result == server.Stale {
--- a/pkg/decide/pick/earliest/earliest.go
+++ b/pkg/decide/pick/earliest/earliest.go
@@ -28,6 +28,9 @@
 	ResponseBytes int64
 	LinkRate      float64
 	LinkBacklog   time.Duration
+	// AdmissionWait is the time until the candidate may get a further call, as old as
+	// the load. It is 0 unless the candidate is cold.
+	AdmissionWait time.Duration
 	// Excluded candidates are used only when there is no other.
 	Excluded bool
 }
@@ -74,10 +77,15 @@
 	load.Speed = load.Decayed(age, typicalMin)
 	responseTime := estimate.ResponseTime(load, nominal)
 	backlog := max(0, c.LinkBacklog-age)
-	total := responseTime + 2*c.OneWayLatency + c.TransferCost + pacing.ResponseDelay(backlog, responseTime, c.ResponseBytes, c.LinkRate)
+	total := RemainingAdmissionWait(c) + responseTime + 2*c.OneWayLatency + c.TransferCost + pacing.ResponseDelay(backlog, responseTime, c.ResponseBytes, c.LinkRate)
 	return total + time.Duration(c.FailureRatio*failurePenalty*float64(nominal))
 }
 
+// RemainingAdmissionWait returns the part of the admission wait that is left now.
+func RemainingAdmissionWait(c Candidate) time.Duration {
+	return max(0, c.AdmissionWait-max(0, c.LoadAge))
+}
+
 // unknownLoadAge is the load age that is assumed for a candidate without a
 // report. Reports lose nearly all of their weight long before this age.
 const unknownLoadAge = time.Hour
--- a/pkg/decide/pick/earliest/earliest_test.go
+++ b/pkg/decide/pick/earliest/earliest_test.go
@@ -130,3 +130,18 @@
 		require.GreaterOrEqual(t, choose(4, 1, true, random), localServers, "the own domain has a queue")
 	}
 }
+
+// Guards against calls to a cold backend server that may not get them yet, and against
+// an old report that keeps calls away although the wait is over.
+func TestAdmissionWaitIsAddedAndAges(t *testing.T) {
+	cold, busy := candidate(0, 1), candidate(4, 1)
+	cold.AdmissionWait = 400 * ms
+	choice, _ := Choose([]Candidate{cold, busy}, 100*ms, ms, 0)
+	require.Equal(t, 1, choice.Index)
+	require.Equal(t, 400*ms, choice.NextBestTime-ExpectedTime(candidate(0, 1), 100*ms, 1))
+	cold.LoadAge = 300 * ms
+	require.Equal(t, 100*ms, RemainingAdmissionWait(cold))
+	cold.LoadAge = 400 * ms
+	choice, _ = Choose([]Candidate{cold, busy}, 100*ms, ms, 0)
+	require.Zero(t, choice.Index)
+}
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -50,7 +50,9 @@
 			return current, Unchanged
 		}
 		current.Down = false
-		return current, Applied
+		return restarted(current, event, now), Applied
+	case board.ServerEventWarmup:
+		return applyWarmup(current, event, now)
 	case board.ServerEventLeaving:
 		return applyLeave(current, event, now)
 	case board.ServerEventHealthResponse:
@@ -112,7 +114,7 @@
 		// An incarnation that drains or has left does not become ready again.
 		return current, Stale
 	}
-	next := stateFromEvent(event, now)
+	next := withEarlierWarmup(stateFromEvent(event, now), current, now)
 	if current.State >= board.ServerDraining {
 		next.State = max(current.State, announced.State)
 		next.DrainingSince = current.DrainingSince
@@ -151,7 +153,8 @@
 func stateFromEvent(event board.ServerEvent, now time.Time) board.BackendServer {
 	next := event.Server
 	next.LastHeardAt = now
-	next.WarmupEndsAt = now.Add(event.Warmup)
+	next.WarmupEndsAt, next.WarmupReported = now.Add(event.Warmup), event.WarmupReported
+	next.StartedAt = startTime(next.StartMillis, now)
 	if next.State >= board.ServerDraining {
 		next.DrainingSince = now
 	}
@@ -190,7 +193,7 @@
 	}
 	if current.ID == event.Server.ID {
 		current.Unconfirmed = false
-		return current, Applied
+		return reportedWarmup(current, event, now), Applied
 	}
 	next := stateFromEvent(event, now)
 	next.Sequence = -1
@@ -237,3 +240,56 @@
 	}
 	return found
 }
+
+// startTime returns the time of a start in Unix milliseconds, not after now. An
+// unknown start is taken to be now.
+func startTime(startMillis int64, now time.Time) time.Time {
+	if startMillis == 0 {
+		return now
+	}
+	return now.Add(-max(0, now.Sub(time.UnixMilli(startMillis))))
+}
+
+// withEarlierWarmup returns the state after a heartbeat with what was known before
+// about the warm-up of the same incarnation. A backend server that was down has
+// started again, even if it still names its earlier start.
+func withEarlierWarmup(next, current board.BackendServer, now time.Time) board.BackendServer {
+	if current.Down {
+		next.StartedAt = now
+		return next
+	}
+	if !current.StartedAt.IsZero() && (next.StartMillis == 0 || next.StartMillis == current.StartMillis) {
+		next.StartedAt = current.StartedAt
+	}
+	if !next.WarmupReported && current.WarmupReported {
+		next.WarmupReported, next.WarmupEndsAt = true, current.WarmupEndsAt
+	}
+	return next
+}
+
+// restarted returns the state of a backend server that was down and is reachable
+// again. It may be another process, whose start is not known yet.
+func restarted(current board.BackendServer, event board.ServerEvent, now time.Time) board.BackendServer {
+	current.StartedAt, current.WarmupReported = now, false
+	return reportedWarmup(current, event, now)
+}
+
+// reportedWarmup returns the state with the warm-up that an event reports, if any.
+func reportedWarmup(current board.BackendServer, event board.ServerEvent, now time.Time) board.BackendServer {
+	if event.WarmupReported {
+		current.WarmupReported, current.WarmupEndsAt = true, now.Add(event.Warmup)
+	}
+	return current
+}
+
+// applyWarmup applies the warm-up that the backend server reported in a response.
+func applyWarmup(current board.BackendServer, event board.ServerEvent, now time.Time) (board.BackendServer, Result) {
+	if current.ID == "" || !sameIncarnation(current, event.Server) {
+		return current, Stale
+	}
+	next := reportedWarmup(current, event, now)
+	if next == current {
+		return current, Unchanged
+	}
+	return next, Applied
+}
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -18,6 +18,9 @@
 type admissionQueue struct {
 	running atomic.Int64
 	waiting atomic.Int64
+	// permit, if set, is asked for each call that has got a slot. If it returns false
+	// the call does not get the slot, and permit arranges a later call of grantSlots.
+	permit func() bool
 
 	mu      sync.Mutex
 	waiters []*waiter
@@ -39,9 +42,14 @@
 			return false
 		}
 		if q.running.CompareAndSwap(running, running+1) {
-			return true
+			break
 		}
 	}
+	if q.permit != nil && !q.permit() {
+		q.running.Add(-1)
+		return false
+	}
+	return true
 }
 
 // release frees a slot and grants it to a queued call. The slot is freed
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -150,6 +150,8 @@
 	Misdirected bool
 	// ServerID identifies the backend server in health check responses.
 	ServerID string
+	// Warmup is how long the backend server stays cold, nil if it does not say.
+	Warmup *time.Duration
 	// Load is the backend server's load report, nil if there is none.
 	Load *board.ServerLoadReport
 }
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -43,6 +43,7 @@
 	}
 	choice, _ := earliest.Choose(candidates, nominalTime, expectedTimeTolerance, rand.Uint64())
 	endpoint := endpoints[choice.Index]
+	f.admissionWait = earliest.RemainingAdmissionWait(candidates[choice.Index])
 	f.expectedTime, f.loadAge = choice.ExpectedTime, candidates[choice.Index].LoadAge
 	if f.offers >= offersWithMaxResponseTime || choice.NextBestTime == 0 {
 		return endpoint, 0
@@ -110,6 +111,7 @@
 		return c
 	}
 	c.LoadAge = now.Sub(report.ReceivedAt)
+	c.AdmissionWait = time.Duration(report.AdmissionWaitMicros) * time.Microsecond
 	c.Load.Slots = int(report.Limit)
 	c.Load.Speed = estimate.Speed{Slowdown: float64(report.SlowdownPercent) / 100, MinSlowdown: float64(report.MinSlowdownPercent) / 100}
 	if report.LatencyMicros > 0 {
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -36,6 +36,9 @@
 	RevocationTime time.Duration
 
 	inFlight atomic.Int64
+	// coldRoom holds, for each service with cold backend servers, what was promised to
+	// refused callers.
+	coldRoom coldRoom
 }
 
 const (
@@ -151,6 +154,9 @@
 	case result.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
 		retryAfter := queueing.RetryAfter(max(result.QueueWait, minRetryAfter(result.Reason)), time.Until(c.Objective), time.Until(c.Deadline), result.ServiceTime)
+		if result.Reason == board.ReasonWarmingUp {
+			retryAfter = e.retryAfterWhileCold(c.Service, result.QueueWait, time.Now())
+		}
 		e.Codec.SetLocalReplyHeader(response.Header, c.ID, retryAfter)
 		return response
 	case time.Now().Before(c.Deadline):
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -40,13 +40,26 @@
 	Metrics *metrics.MeshMetrics
 	// DrainTime is how long a draining backend server may still get calls.
 	DrainTime time.Duration
+	// WarmupOvershoot and WarmupSlack define the bound on the calls to a cold backend
+	// server, see warmup.Policy.
+	WarmupOvershoot, WarmupSlack float64
+	// StartedAt is when the node started. Calls of an earlier process may have been sent
+	// until then. It is zero if there was none.
+	StartedAt time.Time
 
 	queue           admissionQueue
+	prepareOnce     sync.Once
+	warmup          warmupLimiter
 	tracker         callTracker
 	meanServiceTime board.Stats
 	reportSequence  atomic.Uint64
 }
 
+// prepare connects the queue with the limit of a cold backend server.
+func (x *Executor) prepare() {
+	x.prepareOnce.Do(func() { x.queue.permit = x.permitSend })
+}
+
 // InFlight returns the number of running and queued calls.
 func (x *Executor) InFlight() int { return int(x.queue.running.Load() + x.queue.waiting.Load()) }
 
@@ -59,7 +72,8 @@
 		Limit: uint32(x.concurrencyLimit(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
 		Draining: !server.AcceptsCalls() || x.Board.Shutdown.Load().Leaving, Sequence: x.reportSequence.Add(1),
 		SlowdownPercent: uint32(100 * speed.CurrentSlowdown()), MinSlowdownPercent: uint32(100 * max(1, speed.MinSlowdown)),
-		LinkBacklogMicros: uint32(x.Board.Link.Backlog(now).Microseconds()),
+		LinkBacklogMicros:   uint32(x.Board.Link.Backlog(now).Microseconds()),
+		AdmissionWaitMicros: uint32(x.warmupDecision(int(x.queue.waiting.Load()), now).Wait.Microseconds()),
 	}
 }
 
@@ -119,9 +133,20 @@
 }
 
 func (x *Executor) execute(ctx context.Context, c *Call, server *board.BackendServer, serverID string, maxResponseTime time.Duration, from sender) *Result {
+	job, refused := x.admit(ctx, c, server, serverID, maxResponseTime, from)
+	if refused != nil {
+		return refused
+	}
+	return x.runOnServer(ctx, c, server, job, from)
+}
+
+// admit waits until a call may be sent to the backend server. It then holds a slot. The
+// result is not nil if the call is refused.
+func (x *Executor) admit(ctx context.Context, c *Call, server *board.BackendServer, serverID string, maxResponseTime time.Duration, from sender) (queueing.Job, *Result) {
 	if reason := checkServer(server, c, serverID); reason != "" {
-		return notSent(reason)
+		return queueing.Job{}, notSent(reason)
 	}
+	x.prepare()
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
 	job := queueing.Job{
@@ -132,22 +157,25 @@
 	if decision.Result != queueing.Accepted {
 		result := notSent(refusalReason(decision.Result))
 		result.QueueWait = decision.QueueWait
-		return result
+		return job, result
+	}
+	if result := x.refusedWhileCold(c, job, decision.ResponseTime, load.Waiting, now); result != nil {
+		return job, result
 	}
 	body, err := from.Accept(ctx)
 	if err != nil {
-		return notSent(board.ReasonBodyMissing)
+		return job, notSent(board.ReasonBodyMissing)
 	}
 	if body != nil {
 		c.Body = body
 	}
 	if quarantineLeft(x.Board, c, now) > 0 {
-		return notSent(board.ReasonQuarantined)
+		return job, notSent(board.ReasonQuarantined)
 	}
 	if reason := x.acquireSlot(ctx, job, x.concurrencyLimit(server)); reason != "" {
-		return notSent(reason)
+		return job, x.notStarted(reason)
 	}
-	return x.runOnServer(ctx, c, server, job, from)
+	return job, nil
 }
 
 // meanServiceTimeOr returns the mean service time of all calls, or the given
@@ -322,6 +350,7 @@
 // Run refuses the queued calls when the backend server is gone or down. It
 // returns when ctx ends.
 func (x *Executor) Run(ctx context.Context) {
+	x.prepare()
 	changed := x.Board.LocalServer.Subscribe()
 	for {
 		select {
@@ -330,7 +359,10 @@
 		case <-changed:
 			if server := x.Board.LocalServer.Load(); server.Down || server.State == board.ServerGone {
 				x.queue.refuseAll(board.ReasonBackendDown)
+				continue
 			}
+			// The backend server may be warm now.
+			x.wakeQueue()
 		}
 	}
 }
--- a/pkg/mesh/forwarder.go
+++ b/pkg/mesh/forwarder.go
@@ -31,6 +31,8 @@
 	lastExecutor board.InstanceID
 	expectedTime time.Duration
 	loadAge      time.Duration
+	// admissionWait is the time until the chosen executor may send a further call.
+	admissionWait time.Duration
 	// lastFailure is the newest response with a server error.
 	lastFailure *Result
 	// lastUnknown is the newest result with an unknown outcome.
@@ -53,6 +55,10 @@
 		if endpoint == nil {
 			break
 		}
+		if refusal := f.refusalWhileCold(); refusal != nil {
+			lastResult = refusal
+			break
+		}
 		if f.attemptsSent > 0 && !attemptCharged {
 			if !f.allowRetry(cause) {
 				break
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return x.classifyServerError(ctx, err, server)
 	}
-	return x.readServerResponse(ctx, c, response)
+	return x.readServerResponse(ctx, c, server, response)
 }
 
 // classifyServerError returns the result of a request that got no response.
@@ -72,11 +72,14 @@
 }
 
 // readServerResponse reads the response of the backend server.
-func (x *Executor) readServerResponse(ctx context.Context, c *Call, response *h1.ClientResponse) *Result {
+func (x *Executor) readServerResponse(ctx context.Context, c *Call, server *board.BackendServer, response *h1.ClientResponse) *Result {
 	metadata := x.Codec.ParseResponse(response.Status, response.Header)
 	if metadata.Load != nil {
 		x.OnLoadReport(*metadata.Load)
 	}
+	if metadata.Warmup != nil && !metadata.Misdirected {
+		x.OnWarmup(server, *metadata.Warmup)
+	}
 	if metadata.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, executorBufferLimit))
 		_ = response.Body.Close()
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -130,7 +130,8 @@
 	requestLog := logging.RateLimitInfo(n.log)
 	n.executor = &mesh.Executor{
 		Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
-		DrainTime: n.settings.PlatformLimits.DrainTime,
+		DrainTime:       n.settings.PlatformLimits.DrainTime,
+		WarmupOvershoot: n.settings.PlatformLimits.WarmupOvershoot, WarmupSlack: n.settings.PlatformLimits.WarmupSlack, StartedAt: time.Now(),
 	}
 	n.entry = &mesh.Entry{
 		Board: n.board, Peers: n.peerPool, LocalExecutor: n.executor, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
@@ -174,7 +175,7 @@
 		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
 		&healthcheck.Controller{
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
-			OnLoadReport: n.executor.OnLoadReport, Log: n.log,
+			OnLoadReport: n.executor.OnLoadReport, OnWarmup: n.executor.OnWarmup, Log: n.log,
 		},
 		&idleConnSweeper{pools: []*h1.Pool{n.peerPool, n.serverPool}},
 	}
