Send nothing that a server which hangs may be unable to queue

Cause: the servers of some services never respond to a request that they cannot queue, nor to any further one on that connection. Abandoned calls, which such a server may go on with, calls of an earlier process of the node and health checks were not counted against its slots. Change: a call that has no response after 2.5 times its nominal time, and that two health reports in a row do not contain, shows that a server hangs (pkg/decide/hang); other executors of the service learn it from load reports. Then abandoned calls count against the slots until they must have ended or a health report shows that they have, and health checks take a slot. Calls of an earlier process count for each service, as the load report tells, until the longest timeout. The end of a connection after a hang is not reported as a possible crash. Services of which no server has hung get calls as before.

--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -38,6 +38,9 @@
 	// to the backend server, which gets few calls while it is cold; 0 if there is no
 	// such limit now.
 	AdmissionWaitMicros uint32 `cbor:"11,keyasint,omitempty" json:"admission_wait_us,omitempty"`
+	// Hangs is set if the executor has recently seen its backend server hang: such a
+	// server never responds to a request that it cannot queue.
+	Hangs bool `cbor:"12,keyasint,omitempty" json:"hangs,omitempty"`
 	// ReceivedAt is set by the receiver of the report; it is not sent.
 	ReceivedAt time.Time `cbor:"-" json:"-"`
 }
--- a/pkg/board/serverload.go
+++ b/pkg/board/serverload.go
@@ -19,6 +19,9 @@
 	Slowdown float64
 	// MinSlowdown is the minimum of the recent slowdowns.
 	MinSlowdown float64
+	// RequestedAt is when the health request was sent that got this report. It is zero
+	// for reports in responses to calls.
+	RequestedAt time.Time
 	// ReceivedAt is when this node received the report.
 	ReceivedAt time.Time
 }
--- a/pkg/control/healthcheck/healthcheck.go
+++ b/pkg/control/healthcheck/healthcheck.go
@@ -31,6 +31,9 @@
 	// maxLoadAge is the age at which a load report is refreshed. The speed of the
 	// hosts changes about every 500 ms.
 	maxLoadAge = 100 * time.Millisecond
+	// exactLoadAge is the age at which a load report is refreshed while it decides
+	// whether the backend server hangs.
+	exactLoadAge = 50 * time.Millisecond
 	// maxWarmupAge is the age at which the warm-up is fetched again. With busyInterval, a
 	// backend server that turns cold is seen within 100 ms.
 	maxWarmupAge = 75 * time.Millisecond
@@ -63,7 +66,14 @@
 	// OnWarmup, if set, is called when a backend server has reported how long it stays
 	// cold. The backend server is the one that was known when the request was sent.
 	OnWarmup func(*board.BackendServer, time.Duration)
-	Log      zerolog.Logger
+	// NeedsReport, if set, reports whether the load has to be fetched although responses
+	// to calls report it.
+	NeedsReport func() bool
+	// Reserve, if set, is called before each health check, which is sent only if it
+	// returns true; release is called after it. A backend server that hangs when it is
+	// full must have room for it.
+	Reserve func() (release func(), ok bool)
+	Log     zerolog.Logger
 
 	// lastBusy is when calls were last seen in flight.
 	lastBusy          time.Time
@@ -111,7 +121,10 @@
 		if now.Sub(c.lastHealthCheck) >= discoveryInterval {
 			c.pollHealth(ctx, now, c.Board.Self.ServerAddr)
 		}
-	case server.State == board.ServerReady && now.Sub(c.lastBusy) < idleAfter && (c.loadStale(now) || c.warmupStale(now)):
+	case server.State == board.ServerReady && now.Sub(c.lastBusy) < idleAfter && (c.loadStale(now) || c.warmupStale(now) || c.reportNeeded(now)):
+		c.pollHealth(ctx, now, server.Addr)
+	case server.State == board.ServerReady && c.lastHealthCheck.IsZero():
+		// Calls of an earlier process of this node may still run there.
 		c.pollHealth(ctx, now, server.Addr)
 	}
 }
@@ -123,6 +136,12 @@
 	return (report == nil || now.Sub(report.ReceivedAt) >= maxLoadAge) && now.Sub(c.lastHealthCheck) >= maxLoadAge
 }
 
+// reportNeeded reports whether a health check is due because the load that responses
+// report is not exact enough.
+func (c *Controller) reportNeeded(now time.Time) bool {
+	return now.Sub(c.lastHealthCheck) >= exactLoadAge && c.NeedsReport != nil && c.NeedsReport()
+}
+
 // warmupStale reports whether a health check is due to find out whether the backend
 // server has turned cold. Responses to calls need not say so.
 func (c *Controller) warmupStale(now time.Time) bool {
@@ -151,28 +170,44 @@
 	if path == "" || addr == "" {
 		return
 	}
+	err := c.requestHealth(ctx, addr, path, c.Servers.IdleTimeout)
+	if err == errNoSlot {
+		return // the next tick tries again
+	}
 	c.lastHealthCheck = now
-	if err := c.requestHealth(ctx, addr, path, c.Servers.IdleTimeout); err != nil {
+	if err != nil {
 		c.Log.Debug().Err(err).Str("event", "health_failed").Str("addr", addr).Send()
 		c.announceRefused(err, addr)
 	}
 }
 
+// errNoSlot means that the backend server may be unable to queue a health check.
+var errNoSlot = errors.New("no slot is free for a health check")
+
 // requestHealth sends a health check on a connection that was idle for at most
 // maxIdle, or on a new connection if maxIdle is 0.
 func (c *Controller) requestHealth(ctx context.Context, addr, path string, maxIdle time.Duration) error {
+	requestedAt, release := time.Now(), func() {}
+	if c.Reserve != nil {
+		var ok bool
+		if release, ok = c.Reserve(); !ok {
+			return errNoSlot
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
 	known := c.Board.LocalServer.Load()
 	response, err := c.Servers.Do(ctx, addr, &h1.ClientRequest{
 		Method: http.MethodGet, Target: path, Host: addr, Header: http.Header{}, MaxIdleTime: maxIdle,
 	})
+	release()
 	if err != nil {
 		return errors.Trace(err)
 	}
 	_ = response.Body.Close()
 	metadata := c.Codec.ParseResponse(response.Status, response.Header)
 	if metadata.Load != nil {
+		metadata.Load.RequestedAt = requestedAt
 		c.OnLoadReport(*metadata.Load)
 	}
 	if metadata.Warmup != nil && c.OnWarmup != nil && (metadata.ServerID == "" || metadata.ServerID == known.ID) {
--- a/pkg/control/healthcheck/warmup_test.go
+++ b/pkg/control/healthcheck/warmup_test.go
@@ -19,6 +19,7 @@
 	f := newLivenessFixture(t, listens, coldResponse)
 	f.Board.Routes.Load().Clusters["desk"].Warmup = dynconf.WarmupLimit{Duration: time.Second, Rate: rate}
 	f.inFlight.Store(1)
+	f.lastHealthCheck = time.Now().Add(-time.Minute) // not the first one
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go func() {
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -34,22 +34,30 @@
 	decision chan board.Reason
 }
 
-// tryAcquire takes a slot if fewer than slots calls run.
+// tryAcquire takes a slot for a call if fewer than slots calls run and permit allows
+// the call.
 func (q *admissionQueue) tryAcquire(slots int) bool {
+	if !q.takeSlot(slots) {
+		return false
+	}
+	if q.permit != nil && !q.permit() {
+		q.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// takeSlot takes a slot if fewer than slots calls run.
+func (q *admissionQueue) takeSlot(slots int) bool {
 	for {
 		running := q.running.Load()
 		if running >= int64(slots) {
 			return false
 		}
 		if q.running.CompareAndSwap(running, running+1) {
-			break
+			return true
 		}
 	}
-	if q.permit != nil && !q.permit() {
-		q.running.Add(-1)
-		return false
-	}
-	return true
 }
 
 // release frees a slot and grants it to a queued call. The slot is freed
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -50,6 +50,7 @@
 	queue           admissionQueue
 	prepareOnce     sync.Once
 	warmup          warmupLimiter
+	slots           slotAccount
 	tracker         callTracker
 	meanServiceTime board.Stats
 	reportSequence  atomic.Uint64
@@ -69,10 +70,11 @@
 	speed := x.currentSpeed(server, now)
 	return board.LoadReport{
 		InFlight: uint32(x.queue.running.Load()), Queued: uint32(x.queue.waiting.Load()),
-		Limit: uint32(x.concurrencyLimit(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
+		Limit: uint32(x.availableSlots(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
 		Draining: !server.AcceptsCalls() || x.Board.Shutdown.Load().Leaving, Sequence: x.reportSequence.Add(1),
 		SlowdownPercent: uint32(100 * speed.CurrentSlowdown()), MinSlowdownPercent: uint32(100 * max(1, speed.MinSlowdown)),
 		LinkBacklogMicros:   uint32(x.Board.Link.Backlog(now).Microseconds()),
+		Hangs:               x.slots.hung(now),
 		AdmissionWaitMicros: uint32(x.warmupDecision(int(x.queue.waiting.Load()), now).Wait.Microseconds()),
 	}
 }
@@ -120,7 +122,7 @@
 		Str("reason", string(result.Reason)).Int("status", result.Status).Dur("took", time.Since(started)).
 		Uint32("running", result.Load.InFlight).Uint32("queued", result.Load.Queued).Uint32("slots", result.Load.Limit).
 		Uint32("slowdown_percent", result.Load.SlowdownPercent).Dur("load_age", x.loadReportAge()).
-		Dur("left", time.Until(c.Deadline)).Send()
+		Int("occupied", x.occupiedSlots(time.Now())).Dur("left", time.Until(c.Deadline)).Send()
 }
 
 // loadReportAge returns the age of the backend server's newest load report, or
@@ -152,7 +154,7 @@
 	job := queueing.Job{
 		CustomerRank: c.CustomerRank, Rank: c.Rank, NominalTime: nominalTime(x.Board.CallStats, c), MinSlowdown: speed.MinSlowdown, Objective: c.Objective, Deadline: c.Deadline, MaxResponseTime: maxResponseTime,
 	}
-	load := x.queue.loadFor(job, estimate.Load{Slots: x.concurrencyLimit(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
+	load := x.queue.loadFor(job, estimate.Load{Slots: x.availableSlots(server), Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
 	if decision.Result != queueing.Accepted {
 		result := notSent(refusalReason(decision.Result))
@@ -172,7 +174,7 @@
 	if quarantineLeft(x.Board, c, now) > 0 {
 		return job, notSent(board.ReasonQuarantined)
 	}
-	if reason := x.acquireSlot(ctx, job, x.concurrencyLimit(server)); reason != "" {
+	if reason := x.acquireSlot(ctx, job, x.availableSlots(server)); reason != "" {
 		return job, x.notStarted(reason)
 	}
 	return job, nil
@@ -233,8 +235,7 @@
 // runOnServer sends a call that holds a slot to the backend server.
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
-	slots := x.concurrencyLimit(server)
-	release := sync.OnceFunc(func() { x.queue.release(slots) })
+	release := sync.OnceFunc(func() { x.queue.release(x.availableSlots(x.Board.LocalServer.Load())) })
 	slotPassedOn := false
 	defer func() {
 		if !slotPassedOn {
@@ -256,9 +257,16 @@
 	expectedBytes := x.Board.CallStats.ForRule(c.Rule).ResponseSize()
 	x.Board.Link.AddPending(expectedBytes)
 	result := x.sendToServer(ctx, c, server)
-	reportExecutionResult(x.Board, c, server, result)
 	x.Board.Link.AddPending(-expectedBytes)
 	serviceTime := x.tracker.finish(tracked, time.Now())
+	if result.Outcome == Unknown && result.Reason == board.ReasonCanceledByCaller {
+		x.abandon(tracked, time.Now())
+	}
+	// A connection that ends after its call hung tells nothing about the request or
+	// about the life of the backend server.
+	if !result.lost() || !tracked.hung() {
+		reportExecutionResult(x.Board, c, server, result)
+	}
 	concurrent = (concurrent + x.queue.running.Load() + 1) / 2
 	if result.buffered || result.Body == nil {
 		release()
@@ -266,7 +274,7 @@
 		slotPassedOn = true
 		result.Body = onClose(result.Body, release)
 	}
-	if result.lost() {
+	if result.lost() && !tracked.hung() {
 		x.Board.SuspectedServers.Post(*server)
 	}
 	if result.Outcome == Answered && result.Status < http.StatusInternalServerError {
@@ -305,6 +313,7 @@
 	report.ReceivedAt = time.Now()
 	report.MinSlowdown = x.tracker.applyLoadReport(report.Slowdown, defaultMinSlowdown(x.Board.LocalServer.Load(), report.ReceivedAt), report.ReceivedAt)
 	x.Board.ServerLoad.SetReport(report)
+	x.observePeers()
 }
 
 // HandleHop responds to a call that another node forwards.
--- a/pkg/mesh/tracker.go
+++ b/pkg/mesh/tracker.go
@@ -8,6 +8,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/concurrency"
 	"mangostand.example/mangostand/pkg/decide/estimate"
+	"mangostand.example/mangostand/pkg/decide/hang"
 	"mangostand.example/mangostand/pkg/decide/hedge"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 )
@@ -18,6 +19,8 @@
 type callTracker struct {
 	mu     sync.Mutex
 	active map[*trackedCall]struct{}
+	// healthReport is the newest load report of a health response.
+	healthReport hang.Report
 
 	// limitState is the immutable state of the concurrency limit. Each sample of
 	// a completed call replaces it by a new one.
@@ -64,8 +67,11 @@
 	// maxSlowdown is the greatest slowdown since the start of the call.
 	maxSlowdown float64
 	updatedAt   time.Time
-	notifySlow  func()
-	notified    bool
+	startedAt   time.Time
+	// missing is the result of hang.Missing for the latest health report.
+	missing    int
+	notifySlow func()
+	notified   bool
 
 	// notifyMu prevents a notification after the final response.
 	notifyMu sync.Mutex
@@ -91,7 +97,7 @@
 
 // start adds a call that starts at a slowdown.
 func (t *callTracker) start(job queueing.Job, slowdown float64, now time.Time, notifySlow func()) *trackedCall {
-	c := &trackedCall{progress: hedge.Execution{NominalTime: job.NominalTime}, objective: job.Objective, slowdown: slowdown, maxSlowdown: slowdown, updatedAt: now, notifySlow: notifySlow}
+	c := &trackedCall{progress: hedge.Execution{NominalTime: job.NominalTime}, objective: job.Objective, slowdown: slowdown, maxSlowdown: slowdown, updatedAt: now, startedAt: now, notifySlow: notifySlow}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.active == nil {
@@ -114,6 +120,60 @@
 	return c.progress.Progress
 }
 
+// hung reports whether the call showed that the backend server hangs. It is valid after
+// the call has finished.
+func (c *trackedCall) hung() bool {
+	return hang.Hangs(hang.Overdue(c.progress.NominalTime, c.progress.Progress), c.missing)
+}
+
+// hungCall describes a call that showed that the backend server hangs.
+type hungCall struct{ nominalTime, elapsed time.Duration }
+
+// applyHealthReport returns the report with the number of calls that it contains, and
+// checks the previous report against the calls that have no response yet. The second
+// result is a call that shows that the backend server hangs, or nil.
+func (t *callTracker) applyHealthReport(report hang.Report) (hang.Report, *hungCall) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	previous, stillRunning := t.healthReport, 0
+	for c := range t.active {
+		if previous.Covers(c.startedAt) {
+			stillRunning++
+		}
+	}
+	var found *hungCall
+	for c := range t.active {
+		if !previous.Covers(c.startedAt) {
+			if report.Covers(c.startedAt) {
+				report.Sent++
+			}
+			continue
+		}
+		c.advance(c.slowdown, report.ReceivedAt)
+		c.missing = hang.Missing(c.missing, previous, stillRunning)
+		if c.hung() {
+			found = &hungCall{nominalTime: c.progress.NominalTime, elapsed: report.ReceivedAt.Sub(c.startedAt)}
+		}
+		if c.missing == 0 {
+			report.Sent++
+		}
+	}
+	t.healthReport = report
+	return report, found
+}
+
+// anyOverdue reports whether a call has taken far longer than usual.
+func (t *callTracker) anyOverdue(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.active {
+		if hang.Overdue(c.progress.NominalTime, c.progress.Advance(now.Sub(c.updatedAt), c.slowdown).Progress) {
+			return true
+		}
+	}
+	return false
+}
+
 // applyLoadReport advances all calls to the time of a load report and
 // returns the minimum slowdown. Until enough reports have arrived, the
 // minimum is at most assumedMin.
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -175,7 +175,8 @@
 		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
 		&healthcheck.Controller{
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
-			OnLoadReport: n.executor.OnLoadReport, OnWarmup: n.executor.OnWarmup, Log: n.log,
+			OnLoadReport: n.executor.OnHealthReport, OnWarmup: n.executor.OnWarmup,
+			NeedsReport: n.executor.NeedsHealthReport, Reserve: n.executor.ReserveForHealthCheck, Log: n.log,
 		},
 		&idleConnSweeper{pools: []*h1.Pool{n.peerPool, n.serverPool}},
 	}
