Refuse calls at a cold server that a later one is likely to overtake

Cause: TestAllServersOfAServiceAreColdAtOnce failed once under the race detector: 3 of 59 refusals took longer than 50 ms. A call that other executors have refused has an earlier objective and is sent before one that is queued already, so calls at the end of the queue were refused only when it was too late for them. Change: a call is queued only if it is in time behind one more call.

--- a/pkg/mesh/warmup.go
+++ b/pkg/mesh/warmup.go
@@ -14,6 +14,11 @@
 // although there is room.
 const minWarmupWake = time.Millisecond
 
+// overtakingCalls is the number of later calls that are expected to be sent before a
+// queued one, since other executors have refused them before. Without it calls at the
+// end of the queue are refused only when it is too late for them.
+const overtakingCalls = 1
+
 // warmupLimiter limits the calls to the backend server of this node while it is cold.
 type warmupLimiter struct {
 	window sendWindow
@@ -96,7 +101,7 @@
 
 // wakeQueue grants free slots to the queued calls.
 func (x *Executor) wakeQueue() {
-	x.queue.grantSlots(x.concurrencyLimit(x.Board.LocalServer.Load()))
+	x.queue.grantSlots(x.availableSlots(x.Board.LocalServer.Load()))
 }
 
 // refusedWhileCold returns the result of a call that the backend server cannot get in
@@ -111,7 +116,7 @@
 	switch {
 	case job.MaxResponseTime > 0 && expected+decision.Wait > job.MaxResponseTime:
 		result = notSent(board.ReasonSlowerThanAlternative)
-	case now.Add(decision.Wait).After(queueing.LatestStart(job)):
+	case now.Add(x.warmupDecision(ahead+overtakingCalls, now).Wait).After(queueing.LatestStart(job)):
 		result = notSent(board.ReasonWarmingUp)
 	default:
 		return nil
