Do not take own calls for those of an earlier process

Cause: a server under load reports calls that the node sent just before the health request; at the start of a node these counted as calls of its predecessor and took slots. Change: all calls that the node waits for when the report arrives are left out. Result: TestOwnCallsAreNotThoseOfThePredecessor passes.

--- a/pkg/decide/hang/hang.go
+++ b/pkg/decide/hang/hang.go
@@ -59,6 +59,9 @@
 	// Sent is the number of calls that Total certainly contains: this node sent them
 	// before the health request and still waited for them when the report arrived.
 	Sent int
+	// Active is the number of calls that this node waited for when the report arrived.
+	// Total contains those of them that the backend server had received.
+	Active int
 	// RequestedAt is when the health request was sent.
 	RequestedAt time.Time
 	ReceivedAt  time.Time
@@ -92,12 +95,14 @@
 
 // Inherited returns the number of slots that calls of an earlier process of the node
 // take after a report, given the number before it; a negative one is not known yet. It
-// never rises, since the earlier process sends nothing more.
+// never rises, since the earlier process sends nothing more. Calls of this process that
+// the report may contain are left out, since it sends some all the time.
 func Inherited(before int, report Report) int {
+	inherited := max(0, report.Total-report.Active)
 	if before < 0 {
-		return report.excess()
+		return inherited
 	}
-	return min(before, report.excess())
+	return min(before, inherited)
 }
 
 // Overdue reports whether a call without a response has taken far longer than usual.
--- a/pkg/decide/hang/hang_test.go
+++ b/pkg/decide/hang/hang_test.go
@@ -57,7 +57,7 @@
 func TestInherited(t *testing.T) {
 	count := -1
 	for _, step := range []struct{ total, sent, want int }{{6, 0, 6}, {7, 1, 6}, {6, 2, 4}, {9, 2, 4}, {4, 4, 0}, {8, 4, 0}} {
-		count = Inherited(count, Report{Total: step.total, Sent: step.sent})
+		count = Inherited(count, Report{Total: step.total, Active: step.sent})
 		require.Equal(t, step.want, count)
 	}
 }
--- a/pkg/mesh/hang.go
+++ b/pkg/mesh/hang.go
@@ -151,7 +151,7 @@
 	if !x.slots.inherited.CompareAndSwap(old, next) || next.count == max(0, before) {
 		return
 	}
-	x.Log.Info().Str("event", "inherited_calls").Int("count", next.count).Int("reported", report.Total).Int("sent", report.Sent).
+	x.Log.Info().Str("event", "inherited_calls").Int("count", next.count).Int("reported", report.Total).Int("active", report.Active).
 		Dur("for", next.until.Sub(report.ReceivedAt)).Send()
 }
 
--- a/pkg/mesh/hang_test.go
+++ b/pkg/mesh/hang_test.go
@@ -237,3 +237,19 @@
 }
 
 func jobOf(nominal time.Duration) queueing.Job { return queueing.Job{NominalTime: nominal} }
+
+// Guards against calls of this process that are taken for those of its predecessor: the
+// load report of a server under load contains calls that were sent just before it.
+func TestOwnCallsAreNotThoseOfThePredecessor(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		x := newHangExecutor(false)
+		x.StartedAt = time.Now()
+		for range 3 {
+			x.tracker.start(jobOf(time.Second), 1, time.Now(), func() {})
+		}
+		time.Sleep(time.Millisecond)
+		x.OnHealthReport(board.ServerLoadReport{Running: 3, Slots: 4, Slowdown: 1, RequestedAt: time.Now()})
+		require.Equal(t, 4, x.availableSlots(x.Board.LocalServer.Load()))
+	})
+}
--- a/pkg/mesh/tracker.go
+++ b/pkg/mesh/tracker.go
@@ -158,6 +158,7 @@
 			report.Sent++
 		}
 	}
+	report.Active = len(t.active)
 	t.healthReport = report
 	return report, found
 }
