Stand-in servers with a cold start, and a loss of power as a test

Cause: the limit for cold servers was tested without a network only; heartbeats and health responses of the stand-in never reported a warm-up. Change: a stand-in server can be cold after its start, reports it, and crashes above a number of requests in a second. TestColdServersOnThePlatform (make faults) runs four node processes whose servers lose power under load and later turn cold again.

--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/standin/store"
 	"mangostand.example/mangostand/pkg/standin/tcprelay"
 	"mangostand.example/mangostand/platform"
@@ -38,6 +39,10 @@
 	ServiceTime time.Duration
 	// RouteTimeout is the timeout of the routes in the first configuration.
 	RouteTimeout time.Duration
+	// ColdStart says how the backend servers behave after their start, and Warmup is the
+	// limit for cold ones in the configuration.
+	ColdStart standin.ColdStart
+	Warmup    dynconf.WarmupLimit
 	// MaxProcs is the GOMAXPROCS of each node process, 0 for the default. On the
 	// platform a node has one processor.
 	MaxProcs int
@@ -76,6 +81,7 @@
 	site         *Site
 	settingsPath string
 	announceAddr string
+	serverAddr   string
 
 	// CrashCount is how many times a request has crashed the backend server.
 	CrashCount atomic.Int64
@@ -117,7 +123,7 @@
 // have the given timeout, to the store.
 func (s *Site) PublishConfig(timeout time.Duration) error {
 	s.configVersion++
-	entry := platform.Entry{Key: platform.ConfigKey, Value: standin.ConfigDocument(s.configVersion, s.options.Service, timeout)}
+	entry := platform.Entry{Key: platform.ConfigKey, Value: standin.ConfigDocument(s.configVersion, s.options.Service, timeout, s.options.Warmup)}
 	_, err := s.Store.Commit(nil, []platform.Entry{entry}, nil)
 	return errors.Trace(err)
 }
@@ -175,6 +181,7 @@
 		}
 		*target = addr
 	}
+	n.serverAddr = serverAddr
 	for relay, target := range map[**tcprelay.Relay]string{&n.PeerRelay: peerAddr, &n.StoreRelay: s.storeAddr, &n.ServerRelay: serverAddr} {
 		r, err := tcprelay.Start(target)
 		if err != nil {
@@ -220,7 +227,7 @@
 // announces the address of ServerRelay, so that the node connects through it.
 func (n *Node) StartBackendServer(id, addr string) error {
 	o := n.site.options
-	n.BackendServer = &standin.BackendServer{ID: id, Service: o.Service, Slots: o.Slots, ServiceTime: o.ServiceTime, Log: n.site.ExecutionLog, AnnounceAddr: n.announceAddr}
+	n.BackendServer = &standin.BackendServer{ID: id, Service: o.Service, Slots: o.Slots, ServiceTime: o.ServiceTime, ColdStart: o.ColdStart, Log: n.site.ExecutionLog, AnnounceAddr: n.announceAddr}
 	if o.RestartDelay > 0 {
 		n.BackendServer.OnCrash = func() {
 			n.CrashCount.Add(1)
@@ -234,6 +241,12 @@
 	return errors.Trace(n.BackendServer.Start(addr, func(string) (string, error) { return n.ServerRelay.Addr(), nil }))
 }
 
+// RestartBackendServer starts the backend server again after a crash. It keeps its ID
+// and its address.
+func (n *Node) RestartBackendServer() error {
+	return n.StartBackendServer(n.BackendServer.ID, n.serverAddr)
+}
+
 // StartProcess starts the node process. It appends to a log file next to the
 // settings file.
 func (n *Node) StartProcess() error {
--- a/test/processes/platform_test.go
+++ b/test/processes/platform_test.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/standin/meshsite"
 	"mangostand.example/mangostand/platform/standin"
 )
@@ -55,3 +57,102 @@
 		require.Equal(t, standin.Served, result.Outcome)
 	}
 }
+
+// TestColdServersOnThePlatform plays a loss of power: all backend servers end and come
+// back cold, while the demand is several times what they bear cold. Guards against
+// servers that crash again, against less than they bear, against refusals without
+// Retry-After, and against a limit that outlasts the warm-up. A server that turns cold
+// again without notice must not crash either.
+func TestColdServersOnThePlatform(t *testing.T) {
+	const (
+		nodes, callersPerNode = 4, 6
+		rate, bound           = 12, 26 // the default bound: 1.5 x rate + 8
+		warmup                = 3 * time.Second
+	)
+	bin := os.Getenv("MANGOSTAND_BIN")
+	require.NotEmpty(t, bin, "MANGOSTAND_BIN is not set; use make faults")
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	site, err := meshsite.Start(ctx, meshsite.Options{
+		Binary: filepath.Join(bin, "mangostandd"), Dir: t.TempDir(), Nodes: nodes, Service: serviceName, Slots: 8,
+		ServiceTime: 10 * time.Millisecond, RouteTimeout: 600 * time.Millisecond, RestartDelay: 300 * time.Millisecond,
+		ColdStart: standin.ColdStart{Duration: warmup, MaxRequestsPerSecond: bound}, Warmup: dynconf.WarmupLimit{Duration: warmup, Rate: rate},
+	})
+	require.NoError(t, err)
+	defer site.Stop()
+	time.Sleep(warmup + time.Second)
+
+	type sample struct {
+		at     time.Time
+		result standin.Result
+	}
+	var mu sync.Mutex
+	var samples []sample
+	callCtx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var callers sync.WaitGroup
+	for _, n := range site.Nodes {
+		for i := range callersPerNode {
+			callers.Go(func() {
+				standin.NewCaller(n.CallerAddr).SendLoop(callCtx, fmt.Sprintf("%s-%d", n.Name, i), 1<<30, 60*time.Millisecond, 700*time.Millisecond, func(r standin.Result) {
+					mu.Lock()
+					defer mu.Unlock()
+					samples = append(samples, sample{time.Now().Add(-r.Latency), r})
+				})
+			})
+		}
+	}
+	count := func(from, to time.Time) (served, refused, withoutRetryAfter, other int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, s := range samples {
+			switch {
+			case s.at.Before(from) || !s.at.Before(to):
+			case s.result.Outcome == standin.Served:
+				served++
+			case s.result.Outcome == standin.NotExecuted:
+				refused++
+				if s.result.RetryAfter <= 0 {
+					withoutRetryAfter++
+				}
+			default:
+				other++
+			}
+		}
+		return served, refused, withoutRetryAfter, other
+	}
+	time.Sleep(2 * time.Second)
+	for _, n := range site.Nodes {
+		n.BackendServer.Crash()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, n := range site.Nodes {
+		require.NoError(t, n.RestartBackendServer())
+	}
+	restarted := time.Now()
+	time.Sleep(6 * time.Second)
+	coldTotal, most := 0, 0
+	for _, n := range site.Nodes {
+		require.Zero(t, n.CrashCount.Load())
+		total, perSecond := n.BackendServer.ColdRequests()
+		coldTotal, most = coldTotal+total, max(most, perSecond)
+		n.BackendServer.TurnCold(warmup)
+	}
+	turned := time.Now()
+	time.Sleep(2 * time.Second)
+	stop()
+	callers.Wait()
+	served, refused, withoutRetryAfter, other := count(restarted.Add(time.Second), restarted.Add(warmup))
+	t.Logf("cold: served %d, refused %d, other %d; requests to cold servers: %d, at most %d in a second", served, refused, other, coldTotal, most)
+	require.Greater(t, coldTotal, nodes*rate*2)
+	require.Positive(t, refused, "the demand is not above what cold servers bear")
+	require.Zero(t, withoutRetryAfter)
+	require.Zero(t, other)
+	served, refused, _, other = count(restarted.Add(4*time.Second), turned.Add(-100*time.Millisecond))
+	t.Logf("warm: served %d, refused %d, other %d", served, refused, other)
+	require.Positive(t, served)
+	require.Zero(t, refused+other)
+	for _, n := range site.Nodes {
+		require.Zero(t, n.CrashCount.Load(), "a server that turned cold again has crashed")
+	}
+}
