--- a/pkg/board/load.go
+++ b/pkg/board/load.go
@@ -34,6 +34,13 @@
 	// LinkBacklogMicros is the time that the network link of the machine needs
 	// for the responses in progress and expected, in microseconds.
 	LinkBacklogMicros uint32 `cbor:"10,keyasint,omitempty" json:"link_us"`
+	// AdmissionWaitMicros is the time in microseconds until a further call may be sent
+	// to the backend server, which gets few calls while it is cold; 0 if there is no
+	// such limit now.
+	AdmissionWaitMicros uint32 `cbor:"11,keyasint,omitempty" json:"admission_wait_us,omitempty"`
+	// Hangs is set if the executor has recently seen its backend server hang: such a
+	// server never responds to a request that it cannot queue.
+	Hangs bool `cbor:"12,keyasint,omitempty" json:"hangs,omitempty"`
 	// InboundBacklogMicros is the time that the network link of the machine needs for
 	// the request bodies that other nodes are sending or may send, in microseconds.
 	InboundBacklogMicros uint32 `cbor:"13,keyasint,omitempty" json:"inbound_us"`
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -57,7 +57,11 @@
 		now := time.Now()
 		x.setStandings(waiting, now)
 		next := queueing.Next(waiting, now)
-		if !waiting[next].Nested && !x.slots.tryOrdinary(x.slotsFor(waiting[next], slots, now)) {
+		if !waiting[next].Nested && !x.slotUse.tryOrdinary(x.slotsFor(waiting[next], slots, now)) {
+			return -1
+		}
+		if !x.permitSend() {
+			x.slotUse.release(waiting[next])
 			return -1
 		}
 		x.addService(waiting[next], queueing.ExpectedService(waiting[next]), now)
@@ -76,7 +80,7 @@
 // of it there: the running calls and the queued calls that are served before it.
 func (x *Executor) loadFor(job queueing.Job, slots int, now time.Time, base estimate.Load) estimate.Load {
 	base.Slots = x.slotsFor(job, slots, now)
-	running, ordinary := x.queue.Running(), int(x.slots.ordinary.Load())
+	running, ordinary := x.queue.Running(), int(x.slotUse.ordinary.Load())
 	base.Running = ordinary + max(0, running-ordinary-(slots-base.Slots))
 	if !x.hasCustomers() {
 		base.Waiting = x.queue.Count(func(other queueing.Job) bool { return !queueing.ServedBefore(job, other) })
@@ -163,8 +167,6 @@
 // expected service by that time.
 func (x *Executor) releaseSlot(job queueing.Job, held time.Duration, slots int) {
 	x.addService(job, held-queueing.ExpectedService(job), time.Now())
-	if !job.Nested {
-		x.slots.ordinary.Add(-1)
-	}
+	x.slotUse.release(job)
 	x.queue.Release(slots, x.nextJob(slots))
 }
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -37,6 +37,9 @@
 	RevocationTime time.Duration
 
 	inFlight atomic.Int64
+	// coldRoom holds, for each service with cold backend servers, what was promised to
+	// refused callers.
+	coldRoom coldRoom
 }
 
 const (
@@ -161,7 +164,11 @@
 	switch {
 	case result.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
-		e.Codec.SetLocalReplyHeader(response.Header, c.ID, retryAfter(c, result, rand.Float64()))
+		advice := retryAfter(c, result, rand.Float64())
+		if result.Reason == board.ReasonWarmingUp {
+			advice = e.retryAfterWhileCold(c.Service, result.QueueWait, time.Now())
+		}
+		e.Codec.SetLocalReplyHeader(response.Header, c.ID, advice)
 		return response
 	case time.Now().Before(c.Deadline):
 		response.Status = http.StatusBadGateway
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -42,9 +42,17 @@
 	Metrics *metrics.MeshMetrics
 	// DrainTime is how long a draining backend server may still get calls.
 	DrainTime time.Duration
+	// WarmupOvershoot and WarmupSlack define the bound on the calls to a cold backend
+	// server, see warmup.Policy.
+	WarmupOvershoot, WarmupSlack float64
+	// StartedAt is when the node started. Calls of an earlier process may have been sent
+	// until then. It is zero if there was none.
+	StartedAt time.Time
 
 	queue           slotqueue.Queue[queueing.Job]
-	slots           slotUse
+	warmup          warmupLimiter
+	slots           slotAccount
+	slotUse         slotUse
 	tracker         callTracker
 	meanServiceTime board.Stats
 	reportSequence  atomic.Uint64
@@ -59,10 +67,12 @@
 	speed := x.currentSpeed(server, now)
 	return board.LoadReport{
 		InFlight: uint32(x.queue.Running()), Queued: uint32(x.queue.Waiting()),
-		Limit: uint32(x.concurrencyLimit(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
+		Limit: uint32(x.availableSlots(server)), LatencyMicros: uint32(x.meanServiceTime.ServiceTime().Microseconds()),
 		Draining: !server.AcceptsCalls() || x.Board.Shutdown.Load().Leaving, Sequence: x.reportSequence.Add(1),
 		SlowdownPercent: uint32(100 * speed.CurrentSlowdown()), MinSlowdownPercent: uint32(100 * max(1, speed.MinSlowdown)),
 		LinkBacklogMicros: uint32(x.Board.Link.Backlog(now).Microseconds()), InboundBacklogMicros: uint32(x.Board.InboundLink.Backlog(now).Microseconds()),
+		Hangs:               x.slots.hung(now),
+		AdmissionWaitMicros: uint32(x.warmupDecision(x.queue.Waiting(), now).Wait.Microseconds()),
 	}
 }
 
@@ -111,7 +121,7 @@
 		Str("reason", string(result.Reason)).Int("status", result.Status).Dur("took", time.Since(started)).
 		Uint32("running", result.Load.InFlight).Uint32("queued", result.Load.Queued).Uint32("slots", result.Load.Limit).
 		Uint32("slowdown_percent", result.Load.SlowdownPercent).Dur("load_age", x.loadReportAge()).
-		Dur("left", time.Until(c.Deadline)).Send()
+		Int("occupied", x.occupiedSlots(time.Now())).Dur("left", time.Until(c.Deadline)).Send()
 }
 
 // loadReportAge returns the age of the backend server's newest load report, or
@@ -124,36 +134,49 @@
 }
 
 func (x *Executor) execute(ctx context.Context, c *Call, server *board.BackendServer, serverID string, maxResponseTime time.Duration, from sender) *Result {
+	job, refused := x.admit(ctx, c, server, serverID, maxResponseTime, from)
+	if refused != nil {
+		return refused
+	}
+	return x.runOnServer(ctx, c, server, job, from)
+}
+
+// admit waits until a call may be sent to the backend server. It then holds a slot. The
+// result is not nil if the call is refused.
+func (x *Executor) admit(ctx context.Context, c *Call, server *board.BackendServer, serverID string, maxResponseTime time.Duration, from sender) (queueing.Job, *Result) {
 	if reason := checkServer(server, c, serverID); reason != "" {
-		return notSent(reason)
+		return queueing.Job{}, notSent(reason)
 	}
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
 	job := x.newJob(c, speed, maxResponseTime)
-	load := x.loadFor(job, x.concurrencyLimit(server), now, estimate.Load{Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
+	load := x.loadFor(job, x.availableSlots(server), now, estimate.Load{Speed: speed, MeanServiceTime: x.meanServiceTimeOr(job.NominalTime)})
 	decision := queueing.Admit(job, load, now)
 	if decision.Result != queueing.Accepted {
 		result := notSent(refusalReason(decision.Result))
 		result.QueueWait = decision.QueueWait
-		return result
+		return job, result
+	}
+	if result := x.refusedWhileCold(c, job, decision.ResponseTime, load.Waiting, now); result != nil {
+		return job, result
 	}
 	if reason := x.awaitLink(ctx, c, job, from); reason != "" {
-		return notSent(reason)
+		return job, notSent(reason)
 	}
 	body, err := from.Accept(ctx, x.bodyTimeoutFor(c))
 	if err != nil {
-		return notSent(board.ReasonBodyMissing)
+		return job, notSent(board.ReasonBodyMissing)
 	}
 	if body != nil {
 		c.Body = body
 	}
 	if quarantineLeft(x.Board, c, now) > 0 {
-		return notSent(board.ReasonQuarantined)
+		return job, notSent(board.ReasonQuarantined)
 	}
-	if reason := x.acquireSlot(ctx, job, x.concurrencyLimit(server)); reason != "" {
-		return refusedInQueue(job, reason, decision.QueueWait)
+	if reason := x.acquireSlot(ctx, job, x.availableSlots(server)); reason != "" {
+		return job, x.notStarted(job, reason, decision.QueueWait)
 	}
-	return x.runOnServer(ctx, c, server, job, from)
+	return job, nil
 }
 
 // observeOrigin records where a call entered and reports whether it is nested.
@@ -207,11 +230,10 @@
 // runOnServer sends a call that holds a slot to the backend server.
 func (x *Executor) runOnServer(ctx context.Context, c *Call, admittedTo *board.BackendServer, job queueing.Job, from sender) *Result {
 	server := x.Board.LocalServer.Load()
-	slots := x.concurrencyLimit(server)
 	granted := time.Now()
 	release := sync.OnceFunc(func() {
 		held := time.Since(granted)
-		x.releaseSlot(job, held, slots)
+		x.releaseSlot(job, held, x.availableSlots(x.Board.LocalServer.Load()))
 		x.recordSlotTime(c, held)
 	})
 	slotPassedOn := false
@@ -235,12 +257,19 @@
 	expectedBytes := x.Board.CallStats.ForRule(c.Rule).ResponseSize()
 	x.Board.Link.AddPending(expectedBytes)
 	result := x.sendToServer(ctx, c, server)
-	reportExecutionResult(x.Board, c, server, result)
 	x.Board.Link.AddPending(-expectedBytes)
 	ended := time.Now()
 	serviceTime := x.tracker.finish(tracked, ended)
 	if job.Nested {
-		x.slots.addNested(ended.Sub(now), ended)
+		x.slotUse.addNested(ended.Sub(now), ended)
+	}
+	if result.Outcome == Unknown && result.Reason == board.ReasonCanceledByCaller {
+		x.abandon(tracked, ended)
+	}
+	// A connection that ends after its call hung tells nothing about the request or
+	// about the life of the backend server.
+	if !result.lost() || !tracked.hung() {
+		reportExecutionResult(x.Board, c, server, result)
 	}
 	concurrent = (concurrent + x.queue.Running() + 1) / 2
 	if result.buffered || result.Body == nil {
@@ -249,7 +278,7 @@
 		slotPassedOn = true
 		result.Body = onClose(result.Body, release)
 	}
-	if result.lost() {
+	if result.lost() && !tracked.hung() {
 		x.Board.SuspectedServers.Post(*server)
 	}
 	if result.Outcome == Answered && result.Status < http.StatusInternalServerError {
@@ -288,6 +317,7 @@
 	report.ReceivedAt = time.Now()
 	report.MinSlowdown = x.tracker.applyLoadReport(report.Slowdown, defaultMinSlowdown(x.Board.LocalServer.Load(), report.ReceivedAt), report.ReceivedAt)
 	x.Board.ServerLoad.SetReport(report)
+	x.observePeers()
 }
 
 // HandleHop responds to a call that another node forwards.
@@ -341,7 +371,10 @@
 		case <-changed:
 			if server := x.Board.LocalServer.Load(); server.Down || server.State == board.ServerGone {
 				x.queue.RefuseAll(board.ReasonBackendDown)
+				continue
 			}
+			// The backend server may be warm now.
+			x.wakeQueue()
 		}
 	}
 }
--- a/pkg/mesh/slotuse.go
+++ b/pkg/mesh/slotuse.go
@@ -57,22 +57,32 @@
 	if job.Nested {
 		return slots
 	}
-	return max(1, slots-x.slots.reserved(slots, now))
+	return max(1, slots-x.slotUse.reserved(slots, now))
 }
 
-// tryAcquireSlot takes a slot for a call if no call waits and one is free.
-func (x *Executor) tryAcquireSlot(job queueing.Job, slots int) bool {
-	if job.Nested {
-		return x.queue.TryAcquire(slots)
+// release uncounts a call that held a slot.
+func (u *slotUse) release(job queueing.Job) {
+	if !job.Nested {
+		u.ordinary.Add(-1)
 	}
-	if !x.slots.tryOrdinary(x.slotsFor(job, slots, time.Now())) {
+}
+
+// tryAcquireSlot takes a slot for a call if no call waits, one is free and the limit of a
+// cold backend server permits the call.
+func (x *Executor) tryAcquireSlot(job queueing.Job, slots int) bool {
+	if !job.Nested && !x.slotUse.tryOrdinary(x.slotsFor(job, slots, time.Now())) {
 		return false
 	}
 	if !x.queue.TryAcquire(slots) {
-		x.slots.ordinary.Add(-1)
+		x.slotUse.release(job)
 		// Another goroutine may have counted this call and left a job waiting.
 		x.queue.Grant(slots, x.nextJob(slots))
 		return false
 	}
+	if !x.permitSend() {
+		x.slotUse.release(job)
+		x.queue.Release(slots, x.nextJob(slots))
+		return false
+	}
 	return true
 }
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -61,9 +61,10 @@
 func (q *Queue[J]) Waiting() int { return int(q.waiting.Load()) }
 
 // TryAcquire takes a slot if no call waits and fewer than slots calls run.
-func (q *Queue[J]) TryAcquire(slots int) bool { return q.waiting.Load() == 0 && q.tryAcquire(slots) }
+func (q *Queue[J]) TryAcquire(slots int) bool { return q.waiting.Load() == 0 && q.TakeSlot(slots) }
 
-func (q *Queue[J]) tryAcquire(slots int) bool {
+// TakeSlot takes a slot if fewer than slots calls run, whether or not calls wait.
+func (q *Queue[J]) TakeSlot(slots int) bool {
 	for {
 		running := q.running.Load()
 		if running >= int64(slots) {
@@ -96,7 +97,7 @@
 
 // grantSlots grants free slots to queued calls. The caller must hold mu.
 func (q *Queue[J]) grantSlots(slots int, next Next[J]) {
-	for len(q.waiters) > 0 && q.tryAcquire(slots) {
+	for len(q.waiters) > 0 && q.TakeSlot(slots) {
 		i := next(q.jobs())
 		if i < 0 {
 			q.running.Add(-1)
