Stop calls to evacuated failure domains

Operators take a failure domain out of service by writing op/evacuate/DOMAIN to the store; nothing in the product followed these keys.

The read and the watch of the configuration now cover the prefix op/, in the same call, so that no further call is made. control/evacuation merges what control/routefeed reads with what other nodes pass on in exchanges and calls, by the era and revision of the store, and is the only writer of the section Evacuation. A missing key counts as removed only if the store had answered and been of one era for 2 s. A change is pushed at once. Executors refuse calls in an evacuated domain with proof: at admission, in the queue and directly before a send. Entries choose no endpoints there, and answer 503 with a Retry-After of 1 s if a service has no other. A starting node has no configuration before it knows the evacuations that came with it; until then its executor takes only calls of entries that confirmed their state within half of evacuation_time.

The client reports the era of responses (Store-Era), and the stand-in store can come back from an older copy.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -16,6 +16,7 @@
 	routeTableHintInboxSize  = 64
 	executionResultInboxSize = 256
 	suspicionInboxSize       = 64
+	evacuationInboxSize      = 64
 )
 
 // MeshBoard is the blackboard of a mesh node, which runs on the users' platform.
@@ -43,6 +44,8 @@
 	Shutdown *Section[*ShutdownState]
 	// Quarantine is written by control/quarantine.
 	Quarantine *Section[*Quarantine]
+	// Evacuation is written by control/evacuation.
+	Evacuation *Section[*Evacuation]
 
 	// ServerLoad holds the latest load report of the local backend server.
 	ServerLoad *ServerLoad
@@ -77,6 +80,9 @@
 	// latter from other nodes.
 	ExecutionResults *Inbox[ExecutionResult]
 	Suspicions       *Inbox[[]Suspicion]
+	// Evacuations carries reads of the store and states of other nodes to
+	// control/evacuation.
+	Evacuations *Inbox[EvacuationEvent]
 }
 
 // NodeIdentity identifies a node.
@@ -107,6 +113,7 @@
 		Store:            NewSection("store", &StoreStatus{}),
 		Shutdown:         NewSection("stopping", &ShutdownState{}),
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
+		Evacuation:       NewSection("evacuation", &Evacuation{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		CallStats:        &StatsByRule{},
@@ -119,6 +126,7 @@
 		RouteTableHints:  NewInbox[RouteTableHint](routeTableHintInboxSize),
 		ExecutionResults: NewInbox[ExecutionResult](executionResultInboxSize),
 		Suspicions:       NewInbox[[]Suspicion](suspicionInboxSize),
+		Evacuations:      NewInbox[EvacuationEvent](evacuationInboxSize),
 	}
 }
 
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -57,6 +57,8 @@
 	// quarantinedCount is the number of quarantined requests at the last change
 	// of the Quarantine section.
 	quarantinedCount int
+	// pushedEvacuation is the newest value of the Evacuation section that was handled.
+	pushedEvacuation *board.Evacuation
 	// exchangesInFlight holds the nodes with an exchange in flight;
 	// exchangesDone receives a node when its exchange ends.
 	exchangesDone     chan board.InstanceID
@@ -90,7 +92,8 @@
 			Region: b.Self.Region, FailureDomain: b.Self.FailureDomain, Service: b.Self.Service, LinkRate: b.Self.LinkRate,
 		},
 		nodes: map[board.InstanceID]*nodeState{}, instancesByAddr: map[string][]board.InstanceID{},
-		exchangesDone: make(chan board.InstanceID, exchangesDoneQueueSize), exchangesInFlight: map[board.InstanceID]bool{},
+		pushedEvacuation: b.Evacuation.Load(),
+		exchangesDone:    make(chan board.InstanceID, exchangesDoneQueueSize), exchangesInFlight: map[board.InstanceID]bool{},
 	}
 	c.publish()
 	return c
@@ -110,6 +113,7 @@
 	storeUpdates := c.board.Store.Subscribe()
 	routeUpdates := c.board.Routes.Subscribe()
 	quarantineUpdates := c.board.Quarantine.Subscribe()
+	evacuationUpdates := c.board.Evacuation.Subscribe()
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	for {
@@ -126,6 +130,8 @@
 			c.pushRecords(ctx, []board.NodeRecord{c.ownRecord}, c.board.Routes.Load().ReadFromStore)
 		case <-quarantineUpdates:
 			c.pushNewQuarantines(ctx, time.Now())
+		case <-evacuationUpdates:
+			c.pushEvacuation(ctx)
 		case <-storeUpdates:
 			c.mergeListing(ctx, time.Now())
 		case id := <-c.exchangesDone:
--- a/pkg/control/directory/exchange.go
+++ b/pkg/control/directory/exchange.go
@@ -33,6 +33,9 @@
 	// Push is set in a request that only passes on changes. Its response has no
 	// records, since most buckets differ while many nodes change.
 	Push bool `cbor:"9,keyasint,omitempty"`
+	// Evacuation is what the sender knows of evacuated failure domains, nil for
+	// nothing.
+	Evacuation *board.Evacuation `cbor:"10,keyasint,omitempty"`
 }
 
 // ExchangeFunc sends a message to a node and returns its response.
@@ -125,6 +128,7 @@
 func newMessage(b *board.MeshBoard, load board.LoadReport, now time.Time) *Message {
 	return &Message{
 		From: b.Self.Instance, PeerAddr: b.Self.PeerAddr, Config: b.ConfigAdvertisement(now), Load: load,
+		Evacuation: b.EvacuationAdvertisement(),
 	}
 }
 
@@ -137,6 +141,9 @@
 	if len(m.Suspicions) > 0 {
 		b.Suspicions.Post(m.Suspicions)
 	}
+	// Before the configuration, so that no node has one without knowing the evacuated
+	// failure domains.
+	b.ReceiveEvacuation(m.Evacuation, m.PeerAddr)
 	b.ReceiveConfigAdvertisement(m.Config, m.PeerAddr, time.Now())
 	if endpoint := b.Fleet.Load().ByInstance[m.From]; endpoint != nil {
 		m.Load.ReceivedAt = time.Now()
--- a/pkg/control/directory/spread.go
+++ b/pkg/control/directory/spread.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/evacuation"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/pkg/decide/quarantine"
 )
@@ -48,3 +49,13 @@
 	}
 	c.quarantinedCount = quarantined
 }
+
+// pushEvacuation starts exchanges at once when the evacuated failure domains or the era
+// of the store change.
+func (c *Controller) pushEvacuation(ctx context.Context) {
+	next := c.board.Evacuation.Load()
+	if evacuation.Differs(c.pushedEvacuation, next) {
+		c.pushRecords(ctx, []board.NodeRecord{c.ownRecord}, next.ReadFromStore)
+	}
+	c.pushedEvacuation = next
+}
--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -1,7 +1,8 @@
 // Package routefeed keeps the routing configuration up to date: it reads and
 // watches the platform's store and pulls newer versions from other nodes. It
 // writes the Routes section, whose version never decreases, and the sections
-// RouteDocument and IdleTimeouts, which belong to it.
+// RouteDocument and IdleTimeouts, which belong to it. The evacuated failure domains,
+// which the same reads return, go to control/evacuation.
 //
 // One node, the watcher, reads the store continuously. It confirms that the
 // version in force is the newest one, and the nodes pass the confirmation on to
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/evacuation"
 	"mangostand.example/mangostand/pkg/decide/idle"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/metrics"
@@ -25,8 +27,8 @@
 
 // Store is the part of the store's client that the controller uses.
 type Store interface {
-	GetAsOf(ctx context.Context, key string) (platform.Entry, uint64, error)
-	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error)
+	ReadOperatorState(ctx context.Context) (platform.OperatorState, error)
+	WatchOperatorState(ctx context.Context, after platform.OperatorState, wait time.Duration) (platform.OperatorState, error)
 }
 
 // PullFunc asks the node at an address for its configuration. It calls progress with
@@ -58,6 +60,8 @@
 
 	started time.Time
 	options Options
+	// stability belongs to syncWithStore.
+	stability evacuation.Stability
 	// documents passes documents to Run, which publishes them.
 	documents chan *fetchedDocument
 }
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -42,17 +42,17 @@
 	stalled atomic.Bool
 }
 
-func (s *stalledWatchStore) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *stalledWatchStore) WatchOperatorState(ctx context.Context, after platform.OperatorState, wait time.Duration) (platform.OperatorState, error) {
 	if !s.stalled.Load() {
-		return s.Store.WatchPrefix(ctx, prefix, after, wait)
+		return s.Store.WatchOperatorState(ctx, after, wait)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil, after, errors.Trace(platform.ErrCompacted)
+		return after, errors.Trace(platform.ErrCompacted)
 	case <-ctx.Done():
-		return nil, after, errors.Trace(ctx.Err())
+		return after, errors.Trace(ctx.Err())
 	}
 }
 
@@ -254,9 +254,9 @@
 	reads atomic.Int64
 }
 
-func (s *unreachableStore) GetAsOf(context.Context, string) (platform.Entry, uint64, error) {
+func (s *unreachableStore) ReadOperatorState(context.Context) (platform.OperatorState, error) {
 	s.reads.Add(1)
-	return platform.Entry{}, 0, errors.New("store unreachable")
+	return platform.OperatorState{}, errors.New("store unreachable")
 }
 
 // Guards against a large fleet in which each node reads an unreachable store as
--- a/pkg/control/routefeed/store.go
+++ b/pkg/control/routefeed/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +13,7 @@
 	"mangostand.example/mangostand/pkg/bootclock"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/customer"
+	"mangostand.example/mangostand/pkg/decide/evacuation"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/platform"
 )
@@ -58,7 +60,7 @@
 // newest one.
 func (c *Controller) syncWithStore(ctx context.Context) {
 	jitter := rand.N(followerJitter)
-	var handledRevision uint64
+	var handled documentVersion
 	for ctx.Err() == nil {
 		rank := c.watchRank()
 		watcher, watcherOrBackup := rank == 0, rank <= backupWatchers
@@ -79,29 +81,79 @@
 			continue
 		}
 		requestedAt, proofAt := time.Now(), c.board.ConfigRequestSentAt()
-		entry, revision, err := c.store.GetAsOf(ctx, platform.ConfigKey)
+		state, err := c.store.ReadOperatorState(ctx)
 		if err != nil {
+			c.stability = c.stability.AfterFailure()
 			c.log.Info().Err(err).Str("event", "config_unread").Bool("watcher", watcher).
 				Dur("confirmed_age", c.confirmedAge()).Send()
 			control.Sleep(ctx, fleet.ReadRetryDelay(watcherOrBackup, c.board.Fleet.Load().Size))
 			continue
 		}
-		if entry.Revision > handledRevision {
-			c.publish(ctx, &fetchedDocument{document: entry.Value, from: fromStore, readAt: requestedAt})
-			handledRevision = entry.Revision
+		c.observe(ctx, state, requestedAt)
+		if version := versionOf(state); version != handled {
+			c.publish(ctx, &fetchedDocument{document: state.Config.Value, from: fromStore, readAt: requestedAt})
+			handled = version
 		}
-		c.confirm(entry.Value, requestedAt, proofAt)
+		confirmed := c.confirm(state.Config.Value, requestedAt, proofAt)
 		pause := watchPause
 		switch {
-		case watcher && len(entry.Value) < maxPolledSize:
+		case watcher && len(state.Config.Value) < maxPolledSize:
 			pause = readInterval
 		case watcher:
-			c.watchChanges(ctx, revision, entry.Value)
+			c.watchChanges(ctx, state)
+		}
+		if !confirmed {
+			// Further reads confirm nothing until the operators write again or the store
+			// has settled.
+			pause = max(pause, fleet.ReadRetryDelay(watcherOrBackup, c.board.Fleet.Load().Size))
 		}
 		control.Sleep(ctx, pause)
 	}
 }
 
+// documentVersion identifies a write of the configuration document.
+type documentVersion struct{ era, revision uint64 }
+
+// versionOf returns the version of the document in a state, zero if there is none.
+func versionOf(state platform.OperatorState) documentVersion {
+	if state.Config.Revision == 0 {
+		return documentVersion{}
+	}
+	return documentVersion{state.Era, state.Config.Revision}
+}
+
+// evacuationTimeout bounds the wait until control/evacuation has merged a read.
+const evacuationTimeout = 100 * time.Millisecond
+
+// observe records the response to a request that was sent at a time, and passes on what
+// it says of the evacuated failure domains. It waits until evacuated domains are in force,
+// so that a node which has just started has no configuration without them.
+func (c *Controller) observe(ctx context.Context, state platform.OperatorState, requestedAt time.Time) {
+	before := c.stability
+	c.stability = before.AfterResponse(state.Era, requestedAt)
+	if before.Era > 0 && state.Era != before.Era {
+		c.log.Warn().Str("event", "store_era").Uint64("era", state.Era).Uint64("before", before.Era).
+			Uint64("revision", state.Revision).Uint64("config_revision", state.Config.Revision).Msg("the store came back from an older copy")
+	}
+	read := &board.Evacuation{
+		Era: state.Era, Revision: state.Revision, Domains: state.EvacuatedDomains,
+		Settled: c.stability.Settled(requestedAt, c.board.Store.Load().ReachabilityChangedAt),
+	}
+	if current := c.board.Evacuation.Load(); evacuation.Apply(current, read) != current {
+		event := board.EvacuationEvent{State: read, Handled: make(chan struct{})}
+		if !c.board.Evacuations.Post(event) || len(read.Domains) == 0 {
+			return
+		}
+		timer := time.NewTimer(evacuationTimeout)
+		defer timer.Stop()
+		select {
+		case <-event.Handled:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // startsWithoutRead reports whether a node that has just started leaves the first
 // read of the configuration to others.
 func (c *Controller) startsWithoutRead(storeFollower bool) bool {
@@ -134,31 +186,31 @@
 	return fleet.HashRank(ids, c.board.Self.Instance)
 }
 
-// watchChanges watches for changes after a revision, at which the store had a document,
-// until a watch fails or this node is no longer the watcher.
-func (c *Controller) watchChanges(ctx context.Context, after uint64, document []byte) {
+// watchChanges watches for changes after a state until a watch fails or this node is no
+// longer the watcher.
+func (c *Controller) watchChanges(ctx context.Context, state platform.OperatorState) {
 	for ctx.Err() == nil && c.watchRank() == 0 {
 		requestedAt, proofAt := time.Now(), c.board.ConfigRequestSentAt()
-		events, next, err := c.store.WatchPrefix(ctx, platform.ConfigKey, after, maxWatchWait)
-		if errors.Is(err, platform.ErrCompacted) {
-			c.log.Info().Str("event", "watch_compacted").Uint64("after", after).Send()
+		next, err := c.store.WatchOperatorState(ctx, state, maxWatchWait)
+		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged) {
+			c.log.Info().Err(err).Str("event", "watch_compacted").Uint64("era", state.Era).Uint64("after", state.Revision).Send()
 			return
 		}
 		if err != nil {
-			c.log.Info().Err(err).Str("event", "watch_broken").Uint64("after", after).Send()
+			c.stability = c.stability.AfterFailure()
+			c.log.Info().Err(err).Str("event", "watch_broken").Uint64("era", state.Era).Uint64("after", state.Revision).Send()
 			control.Sleep(ctx, fleet.RetryInterval)
 			return
 		}
-		for i := len(events) - 1; i >= 0; i-- {
-			if events[i].Key == platform.ConfigKey && !events[i].Deleted {
-				document = events[i].Value
-				c.publish(ctx, &fetchedDocument{document: document, from: fromStore, readAt: time.Now()})
-				break
-			}
+		c.observe(ctx, next, requestedAt)
+		changed := versionOf(next) != versionOf(state)
+		if changed {
+			c.publish(ctx, &fetchedDocument{document: next.Config.Value, from: fromStore, readAt: time.Now()})
 		}
-		c.confirm(document, requestedAt, proofAt)
-		after = next
-		if len(events) > 0 {
+		confirmed := c.confirm(next.Config.Value, requestedAt, proofAt)
+		changed = changed || !slices.Equal(next.EvacuatedDomains, state.EvacuatedDomains)
+		state = next
+		if changed || !confirmed {
 			control.Sleep(ctx, watchPause)
 		}
 	}
@@ -170,17 +222,20 @@
 }
 
 // confirm records that the version in force is the newest one, as a read of the store
-// has shown that was sent at a time.
-func (c *Controller) confirm(document []byte, requestedAt time.Time, proofAt time.Duration) {
+// has shown that was sent at a time. With strict revocation of API keys, a store proves
+// nothing while it holds another document, which was refused or is older than the one in
+// force, or within evacuation.SettleTime after it may have come back from an older copy.
+// confirm reports whether the version was confirmed.
+func (c *Controller) confirm(document []byte, requestedAt time.Time, proofAt time.Duration) bool {
 	inForce := c.writer.Load().Version
-	c.board.ConfigConfirmed.Confirm(inForce, requestedAt)
-	if !c.board.ConfigProven.Required {
-		return
-	}
-	// A document that was refused, or is older than the one in force, proves nothing.
-	if bytes.Equal(document, c.board.RouteDocument.Load().Document) {
+	if c.board.ConfigProven.Required {
+		if !c.stability.EraSettled(requestedAt) || !bytes.Equal(document, c.board.RouteDocument.Load().Document) {
+			return false
+		}
 		c.board.ConfigProven.Prove(inForce, proofAt)
 	}
+	c.board.ConfigConfirmed.Confirm(inForce, requestedAt)
+	return true
 }
 
 // proofDue reports whether API keys will soon be refused because other nodes have not
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -53,10 +53,12 @@
 
 // eligibleEndpoints returns the endpoints to which the call may be offered.
 func (f *forwarder) eligibleEndpoints() []*board.MeshEndpoint {
+	evacuated := f.evacuatedDomains()
 	var healthy, suspected []*board.MeshEndpoint
 	for _, endpoint := range f.entry.Board.Fleet.Load().ByService[f.call.Service] {
 		switch {
 		case slices.Contains(f.excluded, endpoint.Record.Instance), endpoint.Reachability.Replaced():
+		case evacuated != nil && evacuated(endpoint.Record.FailureDomain):
 		case endpoint.Reachability.Suspected():
 			suspected = append(suspected, endpoint)
 		default:
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -150,6 +150,10 @@
 	switch {
 	case result.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
+		if result.Reason == board.ReasonEvacuated {
+			e.Codec.SetLocalReplyHeader(response.Header, c.ID, evacuatedRetryAfter)
+			return response
+		}
 		retryAfter := queueing.RetryAfter(max(result.QueueWait, minRetryAfter(result.Reason)), time.Until(c.Objective), time.Until(c.Deadline), result.ServiceTime)
 		e.Codec.SetLocalReplyHeader(response.Header, c.ID, retryAfter)
 		return response
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -40,6 +40,9 @@
 	Metrics *metrics.MeshMetrics
 	// DrainTime is how long a draining backend server may still get calls.
 	DrainTime time.Duration
+	// EvacuationTime is the time in which an evacuated failure domain gets no more
+	// calls, 0 for no limit.
+	EvacuationTime time.Duration
 
 	queue           admissionQueue
 	tracker         callTracker
@@ -122,6 +125,9 @@
 	if reason := checkServer(server, c, serverID); reason != "" {
 		return notSent(reason)
 	}
+	if x.evacuated() {
+		return notSent(board.ReasonEvacuated)
+	}
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
 	job := queueing.Job{
@@ -219,6 +225,8 @@
 		return notSent(board.ReasonWrongIncarnation)
 	case server.State >= board.ServerDraining && now.Sub(server.DrainingSince) > x.DrainTime-drainMargin:
 		return notSent(board.ReasonDraining)
+	case x.evacuated():
+		return notSent(board.ReasonEvacuated)
 	case now.After(c.Deadline):
 		// The process was paused, or the body came late. The caller has left.
 		return notSent(board.ReasonDeadlineBeforeStart)
@@ -290,12 +298,21 @@
 		x.Log.Warn().Str("event", "hop_refused").Str("id", hop.ID).Msg("hop request without Expect: 100-continue")
 		return &h1.Response{Status: http.StatusBadRequest}
 	}
+	x.Board.ReceiveEvacuation(hop.Evacuation, hop.FromAddr)
 	x.Board.ReceiveConfigAdvertisement(hop.Config, hop.FromAddr, r.ReceivedAt)
 	r.Header.Del(hopHeader)
 	c := hop.toCall(r.ReceivedAt)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	h1.RemoveHopByHopHeaders(c.Header)
+	if !x.mayAcceptFrom(hop.Config) {
+		return x.hopResponse(x.refuseHop(c, board.ReasonNoConfiguration, r.ReceivedAt))
+	}
 	result := x.Execute(ctx, c, hop.ServerID, time.Duration(hop.MaxResponseTimeMicros)*time.Microsecond, remoteSender{r})
+	return x.hopResponse(result)
+}
+
+// hopResponse returns the response to another node with the result of a call.
+func (x *Executor) hopResponse(result *Result) *h1.Response {
 	response := &h1.Response{
 		Status: result.Status, Header: result.Header, Body: paceBody(x.Board.Link, result.Body, result.Length), ContentLength: result.Length,
 	}
@@ -309,6 +326,7 @@
 		Outcome: result.Outcome, Reason: result.Reason, Load: *result.Load,
 		ServiceTimeMicros: result.ServiceTime.Microseconds(), QueueWaitMicros: result.QueueWait.Microseconds(),
 		Config: x.Board.ConfigAdvertisement(time.Now()), Executor: x.Board.Self.Instance,
+		Evacuation: x.Board.EvacuationHopAdvertisement(),
 	}))
 	return response
 }
@@ -319,10 +337,11 @@
 // Name returns the controller name.
 func (x *Executor) Name() string { return "executor" }
 
-// Run refuses the queued calls when the backend server is gone or down. It
-// returns when ctx ends.
+// Run refuses the queued calls when the backend server is gone or down, or when its
+// failure domain is evacuated. It returns when ctx ends.
 func (x *Executor) Run(ctx context.Context) {
 	changed := x.Board.LocalServer.Subscribe()
+	evacuationChanged := x.Board.Evacuation.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
@@ -331,6 +350,10 @@
 			if server := x.Board.LocalServer.Load(); server.Down || server.State == board.ServerGone {
 				x.queue.refuseAll(board.ReasonBackendDown)
 			}
+		case <-evacuationChanged:
+			if x.evacuated() {
+				x.queue.refuseAll(board.ReasonEvacuated)
+			}
 		}
 	}
 }
--- a/pkg/mesh/forwarder.go
+++ b/pkg/mesh/forwarder.go
@@ -38,6 +38,9 @@
 	// triedSuspected is set once suspected nodes were considered; they are not
 	// considered again.
 	triedSuspected bool
+	// refusedAsEvacuated lists the failure domains of executors that refused the call
+	// because the domain is evacuated.
+	refusedAsEvacuated []string
 }
 
 // forward offers the call to executors until a result is final or nothing is
@@ -51,6 +54,9 @@
 	for f.offers < maxOffers && ctx.Err() == nil {
 		endpoint, maxResponseTime := f.pickEndpoint()
 		if endpoint == nil {
+			if lastResult.Outcome == NotSent && f.allEvacuated() {
+				lastResult = notSent(board.ReasonEvacuated)
+			}
 			break
 		}
 		if f.attemptsSent > 0 && !attemptCharged {
@@ -79,6 +85,9 @@
 	if result.Reason != board.ReasonSlowerThanAlternative {
 		f.excluded = append(f.excluded, endpoint.Record.Instance)
 	}
+	if result.Reason == board.ReasonEvacuated {
+		f.refusedAsEvacuated = append(f.refusedAsEvacuated, endpoint.Record.FailureDomain)
+	}
 	switch result.Outcome {
 	case NotSent:
 		return result.Reason == board.ReasonQuarantined && f.lastUnknown == nil
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -38,6 +38,9 @@
 	// Customer is the customer whose API key the caller used, "" for none.
 	Customer     string `cbor:"15,keyasint,omitempty"`
 	CustomerRank int    `cbor:"16,keyasint,omitempty"`
+	// Evacuation is what the entry knows of evacuated failure domains, nil while there
+	// are none.
+	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -53,6 +56,9 @@
 	// Executor is the node that responds. It may have replaced the node that
 	// had the address before. Nodes of earlier versions send "".
 	Executor board.InstanceID `cbor:"7,keyasint"`
+	// Evacuation is what the executor knows of evacuated failure domains, nil while
+	// there are none.
+	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
 }
 
 func encodeHop(v any) string {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -188,19 +188,32 @@
 }
 
 func startNode(t *testing.T, name string, server *backendServer) *node {
+	t.Helper()
+	return startNodeIn(t, name, "d", server)
+}
+
+// startNodeIn starts a node in a failure domain.
+func startNodeIn(t *testing.T, name, domain string, server *backendServer) *node {
+	t.Helper()
+	n := startUnconfigured(t, name, domain, server)
+	n.board.Routes.Claim("test").Publish(testRoutes())
+	return n
+}
+
+// startUnconfigured starts a node that has no configuration.
+func startUnconfigured(t *testing.T, name, domain string, server *backendServer) *node {
 	t.Helper()
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _, _ = peers.Close(), callers.Close() })
-	self := board.NodeIdentity{Instance: board.InstanceID(name), FailureDomain: "d", Service: "desk", PeerAddr: peers.Addr().String(), ServerAddr: server.addr}
+	self := board.NodeIdentity{Instance: board.InstanceID(name), FailureDomain: domain, Service: "desk", PeerAddr: peers.Addr().String(), ServerAddr: server.addr}
 	b := board.NewMeshBoard(self)
-	b.Routes.Claim("test").Publish(testRoutes())
 	n := &node{board: b, server: b.LocalServer.Claim("test"), fleet: b.Fleet.Claim("test"), callerAddr: callers.Addr().String()}
 	n.server.Publish(&board.BackendServer{ID: "s-" + name, State: board.ServerReady, Service: "desk", Addr: server.addr, Slots: 4})
-	n.record = board.NodeRecord{Instance: self.Instance, Incarnation: 1, Sequence: 1, PeerAddr: self.PeerAddr, FailureDomain: "d", Service: "desk", ServerID: "s-" + name, Slots: 4, State: board.ServerReady}
-	n.executor = &mesh.Executor{Board: b, Servers: &h1.Pool{DialTimeout: time.Second, IdleTimeout: time.Minute}, Codec: testCodec{}, Log: zerolog.Nop(), DrainTime: 2 * time.Second}
+	n.record = board.NodeRecord{Instance: self.Instance, Incarnation: 1, Sequence: 1, PeerAddr: self.PeerAddr, FailureDomain: domain, Service: "desk", ServerID: "s-" + name, Slots: 4, State: board.ServerReady}
+	n.executor = &mesh.Executor{Board: b, Servers: &h1.Pool{DialTimeout: time.Second, IdleTimeout: time.Minute}, Codec: testCodec{}, Log: zerolog.Nop(), DrainTime: 2 * time.Second, EvacuationTime: 5 * time.Second}
 	n.entry = &mesh.Entry{
 		Board: b, Peers: &h1.Pool{DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute}, LocalExecutor: n.executor,
 		Codec: testCodec{}, Log: zerolog.Nop(), AttemptLimit: attempts.Limit{Ratio: 1, Slack: 100}, AttemptWindow: 10 * time.Second,
--- a/pkg/mesh/peercall.go
+++ b/pkg/mesh/peercall.go
@@ -35,6 +35,7 @@
 	now := time.Now()
 	hop := newHopRequest(c, endpoint.Record.ServerID, maxResponseTime, now)
 	hop.Config, hop.FromAddr = f.entry.Board.ConfigAdvertisement(now), f.entry.Board.Self.PeerAddr
+	hop.Evacuation = f.entry.Board.EvacuationHopAdvertisement()
 	header.Set(hopHeader, encodeHop(hop))
 	sentAt := f.entry.Board.ConfigRequestSentAt()
 	var acceptTimedOut atomic.Bool
@@ -95,6 +96,7 @@
 		_ = response.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
+	f.entry.Board.ReceiveEvacuation(reply.Evacuation, endpoint.Record.PeerAddr)
 	f.entry.Board.ReceiveConfigAdvertisement(reply.Config, endpoint.Record.PeerAddr, time.Now())
 	f.entry.Board.ReceiveConfigProof(reply.Config, sentAt)
 	result := &Result{
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -18,6 +18,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/control/directory"
+	"mangostand.example/mangostand/pkg/control/evacuation"
 	"mangostand.example/mangostand/pkg/control/healthcheck"
 	"mangostand.example/mangostand/pkg/control/localserver"
 	"mangostand.example/mangostand/pkg/control/quarantine"
@@ -130,7 +131,7 @@
 	requestLog := logging.RateLimitInfo(n.log)
 	n.executor = &mesh.Executor{
 		Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
-		DrainTime: n.settings.PlatformLimits.DrainTime,
+		DrainTime: n.settings.PlatformLimits.DrainTime, EvacuationTime: n.settings.PlatformLimits.EvacuationTime,
 	}
 	n.entry = &mesh.Entry{
 		Board: n.board, Peers: n.peerPool, LocalExecutor: n.executor, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
@@ -169,6 +170,7 @@
 		localserver.New(n.board, n.log),
 		n.executor,
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
+		evacuation.New(n.board, counters, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
--- a/pkg/metrics/mesh.go
+++ b/pkg/metrics/mesh.go
@@ -81,3 +81,18 @@
 		m.scope.Tagged(tags).Counter(name).Inc(1)
 	}
 }
+
+// RecordEvacuation records a change of the evacuated failure domains: their number, the
+// era of the store, and whether this node read the change from the store.
+func (m *MeshMetrics) RecordEvacuation(domains int, era uint64, fromStore bool) {
+	if m == nil {
+		return
+	}
+	m.scope.Gauge("evacuated_domains").Update(float64(domains))
+	m.scope.Gauge("store_era").Update(float64(era))
+	source := "node"
+	if fromStore {
+		source = "store"
+	}
+	m.IncrementCounter("evacuation_changes", map[string]string{"source": source})
+}
--- a/pkg/standin/store/faults.go
+++ b/pkg/standin/store/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -89,12 +90,15 @@
 func (s *Store) Snapshot(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.snapshots[name] = snapshot{entries: cloneEntries(s.entries), revision: s.revision}
+	s.snapshots[name] = snapshot{
+		entries: cloneEntries(s.entries), revision: s.revision, leases: cloneLeases(s.leases), lastToken: s.lastToken,
+		history: slices.Clone(s.history), compactedRevision: s.compactedRevision,
+	}
 }
 
 // Restore replaces the data by that of a snapshot, as when a store loses its latest
-// writes. Leases and the counter of fencing tokens are not part of a snapshot. It
-// reports whether the snapshot exists.
+// writes. It keeps leases, the counter of fencing tokens and the era. It reports
+// whether the snapshot exists.
 func (s *Store) Restore(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,9 +111,41 @@
 	return ok
 }
 
+// RestoreOlderCopy makes the store come back from a snapshot, as when it fails over to
+// an older copy: everything that was written since is gone, leases and history
+// included, revisions and lease numbers are assigned again, and the era rises. A watch
+// from a revision that the copy does not have gets platform.ErrCompacted. It reports
+// whether the snapshot exists.
+func (s *Store) RestoreOlderCopy(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	saved, ok := s.snapshots[name]
+	if ok {
+		s.entries, s.revision = cloneEntries(saved.entries), saved.revision
+		s.leases, s.lastToken = cloneLeases(saved.leases), saved.lastToken
+		s.history, s.compactedRevision = slices.Clone(saved.history), saved.compactedRevision
+		s.era++
+		s.notifyWatches()
+	}
+	return ok
+}
+
 type snapshot struct {
-	entries  map[string]platform.Entry
-	revision uint64
+	entries           map[string]platform.Entry
+	revision          uint64
+	leases            map[string]*lease
+	lastToken         uint64
+	history           []platform.Event
+	compactedRevision uint64
+}
+
+func cloneLeases(leases map[string]*lease) map[string]*lease {
+	clone := make(map[string]*lease, len(leases))
+	for id, l := range leases {
+		copied := *l
+		clone[id] = &copied
+	}
+	return clone
 }
 
 func cloneEntries(entries map[string]platform.Entry) map[string]platform.Entry {
@@ -214,13 +250,19 @@
 		s.Snapshot(r.PathValue("name"))
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("POST /standin/snapshots/{name}/restore", func(w http.ResponseWriter, r *http.Request) {
-		if !s.Restore(r.PathValue("name")) {
+	mux.HandleFunc("POST /standin/snapshots/{name}/restore", restoreHandler(s.Restore))
+	mux.HandleFunc("POST /standin/snapshots/{name}/restore-older-copy", restoreHandler(s.RestoreOlderCopy))
+}
+
+// restoreHandler returns a handler that restores the snapshot in the path.
+func restoreHandler(restore func(name string) bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !restore(r.PathValue("name")) {
 			http.Error(w, "no such snapshot", http.StatusNotFound)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
-	})
+	}
 }
 
 // handlePutFaults changes the faults in the request body and keeps the others.
--- a/pkg/standin/store/store.go
+++ b/pkg/standin/store/store.go
@@ -30,6 +30,7 @@
 	mu        sync.Mutex
 	entries   map[string]platform.Entry
 	revision  uint64
+	era       uint64
 	leases    map[string]*lease
 	lastToken uint64
 	changed   chan struct{}
@@ -55,13 +56,23 @@
 // platform's store.
 func New(now func() time.Time) *Store {
 	s := &Store{
-		now: now, entries: map[string]platform.Entry{}, leases: map[string]*lease{}, changed: make(chan struct{}),
+		now: now, era: firstEra, entries: map[string]platform.Entry{}, leases: map[string]*lease{}, changed: make(chan struct{}),
 		requestCounts: map[platform.Operation]uint64{}, snapshots: map[string]snapshot{},
 	}
 	s.SetFaults(Faults{WriteRateLimit: defaultWriteRate, ReadRateLimit: defaultReadRate})
 	return s
 }
 
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
+// Era returns the number of the current era, see RestoreOlderCopy.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Get returns the entry of a key.
 func (s *Store) Get(key string) (platform.Entry, error) {
 	s.mu.Lock()
