Survive a store that comes back from an older copy

When the store came back from a copy some seconds old, a node kept a lease whose number might belong to another node, took a document for the one it had read because its revision was assigned again, and confirmed an older document as the newest one.

Each node now gives up its lease when the era of the store rises, as its own responses or another node tell, and registers again; the nodes begin one after the other, 8 ms apart, within 1.4 s. A stopping node revokes no lease of an earlier era.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -146,9 +146,21 @@
 	Reachable bool
 	// ReachabilityChangedAt is the time of the last change of Reachable.
 	ReachabilityChangedAt time.Time
+	// EraChangedAt is when the node learned that the store had come back from an older
+	// copy, zero if it never did.
+	EraChangedAt time.Time
 	// ListedRecords holds the node records of the latest complete listing.
 	ListedRecords map[InstanceID]NodeRecord
 	// ListingRequestedAt is when that listing was requested, zero when there is
 	// none.
 	ListingRequestedAt time.Time
 }
+
+// UnsettledAt returns the last time at which the store became reachable or unreachable,
+// or came back from an older copy.
+func (s *StoreStatus) UnsettledAt() time.Time {
+	if s.EraChangedAt.After(s.ReachabilityChangedAt) {
+		return s.EraChangedAt
+	}
+	return s.ReachabilityChangedAt
+}
--- a/pkg/control/directory/liveness.go
+++ b/pkg/control/directory/liveness.go
@@ -13,8 +13,8 @@
 func (c *Controller) updateLiveness(now time.Time) {
 	store := c.board.Store.Load()
 	// Nodes may take ReregistrationGrace to be listed again after the store was
-	// unreachable.
-	settled := store.Reachable && !store.ListingRequestedAt.IsZero() && store.ListingRequestedAt.Sub(store.ReachabilityChangedAt) >= fleet.ReregistrationGrace
+	// unreachable or came back from an older copy.
+	settled := store.Reachable && !store.ListingRequestedAt.IsZero() && store.ListingRequestedAt.Sub(store.UnsettledAt()) >= fleet.ReregistrationGrace
 	changed := false
 	for id, node := range c.nodes {
 		_, listed := store.ListedRecords[id]
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -3,6 +3,7 @@
 package registration
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -12,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/decide/fleet"
 	"mangostand.example/mangostand/platform"
 )
@@ -47,6 +47,8 @@
 	GrantLease(ctx context.Context, ttl time.Duration) (platform.Lease, error)
 	RenewLease(ctx context.Context, id string) error
 	RevokeLease(ctx context.Context, id string) error
+	// Era returns the highest era in any response, see platform.Client.
+	Era() uint64
 }
 
 // Controller registers the node in the store.
@@ -59,6 +61,14 @@
 	started time.Time
 	// leaseID is "" while the node holds no lease.
 	leaseID string
+	// era is the highest known era of the store, and leaseEra the one in which leaseID
+	// was granted or found. eraKnown is set from the first response.
+	era, leaseEra uint64
+	eraKnown      bool
+	// reregisterAt is when the node may take a lease again after the era rose, and
+	// reregisterDue fires then.
+	reregisterAt  time.Time
+	reregisterDue <-chan time.Time
 	// earlierLeaseID is the lease of an earlier process of this node that may still
 	// be alive, and earlierRecord the record under it.
 	earlierLeaseID string
@@ -87,8 +97,19 @@
 
 // Run keeps the node registered until ctx is done, then deregisters it.
 func (c *Controller) Run(ctx context.Context) {
-	c.makeDueCalls(ctx, time.Now())
-	control.Every(ctx, pollInterval, func(now time.Time) { c.makeDueCalls(ctx, now) })
+	evacuationUpdates := c.board.Evacuation.Subscribe()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.makeDueCalls(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-evacuationUpdates:
+			// Another node may have seen the era of the store rise.
+		case <-c.reregisterDue:
+		}
+	}
 	c.deregister()
 }
 
@@ -101,6 +122,7 @@
 
 // makeNextCall makes at most one store call and reports whether it made one.
 func (c *Controller) makeNextCall(ctx context.Context, now time.Time) bool {
+	c.checkEra(now)
 	if now.Sub(c.failedAt) < fleet.RetryInterval {
 		return false
 	}
@@ -112,6 +134,8 @@
 		c.probe(ctx)
 	case c.listCount == 0:
 		c.listRecords(ctx, now)
+	case c.leaseID == "" && now.Before(c.reregisterAt):
+		return false
 	case c.leaseID == "" && c.earlierLeaseID != "":
 		c.takeOverLease(ctx, now)
 	case c.leaseID == "":
@@ -161,7 +185,7 @@
 	status := c.writer.Load()
 	return fleet.ListingDue(fleet.ListingState{
 		Age: now.Sub(c.listedAt), FleetSize: c.board.Fleet.Load().Size,
-		StoreInterrupted: c.syncedAt.Before(status.ReachabilityChangedAt), NodeUnresponsive: c.hasUnresponsiveNode(now),
+		StoreInterrupted: c.syncedAt.Before(status.UnsettledAt()), NodeUnresponsive: c.hasUnresponsiveNode(now),
 	})
 }
 
@@ -188,6 +212,9 @@
 	if err != nil {
 		c.failedAt, c.unavailable = now, !reachable
 	}
+	if reachable && !c.eraKnown {
+		c.eraKnown, c.era = true, c.knownEra()
+	}
 	status := *c.writer.Load()
 	if status.Reachable != reachable || status.ReachabilityChangedAt.IsZero() {
 		status.Reachable, status.ReachabilityChangedAt = reachable, now
@@ -197,6 +224,31 @@
 	return err == nil
 }
 
+// knownEra returns the highest era that this node or, as far as it was told, another one
+// has seen.
+func (c *Controller) knownEra() uint64 { return max(c.store.Era(), c.board.Evacuation.Load().Era) }
+
+// checkEra gives up the lease when the store has come back from an older copy: the copy
+// may lack the lease, or have given its number to another node.
+func (c *Controller) checkEra(now time.Time) {
+	era := c.knownEra()
+	if !c.eraKnown || era <= c.era && (c.leaseID == "" || c.leaseEra >= c.era) {
+		return
+	}
+	ids := fleet.FilterInstances(c.board.Fleet.Load(), func(board.NodeRecord) bool { return true })
+	delay := fleet.ReregistrationDelay(fleet.HashRank(ids, c.board.Self.Instance), len(ids))
+	c.log.Warn().Str("event", "lease_given_up").Uint64("era", era).Uint64("era_before", c.era).
+		Str("lease", c.leaseID).Uint64("lease_era", c.leaseEra).Dur("delay", delay).Send()
+	if era > c.era {
+		status := *c.writer.Load()
+		status.EraChangedAt = now
+		c.writer.Publish(&status)
+	}
+	c.era = era
+	c.leaseID, c.earlierLeaseID, c.writtenRecord = "", "", board.NodeRecord{}
+	c.reregisterAt, c.reregisterDue = now.Add(delay), time.After(delay)
+}
+
 // probe makes the cheapest call of the store, whose refused calls are billed as
 // well, to find out whether it accepts the calls that are due.
 func (c *Controller) probe(ctx context.Context) {
@@ -221,6 +273,7 @@
 	}
 	if c.recordResult("take_over", err) {
 		c.leaseID, c.renewedAt, c.writtenRecord = lease, now, c.earlierRecord
+		c.leaseEra = c.era
 		c.log.Info().Str("event", "lease_taken_over").Str("lease", lease).Send()
 	}
 }
@@ -229,6 +282,7 @@
 	lease, err := c.store.GrantLease(ctx, leaseTTL)
 	if c.recordResult("grant", err) {
 		c.leaseID, c.renewedAt, c.writtenRecord = lease.ID, now, board.NodeRecord{}
+		c.leaseEra = cmp.Or(lease.Era, c.era)
 	}
 }
 
@@ -277,7 +331,7 @@
 	first := c.listCount == 0
 	// To discover other nodes, records that are seconds old are good enough, unless
 	// two listings have shown none.
-	consistent := !first && (c.isAlone() && c.listCount > 1 || c.syncedAt.Before(status.ReachabilityChangedAt))
+	consistent := !first && (c.isAlone() && c.listCount > 1 || c.syncedAt.Before(status.UnsettledAt()))
 	if consistent {
 		list = c.store.List
 	}
@@ -328,6 +382,11 @@
 	if c.leaseID == "" {
 		return
 	}
+	if era := c.knownEra(); era > c.leaseEra {
+		// The number of the lease may belong to another node now.
+		c.log.Info().Str("event", "lease_not_revoked").Str("lease", c.leaseID).Uint64("lease_era", c.leaseEra).Uint64("era", era).Send()
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	if err := c.store.RevokeLease(ctx, c.leaseID); err != nil {
--- a/pkg/control/registration/registration_test.go
+++ b/pkg/control/registration/registration_test.go
@@ -79,6 +79,9 @@
 
 func (s *countingStore) RenewLease(context.Context, string) error { return s.call("renew") }
 
+// Era returns 0: the store has no eras.
+func (s *countingStore) Era() uint64 { return 0 }
+
 func (s *countingStore) RevokeLease(context.Context, string) error { return s.call("revoke") }
 
 // startNode runs the controller of a node that knows no other node. The returned
--- a/pkg/decide/fleet/fleet.go
+++ b/pkg/decide/fleet/fleet.go
@@ -22,6 +22,24 @@
 	UnresponsiveTimeout = 3 * time.Second
 )
 
+const (
+	// reregistrationSpread is the time over which the nodes of a large fleet begin to
+	// register again after the store came back from an older copy. All records have to
+	// be there 2 s after its return; the rest is for learning of the return and for the
+	// two writes.
+	reregistrationSpread = 1400 * time.Millisecond
+	// reregistrationInterval is the time between two nodes of a smaller fleet: a lease
+	// and a record for each are 250 writes a second, of the 300 that the store accepts.
+	reregistrationInterval = 8 * time.Millisecond
+)
+
+// ReregistrationDelay returns how long a node waits before it registers again after the
+// store came back from an older copy, given its rank among a number of nodes.
+func ReregistrationDelay(rank, nodes int) time.Duration {
+	spread := min(reregistrationSpread, time.Duration(nodes)*reregistrationInterval)
+	return spread * time.Duration(rank) / time.Duration(max(1, nodes))
+}
+
 const (
 	// ListInterval is the time between two listings by one node of a small
 	// fleet, and by any node with a reason to list.
