--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	@$(BIN)/quickstart-platform --binary $(BIN)/mangostandd
 
 # Injects faults into node processes from outside; SOAK passes options, see
-# `build/soak --help`. The default takes under 1 min.
+# `build/soak --help`. The default takes under 2 min.
 SOAK ?= --first 1 --seeds 2
 soak: build
 	$(GO) build -o $(BIN)/ ./test/soak
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -70,9 +70,11 @@
 	reregisterAt  time.Time
 	reregisterDue <-chan time.Time
 	// earlierLeaseID is the lease of an earlier process of this node that may still
-	// be alive, and earlierRecord the record under it.
-	earlierLeaseID string
-	earlierRecord  board.NodeRecord
+	// be alive, earlierRecord the record under it, and earlierLeaseEra the era in which
+	// it was listed.
+	earlierLeaseID  string
+	earlierLeaseEra uint64
+	earlierRecord   board.NodeRecord
 	// unavailable is set from a failed call until a probe of the store succeeds.
 	unavailable bool
 	// writtenRecord is the record last written under the lease.
@@ -273,7 +275,7 @@
 	}
 	if c.recordResult("take_over", err) {
 		c.leaseID, c.renewedAt, c.writtenRecord = lease, now, c.earlierRecord
-		c.leaseEra = c.era
+		c.leaseEra = c.earlierLeaseEra
 		c.log.Info().Str("event", "lease_taken_over").Str("lease", lease).Send()
 	}
 }
@@ -355,7 +357,7 @@
 		}
 		next.ListedRecords[record.Instance] = record
 		if first && record.Instance == c.board.Self.Instance && record.PeerAddr == c.board.Self.PeerAddr && !record.Leaving {
-			c.earlierLeaseID, c.earlierRecord = entry.Lease, record
+			c.earlierLeaseID, c.earlierLeaseEra, c.earlierRecord = entry.Lease, c.store.Era(), record
 		}
 	}
 	c.writer.Publish(&next)
--- a/pkg/standin/meshsite/site.go
+++ b/pkg/standin/meshsite/site.go
@@ -44,6 +44,9 @@
 	// RestartDelay is the time after which a crashed backend server is restarted. If
 	// it is 0, crash requests do not crash backend servers.
 	RestartDelay time.Duration
+	// FailureDomains is the number of failure domains over which the nodes are
+	// distributed in turn, 0 for one.
+	FailureDomains int
 }
 
 // Site is a running site: a store and a number of nodes, each with a backend
@@ -63,6 +66,8 @@
 // the relays in front of them.
 type Node struct {
 	Name string
+	// FailureDomain is the failure domain of the node.
+	FailureDomain string
 	// CallerAddr is the address of the listener for callers.
 	CallerAddr string
 	// ReadinessAddr is the address of the readiness check.
@@ -99,7 +104,11 @@
 		return nil, errors.Trace(err)
 	}
 	for i := range o.Nodes {
-		n, err := s.startNode(fmt.Sprintf("node-%d", i))
+		domain := "local"
+		if o.FailureDomains > 1 {
+			domain = fmt.Sprintf("local-%d", i%o.FailureDomains)
+		}
+		n, err := s.startNode(fmt.Sprintf("node-%d", i), domain)
 		if err != nil {
 			s.Stop()
 			return nil, errors.Trace(err)
@@ -117,6 +126,12 @@
 // have the given timeout, to the store.
 func (s *Site) PublishConfig(timeout time.Duration) error {
 	s.configVersion++
+	return s.RewriteConfig(timeout)
+}
+
+// RewriteConfig writes the latest version of the configuration again, as operators do
+// after the store has lost it.
+func (s *Site) RewriteConfig(timeout time.Duration) error {
 	entry := platform.Entry{Key: platform.ConfigKey, Value: standin.ConfigDocument(s.configVersion, s.options.Service, timeout)}
 	_, err := s.Store.Commit(nil, []platform.Entry{entry}, nil)
 	return errors.Trace(err)
@@ -165,8 +180,8 @@
 	return "", errors.New("no free port")
 }
 
-func (s *Site) startNode(name string) (*Node, error) {
-	n := &Node{Name: name, site: s, settingsPath: filepath.Join(s.options.Dir, name+".ini")}
+func (s *Site) startNode(name, domain string) (*Node, error) {
+	n := &Node{Name: name, FailureDomain: domain, site: s, settingsPath: filepath.Join(s.options.Dir, name+".ini")}
 	var peerAddr, serverAddr string
 	for _, target := range []*string{&n.CallerAddr, &n.ReadinessAddr, &n.announceAddr, &peerAddr, &serverAddr} {
 		addr, err := freeAddr()
@@ -195,7 +210,7 @@
 	text := fmt.Sprintf(`[node]
 instance = %s
 region = local
-failure_domain = local
+failure_domain = %s
 memory_mb = 256
 
 [listen]
@@ -212,7 +227,7 @@
 [platform]
 store = http://%s
 grace = 6s
-`, n.Name, n.CallerAddr, peerAddr, n.PeerRelay.Addr(), n.announceAddr, n.ReadinessAddr, n.site.options.Service, n.ServerRelay.Addr(), n.StoreRelay.Addr())
+`, n.Name, n.FailureDomain, n.CallerAddr, peerAddr, n.PeerRelay.Addr(), n.announceAddr, n.ReadinessAddr, n.site.options.Service, n.ServerRelay.Addr(), n.StoreRelay.Addr())
 	return errors.Trace(os.WriteFile(n.settingsPath, []byte(text), 0o600))
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +22,9 @@
 	// a slow connection between nodes.
 	storeDelayMillis = 300
 	peerDelay        = 40 * time.Millisecond
+	// rewriteDelay is the time after which the operators write their data again when
+	// the store has come back from an older copy.
+	rewriteDelay = time.Second
 	// exitTimeout bounds the wait for the exit of a process: the grace period of the
 	// platform and a margin.
 	exitTimeout = 7 * time.Second
@@ -79,6 +83,7 @@
 	{"store slow", storeFault(store.Faults{DelayMillis: storeDelayMillis})},
 	{"store loses answers", storeFault(store.Faults{LoseResponses: 20, LoseRequests: 20})},
 	{"store compacted", func(s *soakRun, _ *meshsite.Node, _ time.Duration) { s.site.Store.Compact() }},
+	{"store older copy", restoreOlderCopy},
 	{"configuration", func(s *soakRun, _ *meshsite.Node, _ time.Duration) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -114,6 +119,26 @@
 	}
 }
 
+// restoreOlderCopy makes the store come back from a copy of some seconds ago, after a
+// short outage. The operators write their configuration again.
+func restoreOlderCopy(s *soakRun, _ *meshsite.Node, duration time.Duration) {
+	name := fmt.Sprint("soak-", s.copies.Add(1))
+	s.site.Store.Snapshot(name)
+	time.Sleep(duration)
+	s.site.Store.SetFaults(store.Faults{Outage: true})
+	time.Sleep(duration / 4)
+	if !s.site.Store.RestoreOlderCopy(name) {
+		panic("no copy " + name)
+	}
+	s.site.Store.SetFaults(store.Faults{})
+	time.Sleep(rewriteDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.site.RewriteConfig(routeTimeout); err != nil {
+		s.violations.add("configuration: %v", err)
+	}
+}
+
 // drainBackendServer drains the backend server of a node for the rest of the run. At
 // most a third of the backend servers are drained.
 func drainBackendServer(s *soakRun, n *meshsite.Node, _ time.Duration) {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -5,7 +5,9 @@
 //     was not executed;
 //   - a response is complete and belongs to its request;
 //   - a backend server receives no calls from 2 s after its drain was acknowledged;
-//   - once all faults are over, the site serves calls again.
+//   - once all faults are over, the site serves calls again;
+//   - a failure domain that is evacuated then gets no calls from 5 s after its key was
+//     written, and the other domains serve its callers.
 //
 // A seed determines the faults and their times. The command terminates only
 // processes that it started.
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/standin/meshsite"
+	"mangostand.example/mangostand/platform"
 	"mangostand.example/mangostand/platform/standin"
 )
 
@@ -35,6 +37,14 @@
 	// drainTimeLimit is the time from the acknowledgement of a drain after which
 	// the backend server must not receive calls.
 	drainTimeLimit = 2 * time.Second
+	// failureDomains is the number of failure domains of the site. One of them is
+	// evacuated at the end of a run.
+	failureDomains = 3
+	// evacuationTimeLimit is the time after which the backend servers of an evacuated
+	// domain must not receive calls, and evacuationCheckDuration the time for which
+	// this is checked.
+	evacuationTimeLimit     = 5 * time.Second
+	evacuationCheckDuration = 1500 * time.Millisecond
 )
 
 // runSeed runs the faults of one seed. It returns a summary, and an error if a
@@ -48,6 +58,7 @@
 	defer cancel()
 	site, err := meshsite.Start(startCtx, meshsite.Options{
 		Binary: opts.binary, Dir: dir, Nodes: opts.nodes, Service: "desk", Slots: 6, ServiceTime: 25 * time.Millisecond, RouteTimeout: routeTimeout,
+		FailureDomains: failureDomains,
 	})
 	if err != nil {
 		return "", errors.Annotatef(err, "starting the site, logs in %s", dir)
@@ -78,6 +89,12 @@
 	resultsAfterRecovery []standin.Result
 	recovered            bool
 	served               int
+	// evacuating is set while callers have to be served by the other domains, and
+	// resultsOfEvacuation are the results of that time.
+	evacuating          bool
+	resultsOfEvacuation []standin.Result
+	// copies numbers the copies of the store.
+	copies atomic.Int64
 	// drainAckedAt is the time when the drain of a node's backend server was
 	// acknowledged.
 	drainAckedAt map[*meshsite.Node]time.Time
@@ -99,6 +116,10 @@
 	s.recovered = true
 	s.mu.Unlock()
 	time.Sleep(servingCheckDuration)
+	s.mu.Lock()
+	s.recovered = false
+	s.mu.Unlock()
+	s.evacuate()
 	stopCallers()
 	callers.Wait()
 	s.check()
@@ -112,6 +133,39 @@
 	if s.recovered {
 		s.resultsAfterRecovery = append(s.resultsAfterRecovery, result)
 	}
+	if s.evacuating {
+		s.resultsOfEvacuation = append(s.resultsOfEvacuation, result)
+	}
+}
+
+// evacuate evacuates the failure domain of a random node and checks that its backend
+// servers get no calls after the time limit.
+func (s *soakRun) evacuate() {
+	domain := s.site.Nodes[s.rng.IntN(len(s.site.Nodes))].FailureDomain
+	entry := platform.Entry{Key: platform.EvacuationKey(domain)}
+	if _, err := s.site.Store.Commit(nil, []platform.Entry{entry}, nil); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.violations.add("evacuation of %s: %v", domain, err)
+		return
+	}
+	writtenAt := time.Now()
+	time.Sleep(evacuationTimeLimit)
+	s.mu.Lock()
+	s.evacuating = true
+	s.mu.Unlock()
+	time.Sleep(evacuationCheckDuration)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuating = false
+	for _, n := range s.site.Nodes {
+		if n.FailureDomain != domain {
+			continue
+		}
+		if last := time.Unix(0, n.BackendServer.LastExecutionUnixNano.Load()); last.After(writtenAt.Add(evacuationTimeLimit)) {
+			s.violations.add("%s got a call %s after %s was evacuated", n.BackendServer.ID, last.Sub(writtenAt), domain)
+		}
+	}
 }
 
 // check adds the violations of a completed run.
@@ -132,13 +186,19 @@
 			s.violations.add("%s got a call %s after its drain was acknowledged", n.BackendServer.ID, lastExecution.Sub(ackedAt))
 		}
 	}
-	servedAfterRecovery := 0
-	for _, r := range s.resultsAfterRecovery {
+	s.checkServed("after the faults", s.resultsAfterRecovery)
+	s.checkServed("while a domain was evacuated", s.resultsOfEvacuation)
+}
+
+// checkServed adds a violation if too few calls of a time were served.
+func (s *soakRun) checkServed(when string, results []standin.Result) {
+	served := 0
+	for _, r := range results {
 		if r.Outcome == standin.Served {
-			servedAfterRecovery++
+			served++
 		}
 	}
-	if float64(servedAfterRecovery) < minServedRatio*float64(len(s.resultsAfterRecovery)) || servedAfterRecovery == 0 {
-		s.violations.add("%d of %d calls were served after the faults", servedAfterRecovery, len(s.resultsAfterRecovery))
+	if float64(served) < minServedRatio*float64(len(results)) || served == 0 {
+		s.violations.add("%d of %d calls were served %s", served, len(results), when)
 	}
 }
