--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -17,6 +17,7 @@
 	routeTableHintInboxSize  = 64
 	executionResultInboxSize = 256
 	suspicionInboxSize       = 64
+	evacuationInboxSize      = 64
 )
 
 // MeshBoard is the blackboard of a mesh node, which runs on the users' platform.
@@ -46,6 +47,8 @@
 	Quarantine *Section[*Quarantine]
 	// LargestCustomers is written by control/largestcustomers.
 	LargestCustomers *Section[*LargestCustomers]
+	// Evacuation is written by control/evacuation.
+	Evacuation *Section[*Evacuation]
 
 	// ServerLoad holds the latest load report of the local backend server.
 	ServerLoad *ServerLoad
@@ -86,6 +89,9 @@
 	// latter from other nodes.
 	ExecutionResults *Inbox[ExecutionResult]
 	Suspicions       *Inbox[[]Suspicion]
+	// Evacuations carries reads of the store and states of other nodes to
+	// control/evacuation.
+	Evacuations *Inbox[EvacuationEvent]
 }
 
 // NodeIdentity identifies a node.
@@ -117,6 +123,7 @@
 		Shutdown:         NewSection("stopping", &ShutdownState{}),
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
 		LargestCustomers: NewSection("largest_customers", &LargestCustomers{}),
+		Evacuation:       NewSection("evacuation", &Evacuation{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)),
@@ -131,6 +138,7 @@
 		RouteTableHints:  NewInbox[RouteTableHint](routeTableHintInboxSize),
 		ExecutionResults: NewInbox[ExecutionResult](executionResultInboxSize),
 		Suspicions:       NewInbox[[]Suspicion](suspicionInboxSize),
+		Evacuations:      NewInbox[EvacuationEvent](evacuationInboxSize),
 	}
 }
 
@@ -150,9 +158,21 @@
 	Reachable bool
 	// ReachabilityChangedAt is the time of the last change of Reachable.
 	ReachabilityChangedAt time.Time
+	// EraChangedAt is when the node learned that the store had come back from an older
+	// copy, zero if it never did.
+	EraChangedAt time.Time
 	// ListedRecords holds the node records of the latest complete listing.
 	ListedRecords map[InstanceID]NodeRecord
 	// ListingRequestedAt is when that listing was requested, zero when there is
 	// none.
 	ListingRequestedAt time.Time
 }
+
+// UnsettledAt returns the last time at which the store became reachable or unreachable,
+// or came back from an older copy.
+func (s *StoreStatus) UnsettledAt() time.Time {
+	if s.EraChangedAt.After(s.ReachabilityChangedAt) {
+		return s.EraChangedAt
+	}
+	return s.ReachabilityChangedAt
+}
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -165,8 +165,11 @@
 	case result.Outcome != Unknown:
 		response.Status = http.StatusServiceUnavailable
 		advice := retryAfter(c, result, rand.Float64())
-		if result.Reason == board.ReasonWarmingUp {
+		switch result.Reason {
+		case board.ReasonWarmingUp:
 			advice = e.retryAfterWhileCold(c.Service, result.QueueWait, time.Now())
+		case board.ReasonEvacuated:
+			advice = evacuatedRetryAfter
 		}
 		e.Codec.SetLocalReplyHeader(response.Header, c.ID, advice)
 		return response
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -48,6 +48,9 @@
 	// StartedAt is when the node started. Calls of an earlier process may have been sent
 	// until then. It is zero if there was none.
 	StartedAt time.Time
+	// EvacuationTime is the time in which an evacuated failure domain gets no more
+	// calls, 0 for no limit.
+	EvacuationTime time.Duration
 
 	queue           slotqueue.Queue[queueing.Job]
 	warmup          warmupLimiter
@@ -147,6 +150,9 @@
 	if reason := checkServer(server, c, serverID); reason != "" {
 		return queueing.Job{}, notSent(reason)
 	}
+	if x.evacuated() {
+		return queueing.Job{}, notSent(board.ReasonEvacuated)
+	}
 	now := time.Now()
 	speed := x.currentSpeed(server, now)
 	job := x.newJob(c, speed, maxResponseTime)
@@ -248,6 +254,8 @@
 		return notSent(board.ReasonWrongIncarnation)
 	case server.State >= board.ServerDraining && now.Sub(server.DrainingSince) > x.DrainTime-drainMargin:
 		return notSent(board.ReasonDraining)
+	case x.evacuated():
+		return notSent(board.ReasonEvacuated)
 	case now.After(c.Deadline):
 		// The process was paused, or the body came late. The caller has left.
 		return notSent(board.ReasonDeadlineBeforeStart)
@@ -331,12 +339,21 @@
 		x.Log.Warn().Str("event", "hop_refused").Str("id", hop.ID).Msg("hop request without Expect: 100-continue")
 		return &h1.Response{Status: http.StatusBadRequest}
 	}
+	x.Board.ReceiveEvacuation(hop.Evacuation, hop.FromAddr)
 	x.Board.ReceiveConfigAdvertisement(hop.Config, hop.FromAddr, r.ReceivedAt)
 	r.Header.Del(hopHeader)
 	c := hop.toCall(r.ReceivedAt)
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	h1.RemoveHopByHopHeaders(c.Header)
+	if !x.mayAcceptFrom(hop.Config) {
+		return x.hopResponse(x.refuseHop(c, board.ReasonNoConfiguration, r.ReceivedAt))
+	}
 	result := x.Execute(ctx, c, hop.ServerID, time.Duration(hop.MaxResponseTimeMicros)*time.Microsecond, remoteSender{r})
+	return x.hopResponse(result)
+}
+
+// hopResponse returns the response to another node with the result of a call.
+func (x *Executor) hopResponse(result *Result) *h1.Response {
 	response := &h1.Response{
 		Status: result.Status, Header: result.Header, Body: paceBody(x.Board.Link, result.Body, result.Length), ContentLength: result.Length,
 	}
@@ -350,6 +367,7 @@
 		Outcome: result.Outcome, Reason: result.Reason, Load: *result.Load,
 		ServiceTimeMicros: result.ServiceTime.Microseconds(), QueueWaitMicros: result.QueueWait.Microseconds(),
 		Config: x.Board.ConfigAdvertisement(time.Now()), Executor: x.Board.Self.Instance,
+		Evacuation: x.Board.EvacuationHopAdvertisement(),
 	}))
 	return response
 }
@@ -360,10 +378,11 @@
 // Name returns the controller name.
 func (x *Executor) Name() string { return "executor" }
 
-// Run refuses the queued calls when the backend server is gone or down. It
-// returns when ctx ends.
+// Run refuses the queued calls when the backend server is gone or down, or when its
+// failure domain is evacuated. It returns when ctx ends.
 func (x *Executor) Run(ctx context.Context) {
 	changed := x.Board.LocalServer.Subscribe()
+	evacuationChanged := x.Board.Evacuation.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
@@ -375,6 +394,10 @@
 			}
 			// The backend server may be warm now.
 			x.wakeQueue()
+		case <-evacuationChanged:
+			if x.evacuated() {
+				x.queue.RefuseAll(board.ReasonEvacuated)
+			}
 		}
 	}
 }
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -43,6 +43,9 @@
 	// Retry is set if the customer's caller tries again after a refusal. Nodes of
 	// earlier versions do not send it.
 	Retry bool `cbor:"23,keyasint,omitempty"`
+	// Evacuation is what the entry knows of evacuated failure domains, nil while there
+	// are none.
+	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -58,6 +61,9 @@
 	// Executor is the node that responds. It may have replaced the node that
 	// had the address before. Nodes of earlier versions send "".
 	Executor board.InstanceID `cbor:"7,keyasint"`
+	// Evacuation is what the executor knows of evacuated failure domains, nil while
+	// there are none.
+	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
 }
 
 func encodeHop(v any) string {
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -18,6 +18,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/control/directory"
+	"mangostand.example/mangostand/pkg/control/evacuation"
 	"mangostand.example/mangostand/pkg/control/healthcheck"
 	"mangostand.example/mangostand/pkg/control/largestcustomers"
 	"mangostand.example/mangostand/pkg/control/localserver"
@@ -131,7 +132,7 @@
 	requestLog := logging.RateLimitInfo(n.log)
 	n.executor = &mesh.Executor{
 		Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, Log: requestLog, Metrics: counters,
-		DrainTime:       n.settings.PlatformLimits.DrainTime,
+		DrainTime: n.settings.PlatformLimits.DrainTime, EvacuationTime: n.settings.PlatformLimits.EvacuationTime,
 		WarmupOvershoot: n.settings.PlatformLimits.WarmupOvershoot, WarmupSlack: n.settings.PlatformLimits.WarmupSlack, StartedAt: time.Now(),
 	}
 	n.entry = &mesh.Entry{
@@ -172,6 +173,7 @@
 		n.executor,
 		directory.New(n.board, uint64(time.Now().UnixNano()), n.exchange, n.executor.LoadReport, n.log),
 		largestcustomers.New(n.board, n.log),
+		evacuation.New(n.board, counters, n.log),
 		quarantine.NewMeshController(n.board, dynconf.Default().Quarantine, n.log),
 		registration.New(n.board, store, n.log),
 		routefeed.New(n.board, store, n.pullConfig, routefeed.Options{Bootstrap: n.settings.Bootstrap, RevocationTime: n.strictRevocationTime()}, counters, n.log),
