--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -43,6 +43,9 @@
 	Shutdown *Section[*ShutdownState]
 	// Quarantine is written by control/quarantine.
 	Quarantine *Section[*Quarantine]
+	// Quotas is written by control/quota. It is empty without customers that have a
+	// limit.
+	Quotas *Section[*Quotas]
 
 	// ServerLoad holds the latest load report of the local backend server.
 	ServerLoad *ServerLoad
@@ -77,6 +80,9 @@
 	// latter from other nodes.
 	ExecutionResults *Inbox[ExecutionResult]
 	Suspicions       *Inbox[[]Suspicion]
+	// QuotaReports carries the groups of customers of which a report is due at once to
+	// control/quota.
+	QuotaReports *Inbox[int]
 }
 
 // NodeIdentity identifies a node.
@@ -107,6 +113,7 @@
 		Store:            NewSection("store", &StoreStatus{}),
 		Shutdown:         NewSection("stopping", &ShutdownState{}),
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
+		Quotas:           NewSection("quotas", &Quotas{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		CallStats:        &StatsByRule{},
@@ -119,6 +126,7 @@
 		RouteTableHints:  NewInbox[RouteTableHint](routeTableHintInboxSize),
 		ExecutionResults: NewInbox[ExecutionResult](executionResultInboxSize),
 		Suspicions:       NewInbox[[]Suspicion](suspicionInboxSize),
+		QuotaReports:     NewInbox[int](quotaRequestInboxSize),
 	}
 }
 
--- /dev/null
+++ b/pkg/control/quota/report.go
@@ -0,0 +1,213 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/quota"
+)
+
+// begin makes the report of a group that is due, nil if there is no lender.
+func (c *Controller) begin(g *group, now time.Duration) *outgoing {
+	g.state.ClearAsked()
+	c.observeFleet(now)
+	if now >= g.state.GrantsUntil() {
+		for _, s := range g.customers {
+			s.granted -= s.counter.Remove(s.counter.Balance())
+		}
+	}
+	fleet := c.board.Fleet.Load()
+	c.chooseTarget(g, fleet, now)
+	target := g.target
+	release := g.delegation.HeldByOther(target, now) && c.reachable(g, fleet, g.delegation.Lender, now)
+	if release {
+		target = g.delegation.Lender
+	}
+	g.dueAt = now + quota.ReportInterval(int(c.fleetSize.Load()))
+	if target == "" {
+		g.state.SetSilent(true)
+		g.state.NotifyReplied()
+		g.dueAt = now + retryDelay
+		return nil
+	}
+	g.sequence++
+	report := &quota.Report{
+		From: c.board.Self.Instance, Incarnation: c.incarnation, Sequence: g.sequence, Release: release,
+		FleetSize: int(c.fleetSize.Load()), Usage: g.usage(now),
+	}
+	if g.delegation.Lender == target && !release {
+		report.LenderIncarnation, report.Stamp = g.delegation.Incarnation, g.delegation.Stamp
+	}
+	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now}
+	if endpoint := fleet.ByInstance[target]; endpoint != nil {
+		out.addr = endpoint.Record.PeerAddr
+	}
+	g.inFlight = true
+	return out
+}
+
+// usage returns the state of the customers of a group for which it has changed, or that
+// have grants, which a report renews.
+func (g *group) usage(now time.Duration) []quota.Usage {
+	var usage []quota.Usage
+	for name, s := range g.customers {
+		requests, waiting := s.requests(), s.counter.Waiting()
+		arrived := max(0, requests-s.counted)
+		if arrived == 0 && s.demand == 0 {
+			s.countedAt = now
+		}
+		s.demand = quota.UpdateDemand(s.demand, arrived, now-s.countedAt)
+		s.counted, s.countedAt = max(s.counted, requests), now
+		if arrived == 0 && waiting == 0 && s.counter.Balance() == 0 && !s.changed && !quota.DemandChanged(s.reportedDemand, s.demand) {
+			continue
+		}
+		s.granted -= s.counter.Remove(quota.Surplus(s.counter.Balance(), s.demand))
+		s.counter.SetLowWater(quota.LowWater(s.demand))
+		s.changed, s.reportedDemand = false, s.demand
+		usage = append(usage, quota.Usage{
+			Customer: name, Granted: s.granted, Used: s.granted - s.counter.Balance(), Waiting: waiting, Demand: s.demand,
+		})
+	}
+	return usage
+}
+
+// finish processes the end of a report.
+func (c *Controller) finish(r result, now time.Duration) {
+	g := r.report.group
+	g.inFlight = false
+	defer g.state.NotifyReplied()
+	if r.err != nil {
+		c.reportFailed(g, r, now)
+		return
+	}
+	g.failures = 0
+	if r.report.message.Release {
+		g.delegation = g.delegation.Released(r.report.target, now)
+		g.setFallbackFrom(now + reportTimeout)
+		g.dueAt = now
+		return
+	}
+	if r.reply.Stale {
+		g.dueAt = now
+		return
+	}
+	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, time.Duration(r.reply.StampMillis)*time.Millisecond, now)
+	g.state.SetTimes(r.report.sentAt+quota.Validity, g.delegation.Until)
+	if g.delegation.Lender == r.report.target && r.report.message.LenderIncarnation != g.delegation.Incarnation {
+		// The lender gets the part of this node with the next report.
+		g.dueAt = now
+	}
+	g.state.SetSilent(false)
+	g.applyGrants(r, now)
+}
+
+// setFallbackFrom sets when the fallback begins, but not before the part of the node is
+// free.
+func (g *group) setFallbackFrom(from time.Duration) {
+	g.state.SetTimes(g.state.GrantsUntil(), max(from, g.delegation.Until))
+}
+
+// applyGrants adds what a lender granted.
+func (g *group) applyGrants(r result, now time.Duration) {
+	grants := map[string]*Grant{}
+	for i := range r.reply.Grants {
+		grants[r.reply.Grants[i].Customer] = &r.reply.Grants[i]
+	}
+	for _, u := range r.report.message.Usage {
+		s := g.customers[u.Customer]
+		grant := grants[u.Customer]
+		switch {
+		case grant != nil:
+			s.granted += grant.Requests
+			s.counter.AddGrants(grant.Requests)
+			s.counter.SetDenial(nil)
+			if grant.BackoffMillis > 0 {
+				s.counter.SetDenial(&board.QuotaDenial{
+					RefuseUntil: now + time.Duration(grant.BackoffMillis)*time.Millisecond,
+					RetryAt:     now + time.Duration(grant.RetryAfterMillis)*time.Millisecond,
+				})
+			}
+		case u.Waiting > 0:
+			// The lender does not know the customer yet.
+			s.counter.SetDenial(&board.QuotaDenial{RefuseUntil: now + retryDelay, RetryAt: now + 2*retryDelay})
+		}
+	}
+}
+
+// reportFailed decides how the node goes on after a report without a reply.
+func (c *Controller) reportFailed(g *group, r result, now time.Duration) {
+	g.failures++
+	for _, u := range r.report.message.Usage {
+		g.customers[u.Customer].changed = true
+	}
+	ended := errors.Is(r.err, ErrEnded)
+	if ended {
+		g.delegation = g.delegation.Released(r.report.target, now)
+		g.setFallbackFrom(now + reportTimeout)
+	}
+	if ended || g.failures >= failuresToSwitch || r.report.message.Release {
+		g.avoid[r.report.target] = now + avoidTime
+		g.failures = 0
+		g.target = ""
+	}
+	g.state.SetSilent(true)
+	g.dueAt = now
+	if !ended {
+		g.dueAt = now + retryDelay
+	}
+	c.log.Debug().Err(r.err).Str("event", "quota_report_failed").Int("group", g.state.Number).Str("lender", string(r.report.target)).Send()
+	c.metrics.IncrementCounter("quota_reports_failed", nil)
+}
+
+// reachable reports whether a node may be the lender of a group as far as this node
+// knows.
+func (c *Controller) reachable(g *group, fleet *board.Fleet, id board.InstanceID, now time.Duration) bool {
+	if id == c.board.Self.Instance {
+		return true
+	}
+	endpoint := fleet.ByInstance[id]
+	if endpoint == nil || now < g.avoid[id] || endpoint.Reachability.Replaced() {
+		return false
+	}
+	// A lender that replies is kept, whatever other exchanges with it say.
+	return !endpoint.Reachability.Suspected() || id == g.delegation.Lender && g.failures == 0
+}
+
+// chooseTarget chooses the lender of a group, "" if this node has contact to no other
+// one, or does not know the fleet yet.
+func (c *Controller) chooseTarget(g *group, fleet *board.Fleet, now time.Duration) {
+	if g.target != "" && fleet == g.fleet && now-g.chosenAt < targetReuse && c.reachable(g, fleet, g.target, now) {
+		return
+	}
+	previous := g.target
+	g.target, g.fleet, g.chosenAt = "", fleet, now
+	for id, until := range g.avoid {
+		if now >= until {
+			delete(g.avoid, id)
+		}
+	}
+	if fleet.Size <= 1 && c.board.Store.Load().ListingRequestedAt.IsZero() {
+		return
+	}
+	self := c.board.Self.Instance
+	var candidates []board.InstanceID
+	for id, endpoint := range fleet.ByInstance {
+		if id != self && !endpoint.Record.Leaving && c.reachable(g, fleet, id, now) {
+			candidates = append(candidates, id)
+		}
+	}
+	switch {
+	case len(candidates) == 0 && c.fleetSize.Load() > 1:
+		// A node without contact uses its part itself, see quota.Fallback.
+		return
+	case len(candidates) == 0 || !c.board.Shutdown.Load().Requested:
+		candidates = append(candidates, self)
+	}
+	g.target = quota.ChooseLender(g.state.Number, candidates)
+	if g.target != previous {
+		c.log.Info().Str("event", "quota_lender").Int("group", g.state.Number).Str("lender", string(g.target)).
+			Str("previous", string(previous)).Int("candidates", len(candidates)).Send()
+	}
+}
--- /dev/null
+++ b/pkg/decide/quota/quota.go
@@ -0,0 +1,175 @@
+// Package quota decides how the nodes of a fleet share the request quotas of
+// customers. All functions are pure; the time is an argument, on the clock of package
+// bootclock.
+//
+// It answers the load of customers that suddenly send several times their quota
+// through all nodes. A lender keeps the account of a customer and grants single
+// requests to the other nodes in advance. Each node adds its equal part of the
+// quota to the lender that it reports to, so that two lenders never lend more than
+// the quota together.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/hashing"
+	"mangostand.example/mangostand/pkg/dynconf"
+)
+
+// Groups is the number of groups of customers. Each group has a lender, to which each
+// node reports.
+const Groups = 2
+
+// ReportInterval returns the longest time between two reports of a node to a lender.
+// The reports of a large fleet are most of the control traffic, of which a node has
+// 1 KB/s.
+func ReportInterval(fleetSize int) time.Duration {
+	if fleetSize > maxFrequentFleet {
+		return 3 * time.Second / 2
+	}
+	return time.Second
+}
+
+const maxFrequentFleet = 100
+
+const (
+	// Validity is how long grants and the part of a node stay with a lender without a
+	// further report. It allows for one lost report of a large fleet.
+	Validity = 2500 * time.Millisecond
+	// FleetSizeMemory is how long the largest known size of the fleet determines the
+	// part of a node.
+	FleetSizeMemory = time.Minute
+)
+
+// Group returns the group of a customer.
+func Group(customer string) int { return hashing.Bucket(customer, Groups) }
+
+// ChooseLender returns the lender of a group by rendezvous hashing, "" without candidates.
+func ChooseLender(group int, candidates []board.InstanceID) board.InstanceID {
+	var best board.InstanceID
+	bestWeight := uint64(0)
+	for _, id := range candidates {
+		weight := hashing.Mix(hashing.String(string(id)) + uint64(group+1)*0x9e3779b97f4a7c15)
+		if best == "" || weight > bestWeight || weight == bestWeight && id < best {
+			best, bestWeight = id, weight
+		}
+	}
+	return best
+}
+
+// Limits says how exact the quotas are: in each window at most 1 plus Overshoot times
+// the quota, plus Slack requests.
+type Limits struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// usableTolerance is the part of the tolerance that is used. The rest covers the time
+// between the admission of a request and its execution.
+const usableTolerance = 0.8
+
+// Capacity returns how many requests of a customer may run at once over all nodes: the
+// burst and the usable part of the tolerance. Requests granted to nodes in advance
+// count in it, so that at most rate x window + capacity requests run in any window.
+func (l Limits) Capacity(q dynconf.RequestQuota) float64 {
+	return q.Burst + usableTolerance*(l.Overshoot*(q.Rate*l.Window.Seconds()+q.Burst)+l.Slack)
+}
+
+// holdTime is the time of its demand for which a node holds grants in advance. It
+// exceeds the usual interval of reports, so that a steady demand seldom waits for a reply.
+const holdTime = 1200 * time.Millisecond
+
+// Hold returns how many grants a node with a demand in requests per second holds.
+func Hold(demand float64) int64 {
+	if demand < minHoldDemand {
+		return 0
+	}
+	return max(1, int64(demand*holdTime.Seconds()))
+}
+
+// minHoldDemand is the least demand in requests per second for which a node holds a
+// grant. Below it the grants of a small quota would lie unused at many nodes.
+const minHoldDemand = 0.25
+
+// Surplus returns how many of its grants a node gives back.
+func Surplus(balance int64, demand float64) int64 { return max(0, balance-2*Hold(demand)) }
+
+// LowWater returns the number of grants left at which a node asks for more.
+func LowWater(demand float64) int64 { return Hold(demand) / 3 }
+
+// demandTime is the time over which the demand is averaged. A single request does not
+// raise the demand so much that the node holds a grant in advance.
+const demandTime = 2 * time.Second
+
+// UpdateDemand returns the average demand in requests per second after a number of
+// requests within an interval.
+func UpdateDemand(demand float64, requests int64, interval time.Duration) float64 {
+	if interval <= 0 {
+		return demand + float64(requests)/demandTime.Seconds()
+	}
+	decay := math.Exp(-interval.Seconds() / demandTime.Seconds())
+	next := demand*decay + float64(requests)/interval.Seconds()*(1-decay)
+	if next < minDemand {
+		return 0
+	}
+	return next
+}
+
+// minDemand is the demand below which a customer counts as absent at a node.
+const minDemand = 0.1
+
+// DemandChanged reports whether a node has to tell the lender of a changed demand.
+func DemandChanged(reported, demand float64) bool {
+	return demand > 2*reported || 2*demand < reported
+}
+
+// maxRetryAfter bounds the Retry-After of a request over the quota.
+const maxRetryAfter = 2 * time.Second
+
+// RetryAfter returns when a refused caller may return: when the account of the customer
+// holds a request again, and later at random the more the demand exceeds the rate. The
+// spread is a random number from 0 to 1.
+func RetryAfter(available, rate, demand, spread float64) time.Duration {
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	wait := max(0, 1-available)/rate + spread*max(0, demand/rate-1)
+	return min(maxRetryAfter, max(minRetryAfter, time.Duration(wait*float64(time.Second))))
+}
+
+const minRetryAfter = 20 * time.Millisecond
+
+// Backoff returns how long a node whose request was denied refuses further requests of
+// the customer before it asks the lender again. The account does not overflow meanwhile.
+func Backoff(rate, capacity float64) time.Duration {
+	return min(maxBackoff, max(minBackoff, time.Duration(capacity/(4*rate)*float64(time.Second))))
+}
+
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+)
+
+// FleetSizes remembers the largest size of the fleet within FleetSizeMemory.
+type FleetSizes struct{ samples []sizeSample }
+
+type sizeSample struct {
+	size int
+	at   time.Duration
+}
+
+// Observe adds a size and returns the largest one. Sizes must be observed in the order
+// of time.
+func (s *FleetSizes) Observe(size int, now time.Duration) int {
+	for len(s.samples) > 0 && s.samples[len(s.samples)-1].size <= size {
+		s.samples = s.samples[:len(s.samples)-1]
+	}
+	s.samples = append(s.samples, sizeSample{size, now})
+	for now-s.samples[0].at > FleetSizeMemory {
+		s.samples = s.samples[1:]
+	}
+	return s.samples[0].size
+}
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -49,6 +49,9 @@
 	// ConfigVersion is the version of the configuration that routed the call.
 	ConfigVersion uint64
 
+	// quota is the counter that admitted the call under a grant, nil for none.
+	quota *board.QuotaCounter
+
 	// digest caches the result of contentDigest; "" means not computed yet.
 	digest string
 }
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -91,6 +91,9 @@
 	if retryAfter := quarantineLeft(e.Board, c, r.ReceivedAt); retryAfter > 0 {
 		return e.refuse(table.Version, id, http.StatusServiceUnavailable, board.ReasonQuarantined, retryAfter)
 	}
+	if response := e.admitByQuota(ctx, c, identified.Customer); response != nil {
+		return response
+	}
 	e.Board.AttemptCounters.AddCall(service, e.AttemptWindow, time.Now())
 	return e.forwardCall(ctx, c)
 }
@@ -125,6 +128,7 @@
 	deadlineTimer := time.AfterFunc(time.Until(c.Deadline), cancel)
 	f := &forwarder{entry: e, call: c}
 	result := f.forward(callCtx)
+	giveBackQuota(c, result.Outcome)
 	// A response that has arrived is delivered completely, even if the deadline
 	// passes meanwhile.
 	deadlineTimer.Stop()
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -6,6 +6,7 @@
 	"context"
 	stdlog "log"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -21,6 +22,7 @@
 	"mangostand.example/mangostand/pkg/control/healthcheck"
 	"mangostand.example/mangostand/pkg/control/localserver"
 	"mangostand.example/mangostand/pkg/control/quarantine"
+	"mangostand.example/mangostand/pkg/control/quota"
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/decide/attempts"
@@ -79,6 +81,8 @@
 	serverPool *h1.Pool
 	executor   *mesh.Executor
 	entry      *mesh.Entry
+	// quotas applies the quotas of customers and answers the reports of other nodes.
+	quotas *quota.Controller
 	// configServer responds to pulls of the configuration.
 	configServer *routefeed.Server
 
@@ -165,6 +169,7 @@
 			counters.IncrementCounter("store_calls", map[string]string{"kind": string(kind), "result": string(result)})
 			n.log.Debug().Str("event", "store_call").Str("kind", string(kind)).Str("result", string(result)).Send()
 		}))
+	n.quotas = quota.New(n.board, n.quotaLimits(), rand.Uint32()|1, n.reportQuota, counters, n.log)
 	n.controllers = []control.Controller{
 		localserver.New(n.board, n.log),
 		n.executor,
@@ -176,6 +181,7 @@
 			Board: n.board, Servers: n.serverPool, Codec: platform.Codec{}, InFlight: n.executor.InFlight,
 			OnLoadReport: n.executor.OnLoadReport, Log: n.log,
 		},
+		n.quotas,
 		&idleConnSweeper{pools: []*h1.Pool{n.peerPool, n.serverPool}},
 	}
 }
--- a/pkg/meshnode/peers.go
+++ b/pkg/meshnode/peers.go
@@ -20,6 +20,7 @@
 const (
 	targetExchange = "/mesh/exchange"
 	targetConfig   = "/mesh/config"
+	targetQuota    = "/mesh/quota"
 	// targetRouteTable returns the uncompressed configuration document. Nodes of
 	// earlier releases request it.
 	targetRouteTable = "/mesh/table"
@@ -41,6 +42,8 @@
 		return &h1.Response{Status: http.StatusOK, BufferedBody: n.board.RouteDocument.Load().Document}
 	case r.Target == targetConfig:
 		return n.handleConfigPull(r)
+	case r.Target == targetQuota:
+		return n.handleQuotaReport(r)
 	}
 	n.log.Warn().Str("event", "peer_request_refused").Str("target", r.Target).Send()
 	return &h1.Response{Status: http.StatusNotFound}
