--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -84,6 +84,8 @@
 	// inFlight is set while a report is under way. dueAt is when the next one is due.
 	inFlight bool
 	dueAt    time.Duration
+	// repliedAt is when the last reply arrived.
+	repliedAt time.Duration
 	// target is the lender chosen at chosenAt from a view of the fleet.
 	target   board.InstanceID
 	chosenAt time.Duration
@@ -127,6 +129,8 @@
 	addr    string
 	message *Message
 	sentAt  time.Duration
+	// validity is for how long the grants of the reply are valid.
+	validity time.Duration
 }
 
 // New claims the Quotas section. The incarnation must differ between the processes of
--- a/pkg/control/quota/message.go
+++ b/pkg/control/quota/message.go
@@ -12,15 +12,17 @@
 type Message struct {
 	From  board.InstanceID `cbor:"1,keyasint"`
 	Group int              `cbor:"2,keyasint"`
-	// Incarnation, Sequence, LenderIncarnation and Release are those of quota.Report.
+	// Incarnation, Sequence, LenderIncarnation, Release and FleetSize
+	// are those of quota.Report.
 	Incarnation       uint32 `cbor:"3,keyasint"`
 	Sequence          uint64 `cbor:"4,keyasint"`
 	LenderIncarnation uint32 `cbor:"5,keyasint,omitempty"`
 	// StampMillis is the stamp of the last reply.
-	StampMillis int64   `cbor:"6,keyasint,omitempty"`
-	Release     bool    `cbor:"7,keyasint,omitempty"`
-	FleetSize   int     `cbor:"8,keyasint"`
-	Usage       []Usage `cbor:"9,keyasint,omitempty"`
+	StampMillis    int64   `cbor:"6,keyasint,omitempty"`
+	Release        bool    `cbor:"7,keyasint,omitempty"`
+	FleetSize      int     `cbor:"8,keyasint"`
+	ValidityMillis uint32  `cbor:"10,keyasint"`
+	Usage          []Usage `cbor:"9,keyasint,omitempty"`
 }
 
 // Usage is the state of a customer at the node, see quota.Usage.
@@ -59,7 +61,7 @@
 func encodeReport(group int, r *quota.Report) *Message {
 	m := &Message{
 		From: r.From, Group: group, Incarnation: r.Incarnation, Sequence: r.Sequence, LenderIncarnation: r.LenderIncarnation,
-		StampMillis: r.Stamp.Milliseconds(), Release: r.Release, FleetSize: r.FleetSize,
+		StampMillis: r.Stamp.Milliseconds(), Release: r.Release, FleetSize: r.FleetSize, ValidityMillis: uint32(r.Validity.Milliseconds()),
 	}
 	for _, u := range r.Usage {
 		m.Usage = append(m.Usage, Usage{
@@ -73,7 +75,7 @@
 func decodeReport(m *Message) *quota.Report {
 	r := &quota.Report{
 		From: m.From, Incarnation: m.Incarnation, Sequence: m.Sequence, LenderIncarnation: m.LenderIncarnation,
-		Stamp: time.Duration(m.StampMillis) * time.Millisecond, Release: m.Release, FleetSize: m.FleetSize,
+		Stamp: time.Duration(m.StampMillis) * time.Millisecond, Release: m.Release, FleetSize: m.FleetSize, Validity: time.Duration(m.ValidityMillis) * time.Millisecond,
 	}
 	for _, u := range m.Usage {
 		r.Usage = append(r.Usage, quota.Usage{
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -25,7 +25,8 @@
 	if release {
 		target = g.delegation.Lender
 	}
-	g.dueAt = now + quota.ReportInterval(int(c.fleetSize.Load()))
+	size := int(c.fleetSize.Load())
+	g.dueAt = now + quota.ReportInterval(size)
 	if target == "" {
 		g.state.SetSilent(true)
 		g.state.NotifyReplied()
@@ -35,12 +36,12 @@
 	g.sequence++
 	report := &quota.Report{
 		From: c.board.Self.Instance, Incarnation: c.incarnation, Sequence: g.sequence, Release: release,
-		FleetSize: int(c.fleetSize.Load()), Usage: g.usage(now),
+		FleetSize: size, Validity: quota.Validity(size), Usage: g.usage(now),
 	}
 	if g.delegation.Lender == target && !release {
-		report.LenderIncarnation, report.Stamp = g.delegation.Incarnation, g.delegation.Stamp
+		report.LenderIncarnation, report.Stamp, report.Validity = g.delegation.Incarnation, g.delegation.Stamp, g.delegation.Validity
 	}
-	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now}
+	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, validity: report.Validity}
 	if endpoint := fleet.ByInstance[target]; endpoint != nil {
 		out.addr = endpoint.Record.PeerAddr
 	}
@@ -93,8 +94,10 @@
 		g.dueAt = now
 		return
 	}
-	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, time.Duration(r.reply.StampMillis)*time.Millisecond, now)
-	g.state.SetTimes(r.report.sentAt+quota.Validity, g.delegation.Until)
+	stamp := time.Duration(r.reply.StampMillis) * time.Millisecond
+	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, stamp, quota.Validity(int(c.fleetSize.Load())), now)
+	g.repliedAt = now
+	g.state.SetTimes(r.report.sentAt+r.report.validity, g.delegation.Until)
 	if g.delegation.Lender == r.report.target && r.report.message.LenderIncarnation != g.delegation.Incarnation {
 		// The lender gets the part of this node with the next report.
 		g.dueAt = now
--- a/pkg/control/quota/statistics.go
+++ b/pkg/control/quota/statistics.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
-	"mangostand.example/mangostand/pkg/decide/quota"
 	"mangostand.example/mangostand/pkg/dynconf"
 )
 
@@ -77,7 +76,7 @@
 		}
 		tags := map[string]string{"group": strconv.Itoa(g.state.Number)}
 		c.metrics.SetGauge("quota_fallback", tags, boolGauge(now >= g.state.FallbackFrom()))
-		c.metrics.SetGauge("quota_reply_age_seconds", tags, (now - g.state.GrantsUntil() + quota.Validity).Seconds())
+		c.metrics.SetGauge("quota_reply_age_seconds", tags, (now - g.repliedAt).Seconds())
 		status, leads := c.lenderStatus(g.state.Number, now)
 		c.metrics.SetGauge("quota_lender", tags, boolGauge(leads))
 		c.metrics.SetGauge("quota_lender_part", tags, status.Part)
@@ -89,7 +88,7 @@
 		s.loggedAt = now
 		event := c.log.Info().Str("event", "quota_refused").Uint64("config_version", c.writer.Load().ConfigVersion).Int64("fleet_size", c.fleetSize.Load())
 		for _, g := range c.groups {
-			event = event.Dur("reply_age_"+strconv.Itoa(g.state.Number), now-g.state.GrantsUntil()+quota.Validity)
+			event = event.Dur("reply_age_"+strconv.Itoa(g.state.Number), now-g.repliedAt)
 		}
 		event.Interface("refused", s.refusedSinceLog).Send()
 		s.refusedSinceLog = map[string]int64{}
--- a/pkg/decide/quota/delegation.go
+++ b/pkg/decide/quota/delegation.go
@@ -8,7 +8,7 @@
 
 // Delegation says which lender has the part of a node in the quotas of a group. The
 // part is with one lender at a time: it goes to another one when the first has
-// released it, has ended, or has not been heard from for Validity.
+// released it, has ended, or has not been heard from for the Validity.
 type Delegation struct {
 	// Lender and Incarnation identify the process that has the part, "" for none.
 	Lender      board.InstanceID
@@ -16,13 +16,15 @@
 	// Stamp is the time on the lender's clock in its last reply. The lender counts the
 	// Validity from there, so that a delayed report extends nothing.
 	Stamp time.Duration
+	// Validity is for how long from the stamp the lender may use the part.
+	Validity time.Duration
 	// Until is the time on the own clock up to which the lender may use the part.
 	Until time.Duration
 }
 
 // NewDelegation returns the state of a node that has just started. The lender of its
 // earlier process may still use the part.
-func NewDelegation(now time.Duration) Delegation { return Delegation{Until: now + Validity} }
+func NewDelegation(now time.Duration) Delegation { return Delegation{Until: now + maxValidity} }
 
 // HeldByOther reports whether another lender than the given one may use the part.
 func (d Delegation) HeldByOther(lender board.InstanceID, now time.Duration) bool {
@@ -34,11 +36,11 @@
 
 // Replied returns the state after a reply of a lender that arrived now. The part is
 // given to the lender with the next report.
-func (d Delegation) Replied(lender board.InstanceID, incarnation uint32, stamp, now time.Duration) Delegation {
+func (d Delegation) Replied(lender board.InstanceID, incarnation uint32, stamp, validity, now time.Duration) Delegation {
 	if d.HeldByOther(lender, now) {
 		return d
 	}
-	return Delegation{Lender: lender, Incarnation: incarnation, Stamp: stamp, Until: now + Validity}
+	return Delegation{Lender: lender, Incarnation: incarnation, Stamp: stamp, Validity: validity, Until: now + validity}
 }
 
 // Released returns the state after a lender released the part or ended.
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -19,6 +19,9 @@
 	// node gives it its part, else 0.
 	LenderIncarnation uint32
 	Stamp             time.Duration
+	// Validity is for how long the part counts from the stamp, and the grants from the
+	// report.
+	Validity time.Duration
 	// Release is set if the node takes its part back.
 	Release bool
 	// FleetSize is the largest fleet size that the node knew within FleetSizeMemory.
@@ -84,6 +87,7 @@
 	incarnation uint32
 	sequence    uint64
 	reportedAt  time.Duration
+	validity    time.Duration
 	// partUntil is until when the lender has the part of the node.
 	partUntil time.Duration
 	fleetSize int
@@ -177,7 +181,7 @@
 	previous := l.advancedAt
 	l.advancedAt = now
 	for id, node := range l.nodes {
-		if now-node.reportedAt > Validity {
+		if now-node.reportedAt > node.validity {
 			// The grants have expired at the node. They may have been used, so they do not
 			// return to the account.
 			l.dropHoldings(node)
@@ -258,7 +262,7 @@
 	case r.Release:
 		partUntil = 0
 	case r.LenderIncarnation == l.incarnation:
-		partUntil = max(partUntil, min(r.Stamp, now)+Validity)
+		partUntil = max(partUntil, min(r.Stamp, now)+min(r.Validity, maxValidity))
 	}
 	if (partUntil > now) != (node.partUntil > l.advancedAt) || r.FleetSize != node.fleetSize {
 		l.advance(now)
@@ -266,7 +270,7 @@
 		parts, fleetSize := l.countParts(now)
 		l.setPart(float64(parts) / float64(fleetSize))
 	}
-	node.partUntil, node.sequence, node.reportedAt = partUntil, r.Sequence, now
+	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, r.Validity
 	reply.Part = l.part
 	for i := range r.Usage {
 		if a := l.accounts[r.Usage[i].Customer]; a != nil {
@@ -310,13 +314,15 @@
 	// asks for. Below it, a node gets its share of the rate.
 	openLevel = 0.25
 	// maxHeldLevel is the part of the capacity that nodes may hold in advance.
-	maxHeldLevel = 0.5
+	maxHeldLevel = 0.4
+	// reserveLevel is the part of the capacity that is kept for waiting requests.
+	reserveLevel = 0.4
 )
 
 // grant lends requests to a node, nil if it neither needs nor gets any.
 func (l *Lender) grant(a *account, h *holding, u *Usage, spread float64) *Grant {
 	rate, capacity := a.quota.Rate*l.part, a.capacity*l.part
-	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held)
+	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held, a.available-float64(u.Waiting)-reserveLevel*capacity)
 	want := float64(u.Waiting) + math.Floor(max(0, advance))
 	limited := a.available < openLevel*capacity-a.held
 	backoff := maxBackoff
@@ -334,9 +340,13 @@
 	if amount == 0 && u.Waiting == 0 {
 		return nil
 	}
+	// Waiting requests use their grants at once. If they counted as held until the next
+	// report, a large demand on a small capacity would find no room in the account.
+	used := min(amount, float64(u.Waiting))
 	a.available -= amount
-	a.held += amount
+	a.held += amount - used
 	h.granted += int64(amount)
+	h.used += int64(used)
 	g := &Grant{Customer: u.Customer, Requests: int64(amount), Limited: limited}
 	if int64(amount) < u.Waiting {
 		g.Limited, g.Backoff, g.RetryAfter = true, backoff, RetryAfter(a.available, rate, a.demand, spread)
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -34,10 +34,14 @@
 
 const maxFrequentFleet = 100
 
+// Validity returns how long grants and the part of a node stay with a lender without a
+// further report. A report carries the time of the previous reply, so that one lost
+// report leaves the part with the lender.
+func Validity(fleetSize int) time.Duration { return 5 * ReportInterval(fleetSize) / 2 }
+
 const (
-	// Validity is how long grants and the part of a node stay with a lender without a
-	// further report. It allows for one lost report of a large fleet.
-	Validity = 2500 * time.Millisecond
+	// maxValidity is the Validity of the largest fleet.
+	maxValidity = 3750 * time.Millisecond
 	// FleetSizeMemory is how long the largest known size of the fleet determines the
 	// part of a node.
 	FleetSizeMemory = time.Minute
