Play random faults against the bound of quotas

Guards the window bound while lenders restart and take over, messages are lost, delayed or cut off, nodes are isolated or paused, and limits fall.

--- a/pkg/control/quota/fleet_test.go
+++ b/pkg/control/quota/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -47,8 +48,10 @@
 	routes     *board.Writer[*dynconf.RouteTable]
 	fleet      *board.Writer[*board.Fleet]
 	down       bool
-	wakeAt     time.Duration
-	waiters    []*waiter
+	// pausedUntil is when a paused process goes on.
+	pausedUntil time.Duration
+	wakeAt      time.Duration
+	waiters     []*waiter
 }
 
 type waiter struct {
@@ -149,7 +152,7 @@
 	for _, w := range f.nodes[i].waiters {
 		f.refuse(f.nodes[i], w.customer)
 	}
-	f.nodes[i].waiters = nil
+	f.nodes[i].waiters, f.nodes[i].controller = nil, nil
 	f.nodes[i].down = true
 }
 
@@ -183,7 +186,7 @@
 		process := n.controller
 		f.after(max(next, time.Millisecond), func() {
 			if n.controller == process && n.wakeAt <= f.now {
-				f.step(n)
+				f.whenRunning(n, func() { f.step(n) })
 			}
 		})
 	}
@@ -193,20 +196,21 @@
 const headerBytes = 250
 
 func (f *testFleet) send(n *testNode, report *outgoing) {
-	process := n.controller
-	finish := func(after time.Duration, reply *Response, err error) {
-		f.after(after, func() {
-			if n.controller != process || n.down {
-				return
-			}
-			n.controller.finish(result{report: report, reply: reply, err: err}, f.now)
+	process, ended := n.controller, false
+	finish := func(reply *Response, err error) {
+		if ended || n.controller != process {
+			return
+		}
+		ended = true
+		f.whenRunning(n, func() {
+			process.finish(result{report: report, reply: reply, err: err}, f.now)
 			f.retryWaiters(n)
 			f.step(n)
 		})
 	}
 	if report.target == f.ids[n.index] {
 		reply, err := process.Respond(report.message)
-		finish(0, reply, err)
+		f.after(0, func() { finish(reply, err) })
 		return
 	}
 	data, err := cbor.Marshal(report.message)
@@ -214,35 +218,52 @@
 	f.messages++
 	f.bytes += len(data) + headerBytes
 	target := f.nodes[slices.Index(f.ids, report.target)]
+	f.after(reportTimeout, func() { finish(nil, errLost) })
 	if f.cut(n.index, target.index) || f.random.Float64() < f.loss {
-		finish(reportTimeout, nil, fmt.Errorf("lost"))
 		return
 	}
 	f.after(f.latency(), func() {
 		if target.down {
-			finish(f.latency(), nil, ErrEnded)
+			finish(nil, ErrEnded)
 			return
 		}
-		var m Message
-		require.NoError(f.t, cbor.Unmarshal(data, &m))
-		reply, err := target.controller.Respond(&m)
-		require.NoError(f.t, err)
-		data, err := cbor.Marshal(reply)
-		require.NoError(f.t, err)
-		f.bytes += len(data)
-		back := f.latency()
-		if f.cut(target.index, n.index) || f.random.Float64() < f.loss || back > reportTimeout {
-			finish(reportTimeout, nil, fmt.Errorf("lost"))
-			return
+		f.whenRunning(target, func() {
+			var m Message
+			require.NoError(f.t, cbor.Unmarshal(data, &m))
+			reply, err := target.controller.Respond(&m)
+			require.NoError(f.t, err)
+			data, err := cbor.Marshal(reply)
+			require.NoError(f.t, err)
+			f.bytes += len(data)
+			if f.cut(target.index, n.index) || f.random.Float64() < f.loss {
+				return
+			}
+			f.after(f.latency(), func() { finish(reply, nil) })
+		})
+	})
+}
+
+var errLost = errors.New("lost")
+
+// whenRunning runs a function of the current process of a node, after its pause if it
+// is paused.
+func (f *testFleet) whenRunning(n *testNode, run func()) {
+	if n.pausedUntil <= f.now {
+		run()
+		return
+	}
+	process := n.controller
+	f.after(n.pausedUntil-f.now, func() {
+		if n.controller == process && !n.down {
+			f.whenRunning(n, run)
 		}
-		finish(back, reply, nil)
 	})
 }
 
 // request plays one request of a customer, as mesh.Entry does.
 func (f *testFleet) request(i int, customer string) {
 	n := f.nodes[i]
-	if n.down {
+	if n.down || n.pausedUntil > f.now {
 		return
 	}
 	w := &waiter{customer, f.now}
@@ -255,8 +276,8 @@
 	n.waiters = append(n.waiters, w)
 	process := n.controller
 	f.after(quota.MaxWait, func() {
-		if n.controller == process {
-			f.retryWaiters(n)
+		if n.controller == process && !n.down {
+			f.whenRunning(n, func() { f.retryWaiters(n) })
 		}
 	})
 	counter.Group.Ask()
