--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -63,10 +63,11 @@
 	fleetSizes quota.FleetSizes
 	// fleetSize is the largest fleet size of the last quota.FleetSizeMemory.
 	fleetSize atomic.Int64
-	// fallbackSize is the fleet size for which the fallbacks were set.
-	fallbackSize int
-	done         chan result
-	statistics   statistics
+	// fallbackSize is the fleet size for which the fallbacks were set, and fallbackRank
+	// the rank of this node in that fleet.
+	fallbackSize, fallbackRank int
+	done                       chan result
+	statistics                 statistics
 
 	lendersMu sync.Mutex
 	lenders   [quota.Groups]struct {
@@ -84,6 +85,9 @@
 	// inFlight is set while a report is under way. dueAt is when the next one is due.
 	inFlight bool
 	dueAt    time.Duration
+	// carried is what the last lender handed over, to be passed on until carriedUntil.
+	carried      []Carry
+	carriedUntil time.Duration
 	// repliedAt is when the last reply arrived.
 	repliedAt time.Duration
 	// target is the lender chosen at chosenAt from a view of the fleet.
@@ -275,12 +279,18 @@
 
 // observeFleet updates the largest fleet size, and the fallbacks that depend on it.
 func (c *Controller) observeFleet(now time.Duration) {
-	size := c.fleetSizes.Observe(c.board.Fleet.Load().Size, now)
+	fleet := c.board.Fleet.Load()
+	size := c.fleetSizes.Observe(fleet.Size, now)
 	c.fleetSize.Store(int64(size))
 	if size == c.fallbackSize {
 		return
 	}
-	c.fallbackSize = size
+	c.fallbackSize, c.fallbackRank = size, 0
+	for id := range fleet.ByInstance {
+		if id < c.board.Self.Instance {
+			c.fallbackRank++
+		}
+	}
 	for _, g := range c.groups {
 		for _, s := range g.customers {
 			c.setFallback(s)
@@ -289,8 +299,9 @@
 }
 
 func (c *Controller) setFallback(s *customerState) {
-	f := quota.NewFallback(s.quota.Rate, c.limits.Capacity(s.quota), max(1, c.fallbackSize))
+	size := max(1, c.fallbackSize)
+	f := quota.NewFallback(s.quota.Rate, c.limits.Capacity(s.quota), size)
 	s.counter.Fallback.Store(&board.QuotaFallback{
-		Interval: f.Interval, Lifetime: f.Lifetime, Phase: f.Phase(string(c.board.Self.Instance) + "/" + s.counter.Customer),
+		Interval: f.Interval, Lifetime: f.Lifetime, Phase: f.Phase(c.fallbackRank, size, s.counter.Customer),
 	})
 }
--- a/pkg/control/quota/message.go
+++ b/pkg/control/quota/message.go
@@ -22,9 +22,16 @@
 	Release        bool    `cbor:"7,keyasint,omitempty"`
 	FleetSize      int     `cbor:"8,keyasint"`
 	ValidityMillis uint32  `cbor:"10,keyasint"`
+	Carried        []Carry `cbor:"11,keyasint,omitempty"`
 	Usage          []Usage `cbor:"9,keyasint,omitempty"`
 }
 
+// Carry is a part of an account that is handed over, see quota.Carry.
+type Carry struct {
+	Customer      string `cbor:"1,keyasint"`
+	RequestsMilli uint64 `cbor:"2,keyasint"`
+}
+
 // Usage is the state of a customer at the node, see quota.Usage.
 type Usage struct {
 	Customer string `cbor:"1,keyasint"`
@@ -46,6 +53,7 @@
 	PartMilli uint32  `cbor:"4,keyasint,omitempty"`
 	Stale     bool    `cbor:"5,keyasint,omitempty"`
 	Grants    []Grant `cbor:"6,keyasint,omitempty"`
+	Carried   []Carry `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant is the reply for one customer, see quota.Grant.
@@ -69,6 +77,7 @@
 			DemandMilli: uint32(min(math.MaxUint32, math.Round(1000*u.Demand))),
 		})
 	}
+	m.Carried = encodeCarried(r.Carried)
 	return m
 }
 
@@ -82,12 +91,32 @@
 			Customer: u.Customer, Granted: u.Granted, Used: u.Granted - u.Unused, Waiting: max(0, u.Waiting), Demand: float64(u.DemandMilli) / 1000,
 		})
 	}
+	r.Carried = decodeCarried(m.Carried)
 	return r
 }
 
+func encodeCarried(carried []quota.Carry) []Carry {
+	var out []Carry
+	for _, c := range carried {
+		if milli := uint64(1000 * c.Requests); milli > 0 {
+			out = append(out, Carry{c.Customer, milli})
+		}
+	}
+	return out
+}
+
+func decodeCarried(carried []Carry) []quota.Carry {
+	var out []quota.Carry
+	for _, c := range carried {
+		out = append(out, quota.Carry{Customer: c.Customer, Requests: float64(c.RequestsMilli) / 1000})
+	}
+	return out
+}
+
 func encodeReply(from board.InstanceID, r *quota.Reply) *Response {
 	m := &Response{
 		From: from, LenderIncarnation: r.LenderIncarnation, StampMillis: r.Stamp.Milliseconds(), PartMilli: uint32(1000 * r.Part), Stale: r.Stale,
+		Carried: encodeCarried(r.Carried),
 	}
 	for _, g := range r.Grants {
 		m.Grants = append(m.Grants, Grant{
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -40,6 +40,11 @@
 	}
 	if g.delegation.Lender == target && !release {
 		report.LenderIncarnation, report.Stamp, report.Validity = g.delegation.Incarnation, g.delegation.Stamp, g.delegation.Validity
+		if now < g.carriedUntil {
+			report.Carried = decodeCarried(g.carried)
+		}
+		// What is handed over is sent once, so that a lost reply does not double it.
+		g.carried = nil
 	}
 	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, validity: report.Validity}
 	if endpoint := fleet.ByInstance[target]; endpoint != nil {
@@ -87,6 +92,7 @@
 	if r.report.message.Release {
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + reportTimeout)
+		g.carried, g.carriedUntil = r.reply.Carried, now+r.report.validity
 		g.dueAt = now
 		return
 	}
@@ -97,7 +103,10 @@
 	stamp := time.Duration(r.reply.StampMillis) * time.Millisecond
 	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, stamp, quota.Validity(int(c.fleetSize.Load())), now)
 	g.repliedAt = now
-	g.state.SetTimes(r.report.sentAt+r.report.validity, g.delegation.Until)
+	grantsUntil := r.report.sentAt + r.report.validity
+	// A node that a lender serves does not use its fallback, even if an earlier lender
+	// has its part.
+	g.state.SetTimes(grantsUntil, max(grantsUntil, g.delegation.Until))
 	if g.delegation.Lender == r.report.target && r.report.message.LenderIncarnation != g.delegation.Incarnation {
 		// The lender gets the part of this node with the next report.
 		g.dueAt = now
@@ -154,10 +163,14 @@
 		g.avoid[r.report.target] = now + avoidTime
 		g.failures = 0
 		g.target = ""
+		// The directory contacts the node until it responds.
+		if endpoint := c.board.Fleet.Load().ByInstance[r.report.target]; endpoint != nil {
+			endpoint.Reachability.RecordFailure()
+		}
 	}
-	g.state.SetSilent(true)
 	g.dueAt = now
 	if !ended {
+		g.state.SetSilent(true)
 		g.dueAt = now + retryDelay
 	}
 	c.log.Debug().Err(r.err).Str("event", "quota_report_failed").Int("group", g.state.Number).Str("lender", string(r.report.target)).Send()
--- a/pkg/decide/quota/fallback.go
+++ b/pkg/decide/quota/fallback.go
@@ -33,10 +33,12 @@
 // maxFallbackInterval bounds the times of a fallback, so that they fit a Duration.
 const maxFallbackInterval = 24 * time.Hour
 
-// Phase returns a time for Next to begin with. The name of the node and the customer
-// spread these times over the interval.
-func (f Fallback) Phase(name string) time.Duration {
-	return time.Duration(float64(f.Interval) * (float64(hashing.String(name)>>11) / (1 << 53)))
+// Phase returns a time for Next to begin with. The rank of the node among all nodes
+// spreads these times evenly over the interval, and the customer shifts them.
+func (f Fallback) Phase(rank, fleetSize int, customer string) time.Duration {
+	shift := float64(hashing.String(customer)>>11) / (1 << 53)
+	_, phase := math.Modf(float64(rank)/float64(max(1, fleetSize)) + shift)
+	return time.Duration(phase * float64(f.Interval))
 }
 
 // Next returns whether a request is admitted and when the next one becomes available,
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -27,6 +27,15 @@
 	// FleetSize is the largest fleet size that the node knew within FleetSizeMemory.
 	FleetSize int
 	Usage     []Usage
+	// Carried is what the last lender handed over when it released the part.
+	Carried []Carry
+}
+
+// Carry is a part of an account that goes to another lender together with the part of a
+// node.
+type Carry struct {
+	Customer string
+	Requests float64
 }
 
 // Usage is the state of a customer at a node.
@@ -51,6 +60,8 @@
 	// Stale is set if the lender has ignored the report because a later one had arrived.
 	Stale  bool
 	Grants []Grant
+	// Carried is the part of the accounts that belongs to the part that was released.
+	Carried []Carry
 }
 
 // Grant is the reply for one customer.
@@ -257,6 +268,9 @@
 		node = &borrower{incarnation: r.Incarnation, reportedAt: now, customers: map[string]*holding{}}
 		l.nodes[r.From] = node
 	}
+	if r.Release && now < node.partUntil {
+		reply.Carried = l.handOver()
+	}
 	partUntil := node.partUntil
 	switch {
 	case r.Release:
@@ -281,6 +295,15 @@
 		l.dropHoldings(node)
 		return reply
 	}
+	if now < node.partUntil {
+		for _, carry := range r.Carried {
+			if a := l.accounts[carry.Customer]; a != nil && carry.Requests > 0 {
+				l.fill(a)
+				a.available += carry.Requests
+				l.fill(a)
+			}
+		}
+	}
 	for i := range r.Usage {
 		u := &r.Usage[i]
 		if a := l.accounts[u.Customer]; a != nil {
@@ -292,6 +315,28 @@
 	return reply
 }
 
+// maxCarried bounds the customers that are handed over with a part.
+const maxCarried = 256
+
+// handOver takes the part of one node out of the accounts that are in use. The accounts
+// of a new lender would be empty otherwise.
+func (l *Lender) handOver() []Carry {
+	parts, _ := l.countParts(l.advancedAt)
+	var carried []Carry
+	for name, a := range l.accounts {
+		if len(carried) == maxCarried {
+			break
+		}
+		l.fill(a)
+		if a.demand > 0 && a.available > 0 {
+			amount := a.available / float64(max(1, parts))
+			a.available -= amount
+			carried = append(carried, Carry{name, amount})
+		}
+	}
+	return carried
+}
+
 // settle enters the usage of a node into an account.
 func (l *Lender) settle(a *account, node *borrower, u *Usage) {
 	h := node.customers[u.Customer]
@@ -304,7 +349,7 @@
 	a.demand = max(0, a.demand+u.Demand-h.demand)
 	// Positive: grants that were given back or did not arrive. Negative: grants of
 	// another lender.
-	a.available += float64(h.granted - u.Granted)
+	a.available = max(a.available+float64(h.granted-u.Granted), -a.capacity)
 	h.granted, h.used, h.demand = u.Granted, u.Used, u.Demand
 	l.fill(a)
 }
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -29,7 +29,7 @@
 	if fleetSize > maxFrequentFleet {
 		return 3 * time.Second / 2
 	}
-	return time.Second
+	return 750 * time.Millisecond
 }
 
 const maxFrequentFleet = 100
