--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -33,8 +33,10 @@
 	failuresToSwitch = 3
 	// retryDelay is the time between two attempts without a lender.
 	retryDelay = 100 * time.Millisecond
-	// avoidTime is how long a node does not report to a lender that did not reply.
-	avoidTime = 3 * time.Second
+	// avoidTime is how long a node does not report to a lender that did not reply, and
+	// unsupportedTime to one that does not know reports, as during an upgrade.
+	avoidTime       = 3 * time.Second
+	unsupportedTime = 30 * time.Second
 	// targetReuse is how long the choice of a lender is used without another look at the
 	// fleet, while its replies arrive.
 	targetReuse = 500 * time.Millisecond
@@ -46,8 +48,11 @@
 // longer lends.
 var ErrEnded = errors.New("lender has ended")
 
+// ErrInvalidResponse says that a node responded, but not as a lender does.
+var ErrInvalidResponse = errors.New("invalid response of lender")
+
 // SendFunc sends a message to a node and returns its response. Its error is ErrEnded if
-// the connection was refused.
+// the connection was refused, and ErrInvalidResponse if the response was invalid.
 type SendFunc func(ctx context.Context, addr string, m *Message) (*Response, error)
 
 // Controller reports the requests of the node and writes the Quotas section.
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -21,7 +21,11 @@
 	fleet := c.board.Fleet.Load()
 	c.chooseTarget(g, fleet, now)
 	target := g.target
-	release := g.delegation.HeldByOther(target, now) && c.reachable(g, fleet, g.delegation.Lender, now)
+	if target == c.board.Self.Instance && c.fleetSize.Load() == 1 && g.delegation.Lender == "" {
+		// No other node can have the part of the only one.
+		g.delegation = g.delegation.Released("", now)
+	}
+	release := g.delegation.Lender != "" && g.delegation.HeldByOther(target, now) && c.reachable(g, fleet, g.delegation.Lender, now)
 	if release {
 		target = g.delegation.Lender
 	}
@@ -161,12 +165,15 @@
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
 	}
-	if ended || g.failures >= failuresToSwitch {
+	unsupported := errors.Is(r.err, ErrInvalidResponse)
+	if ended || unsupported || g.failures >= failuresToSwitch {
 		g.avoid[r.report.target] = now + avoidTime
 		g.failures = 0
 		g.target = ""
-		// The directory contacts the node until it responds.
-		if endpoint := c.board.Fleet.Load().ByInstance[r.report.target]; endpoint != nil {
+		if unsupported {
+			g.avoid[r.report.target] = now + unsupportedTime
+		} else if endpoint := c.board.Fleet.Load().ByInstance[r.report.target]; endpoint != nil {
+			// The directory contacts the node until it responds.
 			endpoint.Reachability.RecordFailure()
 		}
 	}
--- a/pkg/meshnode/quota.go
+++ b/pkg/meshnode/quota.go
@@ -47,11 +47,17 @@
 	body, err := n.requestPeer(ctx, addr, targetQuota, data, func() {})
 	if err != nil {
 		var requestErr *h1.Error
-		if errors.As(err, &requestErr) && requestErr.ConnRefused {
+		switch {
+		case !errors.As(err, &requestErr) && ctx.Err() == nil:
+			return nil, errors.Annotate(quota.ErrInvalidResponse, err.Error())
+		case requestErr != nil && requestErr.ConnRefused:
 			return nil, errors.Trace(quota.ErrEnded)
 		}
 		return nil, errors.Trace(err)
 	}
 	var response quota.Response
-	return &response, errors.Trace(cbor.Unmarshal(body, &response))
+	if err := cbor.Unmarshal(body, &response); err != nil {
+		return nil, errors.Annotate(quota.ErrInvalidResponse, err.Error())
+	}
+	return &response, nil
 }
