Quotas: three attempts within the wait, full accounts for new customers

The account of a customer that is new in the configuration was empty. Change: the second attempt of a report has 100 ms too, requests wait for 350 ms. 0.7 of the tolerance is used, so that more is left for the time between the admission and the execution.

--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -23,14 +23,15 @@
 )
 
 const (
-	// firstTimeout bounds the first attempt of a report; each further one has twice the
-	// time. A reply takes about 10 ms between failure domains, and requests wait for it.
+	// firstTimeout bounds the first two attempts of a report; each further one has twice
+	// the time. A reply takes about 10 ms between failure domains, and requests wait for
+	// it.
 	firstTimeout = 100 * time.Millisecond
 	// maxTimeout is the longest time limit of a report.
-	maxTimeout = firstTimeout << (failuresToSwitch - 1)
+	maxTimeout = firstTimeout << (failuresToSwitch - 2)
 	// failuresToSwitch is the number of reports without a reply after which a node
 	// reports to another lender. A busy lender may miss some.
-	failuresToSwitch = 3
+	failuresToSwitch = 4
 	// retryDelay is the time between two attempts without a lender.
 	retryDelay = 100 * time.Millisecond
 	// avoidTime is how long a node does not report to a lender that did not reply, and
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -50,7 +50,7 @@
 		// What is handed over is sent once, so that a lost reply does not double it.
 		g.carried = nil
 	}
-	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, timeout: firstTimeout << min(g.failures, failuresToSwitch-1), validity: report.Validity}
+	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, timeout: firstTimeout << max(0, g.failures-1), validity: report.Validity}
 	if endpoint := fleet.ByInstance[target]; endpoint != nil {
 		out.addr = endpoint.Record.PeerAddr
 	}
@@ -158,8 +158,8 @@
 	for _, u := range r.report.message.Usage {
 		g.customers[u.Customer].changed = true
 	}
-	// Requests wait for a second attempt, but not longer.
-	silent := g.failures > 1
+	// Requests wait for three attempts, but not longer.
+	silent := g.failures > 2
 	ended := errors.Is(r.err, ErrEnded)
 	if ended {
 		g.delegation = g.delegation.Released(r.report.target, now)
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -83,6 +83,8 @@
 	fleetSize int
 	nodes     map[board.InstanceID]*borrower
 	accounts  map[string]*account
+	// removedAt holds when customers were removed within the last window.
+	removedAt map[string]time.Duration
 	// credit is the integral of the part over time in seconds, up to advancedAt.
 	credit     float64
 	part       float64
@@ -127,14 +129,21 @@
 
 // NewLender returns a lender without customers.
 func NewLender(incarnation uint32, limits Limits, now time.Duration) *Lender {
-	return &Lender{incarnation: incarnation, limits: limits, nodes: map[board.InstanceID]*borrower{}, accounts: map[string]*account{}, advancedAt: now}
+	return &Lender{incarnation: incarnation, limits: limits, nodes: map[board.InstanceID]*borrower{}, accounts: map[string]*account{}, removedAt: map[string]time.Duration{}, advancedAt: now}
 }
 
-// Configure sets the quotas of the customers of the group.
+// Configure sets the quotas of the customers of the group. The account of a customer
+// that is new in the configuration is full, as far as the lender has the parts of nodes.
 func (l *Lender) Configure(quotas map[string]dynconf.RequestQuota, now time.Duration) {
 	l.advance(now)
+	for name, at := range l.removedAt {
+		if now-at > l.limits.Window {
+			delete(l.removedAt, name)
+		}
+	}
 	for name := range l.accounts {
 		if _, ok := quotas[name]; !ok {
+			l.removedAt[name] = now
 			delete(l.accounts, name)
 			for _, node := range l.nodes {
 				delete(node.customers, name)
@@ -146,8 +155,13 @@
 		if a == nil {
 			a = &account{creditAt: l.credit}
 			l.accounts[name] = a
+			if _, removed := l.removedAt[name]; !removed {
+				a.available = l.limits.Capacity(q) * l.part
+			}
+		}
+		if a.capacity > 0 {
+			l.fill(a)
 		}
-		l.fill(a)
 		a.quota, a.capacity = q, l.limits.Capacity(q)
 		l.fill(a)
 	}
--- a/pkg/decide/quota/local.go
+++ b/pkg/decide/quota/local.go
@@ -29,7 +29,7 @@
 
 // MaxWait is the longest time for which a request waits for a grant. A reply takes
 // about 10 ms between failure domains; a lost one is noticed after 100 ms.
-const MaxWait = 250 * time.Millisecond
+const MaxWait = 350 * time.Millisecond
 
 // DecideLocally decides on a request without a grant.
 func DecideLocally(l Local, now time.Duration) Verdict {
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -73,7 +73,7 @@
 
 // usableTolerance is the part of the tolerance that is used. The rest covers the time
 // between the admission of a request and its execution.
-const usableTolerance = 0.8
+const usableTolerance = 0.7
 
 // Capacity returns how many requests of a customer may run at once over all nodes: the
 // burst and the usable part of the tolerance. Requests granted to nodes in advance
--- a/pkg/decide/quota/quota_test.go
+++ b/pkg/decide/quota/quota_test.go
@@ -90,6 +90,19 @@
 	require.LessOrEqual(t, available(l), limits.Capacity(dynconf.RequestQuota{Rate: 1}))
 }
 
+// Guards against a new customer that is refused, and against one that gets a full
+// account by being removed and added again.
+func TestAccountsOfNewCustomersAreFull(t *testing.T) {
+	l, now := lenderOfTwo(t)
+	q := dynconf.RequestQuota{Rate: 5}
+	both := map[string]dynconf.RequestQuota{"c": {Rate: 10}, "new": q}
+	l.Configure(both, now)
+	require.Equal(t, limits.Capacity(q), l.accounts["new"].available)
+	l.Configure(map[string]dynconf.RequestQuota{"new": q}, now)
+	l.Configure(both, now+time.Second)
+	require.Zero(t, available(l))
+}
+
 // Guards against two lenders that have the part of a node at the same time, which lend
 // more than the quota together.
 func TestPartOfANodeIsWithOneLender(t *testing.T) {
