--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -49,6 +49,9 @@
 	LargestCustomers *Section[*LargestCustomers]
 	// Evacuation is written by control/evacuation.
 	Evacuation *Section[*Evacuation]
+	// Quotas is written by control/quota. It is empty without customers that have a
+	// limit.
+	Quotas *Section[*Quotas]
 
 	// ServerLoad holds the latest load report of the local backend server.
 	ServerLoad *ServerLoad
@@ -92,6 +95,9 @@
 	// Evacuations carries reads of the store and states of other nodes to
 	// control/evacuation.
 	Evacuations *Inbox[EvacuationEvent]
+	// QuotaReports carries the groups of customers of which a report is due at once to
+	// control/quota.
+	QuotaReports *Inbox[int]
 }
 
 // NodeIdentity identifies a node.
@@ -124,6 +130,7 @@
 		Quarantine:       NewSection("quarantine", &Quarantine{}),
 		LargestCustomers: NewSection("largest_customers", &LargestCustomers{}),
 		Evacuation:       NewSection("evacuation", &Evacuation{}),
+		Quotas:           NewSection("quotas", &Quotas{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)),
@@ -139,6 +146,7 @@
 		ExecutionResults: NewInbox[ExecutionResult](executionResultInboxSize),
 		Suspicions:       NewInbox[[]Suspicion](suspicionInboxSize),
 		Evacuations:      NewInbox[EvacuationEvent](evacuationInboxSize),
+		QuotaReports:     NewInbox[int](quotaRequestInboxSize),
 	}
 }
 
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -6,6 +6,7 @@
 	"context"
 	stdlog "log"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -23,6 +24,7 @@
 	"mangostand.example/mangostand/pkg/control/largestcustomers"
 	"mangostand.example/mangostand/pkg/control/localserver"
 	"mangostand.example/mangostand/pkg/control/quarantine"
+	"mangostand.example/mangostand/pkg/control/quota"
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/decide/attempts"
@@ -81,6 +83,8 @@
 	serverPool *h1.Pool
 	executor   *mesh.Executor
 	entry      *mesh.Entry
+	// quotas applies the quotas of customers and answers the reports of other nodes.
+	quotas *quota.Controller
 	// configServer responds to pulls of the configuration.
 	configServer *routefeed.Server
 
@@ -168,6 +172,7 @@
 			counters.IncrementCounter("store_calls", map[string]string{"kind": string(kind), "result": string(result)})
 			n.log.Debug().Str("event", "store_call").Str("kind", string(kind)).Str("result", string(result)).Send()
 		}))
+	n.quotas = quota.New(n.board, n.quotaLimits(), rand.Uint32()|1, n.reportQuota, counters, n.log)
 	n.controllers = []control.Controller{
 		localserver.New(n.board, n.log),
 		n.executor,
@@ -182,6 +187,7 @@
 			OnLoadReport: n.executor.OnHealthReport, OnWarmup: n.executor.OnWarmup,
 			NeedsReport: n.executor.NeedsHealthReport, Reserve: n.executor.ReserveForHealthCheck, Log: n.log,
 		},
+		n.quotas,
 		&idleConnSweeper{pools: []*h1.Pool{n.peerPool, n.serverPool}},
 	}
 }
