Let a restarted executor take calls while the store is away

An executor without a configuration refused the calls of all entries whose version was not confirmed within half of evacuation_time, also in an outage of the store, in which nobody confirms a version and the bound does not apply. It now takes them once its node has found the store unreachable, as before.

--- a/pkg/control/evacuation/fleet_test.go
+++ b/pkg/control/evacuation/fleet_test.go
@@ -291,6 +291,27 @@
 	return append([]byte(`{"version":"r1","listeners":[],"clusters":[]}`), strings.Repeat(" ", padding)...)
 }
 
+// sleepAtRandom makes the moment of the next write independent of the reads of the
+// watcher, which come every 500 ms.
+func sleepAtRandom() { time.Sleep(rand.N(500 * time.Millisecond)) }
+
+// largeSizes are the sizes of further fleets. The build tag large sets them, since they
+// take too long with the race detector.
+var largeSizes []int
+
+// Guards against a fleet that is too large for an evacuation to reach all nodes in time.
+func TestEvacuationReachesLargeFleetsInTime(t *testing.T) {
+	for _, size := range append([]int{150}, largeSizes...) {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			withSite(t, size, document(0), func(t *testing.T, s *site) {
+				sleepAtRandom()
+				s.put(platform.EvacuationKey("d1"), nil)
+				t.Logf("known to all after %s", s.await(evacuationTime, "evacuated", includes("d1")))
+			})
+		})
+	}
+}
+
 // Guards against an evacuation that some node learns later than 5 s after the key was
 // written, while messages are lost, and against one that does not end: with a document
 // that is polled or watched, when the deciding node or its links fail meanwhile, and when
@@ -318,6 +339,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withSite(t, 74, document(test.padding), func(t *testing.T, s *site) {
+				sleepAtRandom()
 				s.put(platform.EvacuationKey("d1"), nil)
 				written := time.Now()
 				test.fault(s)
--- a/pkg/decide/evacuation/evacuation.go
+++ b/pkg/decide/evacuation/evacuation.go
@@ -139,10 +139,10 @@
 // AcceptsBeforeConfiguration reports whether an executor that has no configuration
 // yet may run a call of another node. A node learns the evacuated domains in the same
 // message or read as the configuration. Before that it relies on the entry, which must
-// have confirmed what it knows within half of the evacuation time. A time of 0 means
-// that there is no such limit.
-func AcceptsBeforeConfiguration(entryConfirmedAge, evacuationTime time.Duration) bool {
-	return evacuationTime == 0 || entryConfirmedAge <= evacuationTime/2
+// have confirmed what it knows within half of the evacuation time. A node that cannot
+// reach the store is not bound to that time. A time of 0 means that there is no limit.
+func AcceptsBeforeConfiguration(entryConfirmedAge, evacuationTime time.Duration, storeUnreachable bool) bool {
+	return evacuationTime == 0 || storeUnreachable || entryConfirmedAge <= evacuationTime/2
 }
 
 // KnownDomains returns the failure domains of a fleet and of the node itself.
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -26,7 +26,9 @@
 	if x.Board.Routes.Load().Version > 0 {
 		return true
 	}
-	return evacuation.AcceptsBeforeConfiguration(time.Duration(entry.ConfirmedAgeMillis)*time.Millisecond, x.EvacuationTime)
+	store := x.Board.Store.Load()
+	unreachable := !store.Reachable && !store.ReachabilityChangedAt.IsZero()
+	return evacuation.AcceptsBeforeConfiguration(time.Duration(entry.ConfirmedAgeMillis)*time.Millisecond, x.EvacuationTime, unreachable)
 }
 
 // refuseHop returns the result of a call of another node that is refused before it is
