Treat a store without a configuration as one that says nothing

After the store came back from a copy from before the first configuration, the watcher decoded an empty document and reported config_refused. A read without a document is no longer passed on. The new test failed before the change.

--- a/pkg/control/routefeed/oldercopy_test.go
+++ b/pkg/control/routefeed/oldercopy_test.go
@@ -1,6 +1,7 @@
 package routefeed
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -162,3 +163,23 @@
 		require.Less(t, b.ConfigConfirmed.Age(5, time.Now()), time.Second)
 	})
 }
+
+// Guards against a store without a document, as in a copy from before the first one, that
+// is reported as a malformed configuration.
+func TestCopyWithoutADocument(t *testing.T) {
+	withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
+		s.Snapshot("empty")
+		putVersion(t, s, 4)
+		var logged bytes.Buffer
+		b := board.NewMeshBoard(board.NodeIdentity{Instance: "a"})
+		b.Fleet.Claim("test").Publish(&board.Fleet{Size: 1, ByInstance: map[board.InstanceID]*board.MeshEndpoint{"a": {}}})
+		go New(b, newClient(s), nil, Options{}, nil, zerolog.New(&logged)).Run(ctx)
+		time.Sleep(startupGrace + 2*time.Second)
+		require.True(t, s.RestoreOlderCopy("empty"))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.EqualValues(t, 4, b.Routes.Load().Version)
+		require.Contains(t, logged.String(), "store_era")
+		require.NotContains(t, logged.String(), "config_refused")
+	})
+}
--- a/pkg/control/routefeed/store.go
+++ b/pkg/control/routefeed/store.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		c.observe(ctx, state, requestedAt)
-		if version := versionOf(state); version != handled {
+		if version := versionOf(state); version != handled && version != (documentVersion{}) {
 			c.publish(ctx, &fetchedDocument{document: state.Config.Value, from: fromStore, readAt: requestedAt})
 			handled = version
 		}
