Test the flow between failure domains on the model

Cause: the share of calls that leaves a domain depends on what all entries do together, which a test of one decision does not show. Reports that are many seconds old, as most are in a large fleet, could outweigh new ones. Change: the comparison of the domains weights reports by age. The model prints means of three runs; it shows served shares by domain, swings, a domain without servers and one whose servers fail. Tests of counters, causes, the measured distance and request bytes.

--- a/bench/model/domains.go
+++ b/bench/model/domains.go
@@ -137,7 +137,7 @@
 	tried     []int
 	offers    int
 	repeated  locality.Cause
-	// server runs or queues the call; finishedAt is when its response arrives.
+	// server has the latest offer.
 	server int
 }
 
@@ -435,7 +435,7 @@
 			sim.candidates[i].Excluded = sim.candidates[i].Excluded || sim.candidates[i].OtherDomain
 		}
 	}
-	choice, _ := earliest.Choice{}, false
+	var choice earliest.Choice
 	if sim.policy.gradual {
 		decision, _ := locality.Decide(locality.Input{
 			Candidates: sim.candidates, Nominal: nominal, Tolerance: equalTimes, Repeated: c.repeated,
@@ -529,13 +529,30 @@
 	}
 }
 
-// domainRow returns the row of the table for one run.
+// runsPerRow is the number of runs with consecutive seeds whose mean is printed. The
+// shares in time of single runs differ by some hundredths.
+const runsPerRow = 3
+
+// domainRow returns the row of the table for a policy.
 func domainRow(s *scenario, v fleetVariant, p domainPolicy, seed uint64) string {
-	r := newDomainSim(s, v, p, seed).run(nil)
-	shares := make([]string, len(s.domains))
-	for i := range s.domains {
-		shares[i] = fmt.Sprintf("%.3f", r.inTimeShare(i))
+	inTime := make([]float64, len(s.domains))
+	var p50, p99 time.Duration
+	left, megabytes, swing := 0.0, 0.0, 0.0
+	for run := range uint64(runsPerRow) {
+		r := newDomainSim(s, v, p, seed+run).run(nil)
+		for i := range inTime {
+			inTime[i] += r.inTimeShare(i) / runsPerRow
+		}
+		p50 += r.percentile(0.5) / runsPerRow
+		p99 += r.percentile(0.99) / runsPerRow
+		left += r.leftShare() / runsPerRow
+		megabytes += float64(r.crossBytes) / 1e6 / runsPerRow
+		swing += r.swing / runsPerRow
+	}
+	shares := make([]string, len(inTime))
+	for i, share := range inTime {
+		shares[i] = fmt.Sprintf("%.3f", share)
 	}
 	return fmt.Sprintf("| %d | %s | %s | %s | %d ms | %d ms | %.3f | %.1f | %.1f |", v.nodes, v.reportAge, p.name, strings.Join(shares, " / "),
-		r.percentile(0.5).Milliseconds(), r.percentile(0.99).Milliseconds(), r.leftShare(), float64(r.crossBytes)/1e6, r.swing)
+		p50.Milliseconds(), p99.Milliseconds(), left, megabytes, swing)
 }
--- a/pkg/decide/locality/locality.go
+++ b/pkg/decide/locality/locality.go
@@ -94,9 +94,13 @@
 	// maxRampShare bounds the ramp as a share of the nominal time, so that a domain
 	// with too few servers gets help before its calls are late.
 	maxRampShare = 0.5
-	// maxAge is the age that is assumed for endpoints without a report, and the
-	// longest that counts.
+	// maxAge is the longest age that counts for the ramp and for the rate of the share.
 	maxAge = time.Second
+	// unknownAge is the age that is assumed for endpoints without a report.
+	unknownAge = time.Minute
+	// weightHalfAge is the age at which a report has half of its weight in the
+	// comparison of the domains: a few service times.
+	weightHalfAge = 250 * time.Millisecond
 )
 
 // domainTimes is what is known about the own domain and about all others together.
@@ -105,7 +109,7 @@
 	// own and other are the indexes of the candidates with the least expected time, -1
 	// when there is none.
 	own, other int
-	// age is the mean age of the reports, and trust how much the differences between
+	// age is the weighted mean age of the reports, and trust how much the differences between
 	// single endpoints of a domain still say, from 1 for new reports to 0.
 	age   time.Duration
 	trust float64
@@ -116,9 +120,8 @@
 
 func newDomainTimes(in Input, times []time.Duration) domainTimes {
 	d := domainTimes{own: -1, other: -1, times: times}
-	var totals [2]time.Duration
-	var counts [2]int
-	var ages time.Duration
+	var totals, weights [2]float64
+	ages := 0.0
 	for i, t := range times {
 		if t == earliest.Ineligible {
 			continue
@@ -130,15 +133,17 @@
 		if *best < 0 || t < times[*best] {
 			*best = i
 		}
-		totals[side] += t
-		counts[side]++
-		ages += knownAge(&in.Candidates[i])
+		age := knownAge(&in.Candidates[i])
+		weight := reportWeight(age)
+		totals[side] += weight * float64(t)
+		weights[side] += weight
+		ages += weight * float64(min(age, maxAge))
 	}
-	d.age = ages / time.Duration(max(1, counts[0]+counts[1]))
+	d.age = time.Duration(ages / max(weights[0]+weights[1], math.SmallestNonzeroFloat64))
 	d.trust = math.Exp(-float64(d.age) / float64(max(1, in.Nominal)))
 	if d.own >= 0 && d.other >= 0 {
-		mean := totals[0]/time.Duration(counts[0]) - totals[1]/time.Duration(counts[1])
-		d.excess = time.Duration(d.trust*float64(times[d.own]-times[d.other]) + (1-d.trust)*float64(mean))
+		mean := totals[0]/weights[0] - totals[1]/weights[1]
+		d.excess = time.Duration(d.trust*float64(times[d.own]-times[d.other]) + (1-d.trust)*mean)
 	}
 	return d
 }
@@ -148,7 +153,7 @@
 //
 // With reports of age 0, and for offers after the first, the endpoint with the least
 // expected time is chosen wherever it is. With older reports,
-//   - the domains as a whole are compared: among many endpoints the best report is
+//   - the domains as a whole are compared, by their newer reports: among many endpoints the best report is
 //     nearly always that of an idle server, which has got other calls meanwhile,
 //   - the target rises with the difference in expected time and does not jump to 1,
 //   - the share moves to the target at a rate that falls with the age.
@@ -212,9 +217,17 @@
 // knownAge returns the age of what is known about a candidate.
 func knownAge(c *earliest.Candidate) time.Duration {
 	if c.LoadAge < 0 {
-		return maxAge
+		return unknownAge
 	}
-	return min(c.LoadAge, maxAge)
+	return min(c.LoadAge, unknownAge)
+}
+
+// reportWeight returns the weight of a report in the comparison of the domains. In a
+// large fleet most reports are many seconds old. A report of a queue that has long
+// ended must not outweigh new reports of idle servers.
+func reportWeight(age time.Duration) float64 {
+	relative := float64(age) / float64(weightHalfAge)
+	return 1 / (1 + relative*relative)
 }
 
 // ownDomainFails reports whether the best endpoint of the own domain is slower only
--- a/pkg/decide/locality/locality_test.go
+++ b/pkg/decide/locality/locality_test.go
@@ -178,6 +178,19 @@
 	require.False(t, ok)
 }
 
+// Guards against calls that are held back, or sent nowhere, when the links to the other
+// domains break, and against an entry that starts anew without help for its domain.
+func TestLinksBreakAndNodesRestart(t *testing.T) {
+	now := time.Unix(10, 0)
+	local, remote := candidate(9, 1, 400*ms), candidate(0, 1, 400*ms)
+	cut := decide(t, Input{Candidates: domains(4, 0, local, remote), Previous: State{Share: 0.8, At: now}, Now: now.Add(ms)})
+	require.Equal(t, Stays, cut.Cause)
+	require.Zero(t, cut.State.Share)
+	restarted := decide(t, Input{Candidates: domains(4, 8, local, remote), Now: now})
+	require.Equal(t, Slower, restarted.Cause)
+	require.Greater(t, restarted.Share, 0.9)
+}
+
 // Guards against a decision on one idle server among many while the domain as a whole
 // is overloaded, since an old report of an idle server says little.
 func TestOverloadedDomainGetsHelpDespiteOneOldIdleReport(t *testing.T) {
@@ -192,6 +205,17 @@
 	require.Equal(t, 7, decision.Index, "a new report counts")
 }
 
+// Guards against calls that leave because of reports of a queue that ended long ago.
+func TestVeryOldReportsOfAQueueDoNotCount(t *testing.T) {
+	candidates := domains(20, 40, candidate(14, 1, 30*time.Second), candidate(1, 1, 300*ms))
+	for i := range 4 {
+		candidates[i] = candidate(1, 1, 100*ms)
+	}
+	decision := decide(t, Input{Candidates: candidates, Now: time.Unix(1, 0)})
+	require.Less(t, decision.Target, 0.01)
+	require.Equal(t, Stays, decision.Cause)
+}
+
 // Guards against request bytes of small requests that keep calls in their domain,
 // uploads that cross for nothing, and callers that wait longer in their slot to save
 // bytes.
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -71,8 +71,10 @@
 
 // eligibleEndpoints returns the endpoints to which the call may be offered.
 func (f *forwarder) eligibleEndpoints() []*board.MeshEndpoint {
-	var healthy, suspected []*board.MeshEndpoint
-	for _, endpoint := range f.entry.Board.Fleet.Load().ByService[f.call.Service] {
+	endpoints := f.entry.Board.Fleet.Load().ByService[f.call.Service]
+	healthy := make([]*board.MeshEndpoint, 0, len(endpoints))
+	var suspected []*board.MeshEndpoint
+	for _, endpoint := range endpoints {
 		switch {
 		case slices.Contains(f.excluded, endpoint.Record.Instance), endpoint.Reachability.Replaced():
 		case endpoint.Reachability.Suspected():
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/attempts"
 	"mangostand.example/mangostand/pkg/decide/customer"
+	"mangostand.example/mangostand/pkg/decide/locality"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/mesh"
@@ -527,3 +528,18 @@
 	require.Equal(t, mesh.Answered, execute(0).Outcome)
 	require.Zero(t, n.executor.InFlight(), "both slots are released")
 }
+
+// Guards against a distance between failure domains that is never measured: each
+// forwarded call measures it.
+func TestForwardedCallsMeasureTheDistance(t *testing.T) {
+	local, remote := startBackend(t, respondOK), startBackend(t, respondOK)
+	nodes := startFleet(t, local, remote)
+	nodes[0].record.State = board.ServerDraining
+	nodes[1].record.FailureDomain = "e"
+	nodes[0].publishFleet(nodes)
+	resp, _ := nodes[0].call(t, http.MethodPost, "/book/1", "x", nil)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 1, remote.executions.Load())
+	require.NotEqual(t, locality.DefaultCrossLatency, nodes[0].board.DomainLatencies.Latency("d", "e"))
+	require.Equal(t, locality.DefaultCrossLatency, nodes[0].board.DomainLatencies.Latency("d", "f"))
+}
