--- a/pkg/meshnode/quota.go
+++ b/pkg/meshnode/quota.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	body, err := n.requestPeer(ctx, addr, targetQuota, data, func() {})
+	body, err := n.requestPeer(ctx, addr, targetQuota, data, peerObserver{})
 	if err != nil {
 		var requestErr *h1.Error
 		switch {
