--- a/pkg/decide/locality/locality_test.go
+++ b/pkg/decide/locality/locality_test.go
@@ -224,7 +224,7 @@
 	require.Equal(t, 15*ms, Cost(Traffic{Nominal: nominal, FirstOffer: true}, DefaultTimePerMB))
 	require.Equal(t, 10*ms, Cost(Traffic{Nominal: nominal, FirstOffer: true, CallerLoad: 0.5}, DefaultTimePerMB))
 	require.Equal(t, 7500*time.Microsecond, Cost(Traffic{Nominal: nominal, FirstOffer: true, CallerLoad: 40}, DefaultTimePerMB))
-	require.Equal(t, 15*ms, Cost(Traffic{Nominal: nominal, ResponseBytes: 1 << 30, FirstOffer: true}, 0), "only latency counts")
+	require.Equal(t, 15*ms, Cost(Traffic{Nominal: nominal, ResponseBytes: 1 << 30, FirstOffer: true}, 0), "bytes do not count")
 }
 
 // Guards against a distance that includes the work of the nodes or one wait, and
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -35,7 +35,7 @@
 	// contact to the store. 0 means that there is no such limit.
 	RevocationTime time.Duration
 	// CrossDomainTimePerMB is the time that a megabyte between failure domains is
-	// worth; 0 means that only latency counts.
+	// worth; 0 means that bytes do not count.
 	CrossDomainTimePerMB time.Duration
 
 	inFlight atomic.Int64
--- a/pkg/mesh/locality_test.go
+++ b/pkg/mesh/locality_test.go
@@ -75,9 +75,7 @@
 	f := newBenchForwarder(8)
 	f.pickEndpoint()
 	require.Equal(t, locality.Stays, f.locality.Cause)
-	for _, id := range []board.InstanceID{"n0", "n4"} {
-		f.excluded = append(f.excluded, id)
-	}
+	f.excluded = []board.InstanceID{"n0", "n4"}
 	f.pickEndpoint()
 	require.Equal(t, locality.NoServer, f.locality.Cause)
 	f.offers, f.repeated = 1, repeatCause(notSent(board.ReasonOverloaded))
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -202,7 +202,7 @@
 			inifile.Float("link_mbps", &m.LinkMbps, 0, maxLinkMbps).
 				WithDescription("Rate of the machine's link in Mbit/s; 0 means not known. Large answers are paced to it."),
 			inifile.Duration("cross_domain_time_per_mb", &m.CrossDomainTimePerMB, 0, maxCrossDomainTimePerMB).
-				WithDescription("Response time that a megabyte (1,000,000 bytes of bodies) between failure domains is worth. A call leaves its failure domain if that is expected to save more than this time for its bytes: with 2.5s, 225 ms for an answer of 90 kB. Answers count always, request bodies only for rules with large requests. A larger value keeps more calls in their domain while it is slow; 0s weighs response times only."),
+				WithDescription("Response time that a megabyte (1,000,000 bytes of bodies) between failure domains is worth. A call leaves its failure domain if that is expected to save more than this time for its bytes: with 2.5s, 225 ms for an answer of 90 kB. Answers count always, request bodies only for rules with large requests. A larger value keeps more calls in their domain while it is slow; with 0s bytes do not count."),
 		}
 	case "listen":
 		return []inifile.Field{
