Quotas: back off by the share of a node

Cause: nodes of a large fleet asked for a customer above its quota more often than its rate has requests, and a new lender made nodes back off for long although the demand was within the rate. Change: the time for which a node refuses requests after a denial follows its share of the rate, or the state of the account when the demand is within it.

--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -103,8 +103,10 @@
 	target   board.InstanceID
 	chosenAt time.Duration
 	fleet    *board.Fleet
-	failures int
-	avoid    map[board.InstanceID]time.Duration
+	// loggedTarget is the lender in the last log line.
+	loggedTarget board.InstanceID
+	failures     int
+	avoid        map[board.InstanceID]time.Duration
 }
 
 // customerState is what the node reports of a customer.
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -208,7 +208,7 @@
 	if g.target != "" && fleet == g.fleet && now-g.chosenAt < targetReuse && c.reachable(g, fleet, g.target, now) {
 		return
 	}
-	previous := g.target
+	defer c.logTarget(g)
 	g.target, g.fleet, g.chosenAt = "", fleet, now
 	for id, until := range g.avoid {
 		if now >= until {
@@ -233,8 +233,15 @@
 		candidates = append(candidates, self)
 	}
 	g.target = quota.ChooseLender(g.state.Number, candidates)
-	if g.target != previous {
-		c.log.Info().Str("event", "quota_lender").Int("group", g.state.Number).Str("lender", string(g.target)).
-			Str("previous", string(previous)).Int("candidates", len(candidates)).Send()
+}
+
+// logTarget logs a change of the lender of a group; none means that this node uses its
+// part itself.
+func (c *Controller) logTarget(g *group) {
+	if g.target == g.loggedTarget {
+		return
 	}
+	c.log.Info().Str("event", "quota_lender").Int("group", g.state.Number).Str("lender", string(g.target)).
+		Str("previous", string(g.loggedTarget)).Int("fleet_size", int(c.fleetSize.Load())).Send()
+	g.loggedTarget = g.target
 }
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -298,7 +298,7 @@
 		parts, fleetSize := l.countParts(now)
 		l.setPart(float64(parts) / float64(fleetSize))
 	}
-	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, r.Validity
+	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, min(r.Validity, maxValidity)
 	reply.Part = l.part
 	for i := range r.Usage {
 		if a := l.accounts[r.Usage[i].Customer]; a != nil {
@@ -384,10 +384,7 @@
 	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held, a.available-float64(u.Waiting)-reserveLevel*capacity)
 	want := float64(u.Waiting) + math.Floor(max(0, advance))
 	limited := a.available < openLevel*capacity-a.held
-	backoff := maxBackoff
-	if rate > 0 {
-		backoff = Backoff(rate, capacity)
-	}
+	backoff := Backoff(a.available, rate, capacity, a.demand, u.Demand)
 	if limited && a.demand > 0 {
 		share := math.Ceil(rate * u.Demand / a.demand * backoff.Seconds())
 		want = min(want, max(1, share))
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -147,14 +147,26 @@
 const minRetryAfter = 20 * time.Millisecond
 
 // Backoff returns how long a node whose request was denied refuses further requests of
-// the customer before it asks the lender again. The account does not overflow meanwhile.
-func Backoff(rate, capacity float64) time.Duration {
-	return min(maxBackoff, max(minBackoff, time.Duration(capacity/(4*rate)*float64(time.Second))))
+// the customer before it asks the lender again. If the demand is within the rate, that
+// is until the account holds a request again. Otherwise the node asks about twice per
+// request that is its share of the rate, and before the account overflows.
+func Backoff(available, rate, capacity, demand, nodeDemand float64) time.Duration {
+	if rate <= 0 {
+		return minBackoff
+	}
+	seconds := max(0, 1-available) / rate
+	if demand > rate {
+		seconds = capacity / (4 * rate)
+		if nodeDemand > 0 {
+			seconds = max(seconds, demand/nodeDemand/(2*rate))
+		}
+	}
+	return time.Duration(min(maxBackoff.Seconds(), max(minBackoff.Seconds(), seconds)) * float64(time.Second))
 }
 
 const (
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 500 * time.Millisecond
+	maxBackoff = time.Second
 )
 
 // FleetSizes remembers the largest size of the fleet within FleetSizeMemory.
