A node without a configuration does not lend

Cause: in a run of six processes, a lender that was killed and came back after 0.5 s got reports before it had its configuration; a customer below its quota was refused for 1.5 s. Its accounts would also have been filled at once with the first configuration, as those of new customers. Change: such a node says that it is not ready and is not asked for 1 s; the first configuration of a lender fills no account. The play of the fleet delays the configuration of a starting node by up to 0.6 s.

--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -36,7 +36,10 @@
 	retryDelay = 100 * time.Millisecond
 	// avoidTime is how long a node does not report to a lender that did not reply, and
 	// unsupportedTime to one that does not know reports, as during an upgrade.
-	avoidTime       = 3 * time.Second
+	avoidTime = 3 * time.Second
+	// notReadyTime is how long a node does not report to a lender that has no
+	// configuration yet. A starting node gets it within a second.
+	notReadyTime    = time.Second
 	unsupportedTime = 30 * time.Second
 	// targetReuse is how long the choice of a lender is used without another look at the
 	// fleet, while its replies arrive.
--- a/pkg/control/quota/lend.go
+++ b/pkg/control/quota/lend.go
@@ -15,6 +15,9 @@
 		return nil, errors.Errorf("report of node %q: group %d, fleet size %d", m.From, m.Group, m.FleetSize)
 	}
 	now := c.now()
+	if c.board.Routes.Load().Version == 0 {
+		return &Response{From: c.board.Self.Instance, LenderIncarnation: c.incarnation, StampMillis: now.Milliseconds(), NotReady: true}, nil
+	}
 	c.lendersMu.Lock()
 	defer c.lendersMu.Unlock()
 	return encodeReply(c.board.Self.Instance, c.lenderOf(m.Group, now).Answer(decodeReport(m), now, c.random())), nil
--- a/pkg/control/quota/message.go
+++ b/pkg/control/quota/message.go
@@ -54,6 +54,8 @@
 	Stale     bool    `cbor:"5,keyasint,omitempty"`
 	Grants    []Grant `cbor:"6,keyasint,omitempty"`
 	Carried   []Carry `cbor:"7,keyasint,omitempty"`
+	// NotReady is set by a node that has no configuration yet, and does not lend.
+	NotReady bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant is the reply for one customer, see quota.Grant.
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -93,6 +93,16 @@
 		return
 	}
 	g.failures = 0
+	if g.delegation.Incarnation != r.reply.LenderIncarnation {
+		// An earlier process of the lender has ended.
+		g.delegation = g.delegation.Released(r.report.target, now)
+	}
+	if r.reply.NotReady {
+		g.avoid[r.report.target], g.target = now+notReadyTime, ""
+		g.setFallbackFrom(now + maxTimeout)
+		g.dueAt = now
+		return
+	}
 	if r.report.message.Release {
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -83,6 +83,8 @@
 	fleetSize int
 	nodes     map[board.InstanceID]*borrower
 	accounts  map[string]*account
+	// configured is set once the lender has a configuration.
+	configured bool
 	// removedAt holds when customers were removed within the last window.
 	removedAt map[string]time.Duration
 	// credit is the integral of the part over time in seconds, up to advancedAt.
@@ -133,7 +135,8 @@
 }
 
 // Configure sets the quotas of the customers of the group. The account of a customer
-// that is new in the configuration is full, as far as the lender has the parts of nodes.
+// that is new in a later configuration is full, as far as the lender has the parts of
+// nodes. The first configuration of a lender tells nothing about what others have lent.
 func (l *Lender) Configure(quotas map[string]dynconf.RequestQuota, now time.Duration) {
 	l.advance(now)
 	for name, at := range l.removedAt {
@@ -155,7 +158,7 @@
 		if a == nil {
 			a = &account{creditAt: l.credit}
 			l.accounts[name] = a
-			if _, removed := l.removedAt[name]; !removed {
+			if _, removed := l.removedAt[name]; l.configured && !removed {
 				a.available = l.limits.Capacity(q) * l.part
 			}
 		}
@@ -165,6 +168,7 @@
 		a.quota, a.capacity = q, l.limits.Capacity(q)
 		l.fill(a)
 	}
+	l.configured = true
 }
 
 // SetFleetSize sets the largest fleet size of the last FleetSizeMemory.
--- a/pkg/decide/quota/quota_test.go
+++ b/pkg/decide/quota/quota_test.go
@@ -85,6 +85,11 @@
 	require.True(t, grant.Limited)
 	require.Positive(t, grant.Backoff)
 
+	l = NewLender(7, limits, 0)
+	l.Answer(report("n", 1, 0), 0, 0)
+	l.Configure(map[string]dynconf.RequestQuota{"c": {Rate: 10}}, 0)
+	require.Zero(t, available(l), "the parts arrive before the first configuration")
+
 	l, now := lenderOfTwo(t)
 	l.Configure(map[string]dynconf.RequestQuota{"c": {Rate: 1}}, now)
 	require.LessOrEqual(t, available(l), limits.Capacity(dynconf.RequestQuota{Rate: 1}))
