--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -93,6 +93,16 @@
 		return
 	}
 	g.failures = 0
+	if g.delegation.Incarnation != r.reply.LenderIncarnation {
+		// An earlier process of the lender has ended.
+		g.delegation = g.delegation.Released(r.report.target, now)
+	}
+	if r.reply.NotReady {
+		g.avoid[r.report.target], g.target = now+notReadyTime, ""
+		g.setFallbackFrom(now + maxTimeout)
+		g.dueAt = now
+		return
+	}
 	if r.report.message.Release {
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
@@ -208,7 +218,7 @@
 	if g.target != "" && fleet == g.fleet && now-g.chosenAt < targetReuse && c.reachable(g, fleet, g.target, now) {
 		return
 	}
-	previous := g.target
+	defer c.logTarget(g)
 	g.target, g.fleet, g.chosenAt = "", fleet, now
 	for id, until := range g.avoid {
 		if now >= until {
@@ -233,8 +243,15 @@
 		candidates = append(candidates, self)
 	}
 	g.target = quota.ChooseLender(g.state.Number, candidates)
-	if g.target != previous {
-		c.log.Info().Str("event", "quota_lender").Int("group", g.state.Number).Str("lender", string(g.target)).
-			Str("previous", string(previous)).Int("candidates", len(candidates)).Send()
+}
+
+// logTarget logs a change of the lender of a group; none means that this node uses its
+// part itself.
+func (c *Controller) logTarget(g *group) {
+	if g.target == g.loggedTarget {
+		return
 	}
+	c.log.Info().Str("event", "quota_lender").Int("group", g.state.Number).Str("lender", string(g.target)).
+		Str("previous", string(g.loggedTarget)).Int("fleet_size", int(c.fleetSize.Load())).Send()
+	g.loggedTarget = g.target
 }
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -83,6 +83,8 @@
 	fleetSize int
 	nodes     map[board.InstanceID]*borrower
 	accounts  map[string]*account
+	// configured is set once the lender has a configuration.
+	configured bool
 	// removedAt holds when customers were removed within the last window.
 	removedAt map[string]time.Duration
 	// credit is the integral of the part over time in seconds, up to advancedAt.
@@ -133,7 +135,8 @@
 }
 
 // Configure sets the quotas of the customers of the group. The account of a customer
-// that is new in the configuration is full, as far as the lender has the parts of nodes.
+// that is new in a later configuration is full, as far as the lender has the parts of
+// nodes. The first configuration of a lender tells nothing about what others have lent.
 func (l *Lender) Configure(quotas map[string]dynconf.RequestQuota, now time.Duration) {
 	l.advance(now)
 	for name, at := range l.removedAt {
@@ -155,7 +158,7 @@
 		if a == nil {
 			a = &account{creditAt: l.credit}
 			l.accounts[name] = a
-			if _, removed := l.removedAt[name]; !removed {
+			if _, removed := l.removedAt[name]; l.configured && !removed {
 				a.available = l.limits.Capacity(q) * l.part
 			}
 		}
@@ -165,6 +168,7 @@
 		a.quota, a.capacity = q, l.limits.Capacity(q)
 		l.fill(a)
 	}
+	l.configured = true
 }
 
 // SetFleetSize sets the largest fleet size of the last FleetSizeMemory.
@@ -298,7 +302,7 @@
 		parts, fleetSize := l.countParts(now)
 		l.setPart(float64(parts) / float64(fleetSize))
 	}
-	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, r.Validity
+	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, min(r.Validity, maxValidity)
 	reply.Part = l.part
 	for i := range r.Usage {
 		if a := l.accounts[r.Usage[i].Customer]; a != nil {
@@ -384,10 +388,7 @@
 	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held, a.available-float64(u.Waiting)-reserveLevel*capacity)
 	want := float64(u.Waiting) + math.Floor(max(0, advance))
 	limited := a.available < openLevel*capacity-a.held
-	backoff := maxBackoff
-	if rate > 0 {
-		backoff = Backoff(rate, capacity)
-	}
+	backoff := Backoff(a.available, rate, capacity, a.demand, u.Demand)
 	if limited && a.demand > 0 {
 		share := math.Ceil(rate * u.Demand / a.demand * backoff.Seconds())
 		want = min(want, max(1, share))
