--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -22,20 +22,6 @@
 	}
 }
 
-func checkCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
-	files := newConfigFiles()
-	c := addSubcommand(config, "check", "check the files and report every problem")
-	files.addFlags(c)
-	return &command{c, func() int {
-		_, names, status := files.readAndValidate(stderr)
-		if status != ExitOK {
-			return status
-		}
-		fmt.Fprintf(stdout, "configuration is valid, overlays: %d\n", len(names)-1)
-		return ExitOK
-	}}
-}
-
 func renderCommand(config *flaggy.Subcommand, stdout, stderr io.Writer) *command {
 	files, site := newConfigFiles(), ""
 	c := addSubcommand(config, "render", "print the merged result of a site with the origin of each value")
--- a/pkg/cli/nodeclient.go
+++ b/pkg/cli/nodeclient.go
@@ -32,8 +32,11 @@
 
 func newNodeClient() *nodeClient { return &nodeClient{baseURL: defaultNodeURL} }
 
-func (n *nodeClient) addFlags(c *flaggy.Subcommand) {
-	c.String(&n.baseURL, "n", "node", "URL of the node's operators' listener")
+func (n *nodeClient) addFlags(c *flaggy.Subcommand) { n.addFlagsFor(c, "operators' listener") }
+
+// addFlagsFor adds the flags for a listener other than the operators' one.
+func (n *nodeClient) addFlagsFor(c *flaggy.Subcommand, listener string) {
+	c.String(&n.baseURL, "n", "node", "URL of the node's "+listener)
 	c.String(&n.caFile, "", "ca", "CA certificate of the node (PEM), for https")
 	c.String(&n.certFile, "", "cert", "own certificate (PEM), when the node asks for one")
 	c.String(&n.keyFile, "", "key", "key of the own certificate (PEM)")
--- a/pkg/control/registration/oldercopy_test.go
+++ b/pkg/control/registration/oldercopy_test.go
@@ -73,8 +73,8 @@
 // awaitRecords returns the time until the store lists all nodes.
 func (f *registeredFleet) awaitRecords(limit time.Duration) time.Duration {
 	started := time.Now()
-	for len(f.store.List(recordPrefix)) < len(f.boards) {
-		require.LessOrEqual(f.t, time.Since(started), limit, "%d of %d records", len(f.store.List(recordPrefix)), len(f.boards))
+	for len(f.store.List(RecordPrefix)) < len(f.boards) {
+		require.LessOrEqual(f.t, time.Since(started), limit, "%d of %d records", len(f.store.List(RecordPrefix)), len(f.boards))
 		time.Sleep(10 * time.Millisecond)
 	}
 	return time.Since(started)
@@ -108,7 +108,7 @@
 				time.Sleep(10 * time.Second)
 				rejected := s.RequestStats().RateLimited
 				require.True(t, s.RestoreOlderCopy("empty"))
-				require.Empty(t, s.List(recordPrefix))
+				require.Empty(t, s.List(RecordPrefix))
 				f.announceEra(2)
 				took := f.awaitRecords(limit)
 				rejected = s.RequestStats().RateLimited - rejected
@@ -118,7 +118,7 @@
 				}
 				time.Sleep(leaseTTL + renewInterval)
 				holders := map[string]string{}
-				for _, entry := range s.List(recordPrefix) {
+				for _, entry := range s.List(RecordPrefix) {
 					require.Empty(t, holders[entry.Lease], "%s shares its lease", entry.Key)
 					holders[entry.Lease] = entry.Key
 				}
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// recordPrefix is the key prefix of the records of all nodes.
-	recordPrefix = "nodes/"
+	// RecordPrefix is the key prefix of the records of all nodes.
+	RecordPrefix = "nodes/"
 	// leaseTTL is the time after which an unrenewed record expires, about three
 	// renewal intervals. Unresponsive nodes are avoided long before.
 	leaseTTL = 10 * time.Second
@@ -254,7 +254,7 @@
 // probe makes the cheapest call of the store, whose refused calls are billed as
 // well, to find out whether it accepts the calls that are due.
 func (c *Controller) probe(ctx context.Context) {
-	_, err := c.store.GetStale(ctx, recordPrefix+string(c.board.Self.Instance))
+	_, err := c.store.GetStale(ctx, RecordPrefix+string(c.board.Self.Instance))
 	if errors.Is(err, platform.ErrNotFound) {
 		err = nil
 	}
@@ -295,7 +295,7 @@
 		c.log.Error().Err(err).Str("event", "record_not_encoded").Send()
 		return
 	}
-	_, err = c.store.Put(ctx, recordPrefix+string(record.Instance), data, c.leaseID)
+	_, err = c.store.Put(ctx, RecordPrefix+string(record.Instance), data, c.leaseID)
 	if errors.Is(err, platform.ErrNotFound) {
 		c.dropLease()
 		return
@@ -337,7 +337,7 @@
 	if consistent {
 		list = c.store.List
 	}
-	entries, err := list(ctx, recordPrefix)
+	entries, err := list(ctx, RecordPrefix)
 	if !c.recordResult("list", err) {
 		return
 	}
@@ -363,6 +363,18 @@
 	c.writer.Publish(&next)
 }
 
+// CountServers returns the number of nodes with a backend server by service, from the
+// records in the store. It skips malformed records.
+func CountServers(entries []platform.Entry) map[string]int {
+	servers := map[string]int{}
+	for _, entry := range entries {
+		if record, err := DecodeRecord(entry.Value); err == nil && record.Service != "" {
+			servers[record.Service]++
+		}
+	}
+	return servers
+}
+
 // DecodeRecord decodes and validates the record of a node.
 func DecodeRecord(data []byte) (board.NodeRecord, error) {
 	var record board.NodeRecord
--- a/pkg/control/registration/registration_test.go
+++ b/pkg/control/registration/registration_test.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Entry{{Key: recordPrefix + "n0", Value: data, Lease: "7"}}, s.call("stale")
+	return []platform.Entry{{Key: RecordPrefix + "n0", Value: data, Lease: "7"}}, s.call("stale")
 }
 
 func (s *restartedStore) RenewLease(_ context.Context, id string) error {
--- a/pkg/meshnode/peers.go
+++ b/pkg/meshnode/peers.go
@@ -14,6 +14,7 @@
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/mesh"
+	"mangostand.example/mangostand/pkg/routedoc"
 )
 
 // Request targets between nodes, besides forwarded calls.
@@ -21,9 +22,6 @@
 	targetExchange = "/mesh/exchange"
 	targetConfig   = "/mesh/config"
 	targetQuota    = "/mesh/quota"
-	// targetRouteTable returns the uncompressed configuration document. Nodes of
-	// earlier releases request it.
-	targetRouteTable = "/mesh/table"
 )
 
 // maxMessageBytes bounds a message between nodes: the records of a few
@@ -38,7 +36,7 @@
 		return n.executor.HandleHop(ctx, r)
 	case r.Target == targetExchange:
 		return n.handleExchange(r)
-	case r.Target == targetRouteTable:
+	case r.Target == routedoc.DocumentTarget:
 		return &h1.Response{Status: http.StatusOK, BufferedBody: n.board.RouteDocument.Load().Document}
 	case r.Target == targetConfig:
 		return n.handleConfigPull(r)
--- a/pkg/routedoc/routedoc.go
+++ b/pkg/routedoc/routedoc.go
@@ -12,6 +12,10 @@
 	"github.com/klauspost/compress/zstd"
 )
 
+// DocumentTarget is the path at which a node returns its uncompressed configuration
+// document. Nodes of earlier releases and operators' tools request it.
+const DocumentTarget = "/mesh/table"
+
 // MaxDocumentBytes bounds a document: the largest one that the store accepts, with a
 // margin.
 const MaxDocumentBytes = 2 << 20
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -99,10 +99,13 @@
 	EvacuationTime time.Duration
 }
 
+// DefaultQuotaWindow is the default of PlatformLimits.QuotaWindow.
+const DefaultQuotaWindow = 5 * time.Second
+
 func defaultPlatformLimits() PlatformLimits {
 	return PlatformLimits{
 		DrainTime: 2 * time.Second, StopGracePeriod: 6 * time.Second, AttemptRatio: 0.2, AttemptWindow: 10 * time.Second, AttemptSlack: 50,
-		RevocationTime: 5 * time.Second, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20,
+		RevocationTime: 5 * time.Second, QuotaWindow: DefaultQuotaWindow, QuotaOvershoot: 0.1, QuotaSlack: 20,
 		WarmupOvershoot: 1.5, WarmupSlack: 8, EvacuationTime: 5 * time.Second,
 	}
 }
