Grant a reserved slot to a nested call behind one that may not use it

Cause: while calls without a customer have more than three quarters of the service, a customer's call goes before nested ones. If no slot for ordinary calls was free, the choice of the next call ended there, and a slot reserved for nested calls stayed free while a nested call waited.

Change: if the first waiting call may not use the free slot, the next nested call gets it.

--- a/pkg/decide/queueing/queueing.go
+++ b/pkg/decide/queueing/queueing.go
@@ -230,3 +230,19 @@
 	}
 	return best
 }
+
+// NextNested returns the index of the nested job that gets a free slot which other jobs
+// may not use, or -1 if no nested job waits.
+func NextNested(jobs []Job, now time.Time) int {
+	var nested []Job
+	var indexes []int
+	for i, job := range jobs {
+		if job.Nested {
+			nested, indexes = append(nested, job), append(indexes, i)
+		}
+	}
+	if len(nested) == 0 {
+		return -1
+	}
+	return indexes[Next(nested, now)]
+}
--- a/pkg/decide/queueing/queueing_test.go
+++ b/pkg/decide/queueing/queueing_test.go
@@ -122,3 +122,16 @@
 	require.LessOrEqual(t, slowest, 300*ms)
 	require.Greater(t, float64(served)*float64(service)/slots/float64(2000*interval), 0.97, "busy share of the slots")
 }
+
+// Guards against a slot for nested jobs that goes to another job, or to a nested job that
+// is late while another one is not.
+func TestNextNestedChoosesAmongNestedJobsOnly(t *testing.T) {
+	now := time.Unix(0, 0)
+	at := func(nested bool, objective time.Duration) Job {
+		return Job{Nested: nested, NominalTime: 10 * time.Millisecond, Objective: now.Add(objective)}
+	}
+	require.Equal(t, -1, NextNested(nil, now))
+	require.Equal(t, -1, NextNested([]Job{at(false, time.Second)}, now))
+	jobs := []Job{at(false, time.Second), at(true, time.Millisecond), at(true, 3*time.Second), at(true, 2*time.Second)}
+	require.Equal(t, 3, NextNested(jobs, now))
+}
--- a/pkg/mesh/admission.go
+++ b/pkg/mesh/admission.go
@@ -58,7 +58,10 @@
 		x.setStandings(waiting, now)
 		next := queueing.Next(waiting, now)
 		if !waiting[next].Nested && !x.slotUse.tryOrdinary(x.slotsFor(waiting[next], slots, now)) {
-			return -1
+			// The free slot is reserved for nested calls.
+			if next = queueing.NextNested(waiting, now); next < 0 {
+				return -1
+			}
 		}
 		if !x.permitSend() {
 			x.slotUse.release(waiting[next])
