Keep the server error of a hedged call when the other attempt is refused

Cause: a hedged call dropped the server error of its first attempt while the second one was pending. If an executor then refused the second attempt, the caller got 503 with the outcome "not sent" for a call that had been executed, and its quota was given back.

Change: the error is kept as the latest failure of the call, as for attempts that follow each other.

Result: TestServerErrorOfAHedgedCallIsNotLost failed before (not sent instead of answered) and passes. go test -race passes in pkg/mesh.

--- a/pkg/mesh/hedge.go
+++ b/pkg/mesh/hedge.go
@@ -52,14 +52,18 @@
 // place.
 func (h *hedgedCall) recordFailure(offered offerResult) {
 	f := h.forwarder
-	h.cancels[offered.endpoint]()
+	if offered.result.Outcome == Answered {
+		// The server error is returned unless another attempt succeeds.
+		offered.result.Body = onClose(offered.result.Body, h.cancels[offered.endpoint])
+		f.lastFailure.closeBody()
+		f.lastFailure = offered.result
+	} else {
+		h.cancels[offered.endpoint]()
+	}
 	f.excluded = append(f.excluded, offered.endpoint.Record.Instance)
 	if offered.result.Outcome == Unknown {
 		f.lastUnknown = offered.result
 	}
-	if h.pending > 0 {
-		offered.result.closeBody()
-	}
 	if offered.result.Outcome != NotSent || h.pending == 0 || f.offers >= maxOffers || h.ctx.Err() != nil {
 		return
 	}
