Give back the time on the link that a canceled upload has reserved

Cause: an upload that was canceled while it waited for the link kept its reservation. The link looked busy for a body that never came, and the executor refused uploads for it or reported too long a backlog.

Change: the reservation is given back unless later bytes are reserved, whose senders already wait for their time. Whether a body arrives from another node is told by the local sender, so that tests can use a sender of their own.

Result: TestCanceledUploadGivesItsTimeOnTheLinkBack failed before (backlog of two bodies instead of one) and passes. go test -race passes in pkg/board and pkg/mesh.

--- a/pkg/board/link.go
+++ b/pkg/board/link.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// CancelReservation gives back a reservation whose sender has not started: its size, the
+// time at which it was made and the wait that Reserve returned. It has no effect once
+// later bytes are reserved, since their senders already wait for their time.
+func (p *LinkPacer) CancelReservation(bytes int, reservedAt time.Time, wait time.Duration) {
+	start := reservedAt.Sub(p.startedAt) + wait
+	_, next := pacing.Reserve(start, start, int64(bytes), p.Rate)
+	p.busyUntil.CompareAndSwap(int64(next), int64(start))
+}
+
 // AddPending adds bytes that will be sent; a negative number removes them.
 func (p *LinkPacer) AddPending(bytes int64) { p.pendingBytes.Add(bytes) }
 
--- a/pkg/mesh/upload.go
+++ b/pkg/mesh/upload.go
@@ -25,7 +25,7 @@
 // that another node forwards. It returns why the call is refused, or "".
 func (x *Executor) awaitLink(ctx context.Context, c *Call, job queueing.Job, from sender) board.Reason {
 	link := x.Board.InboundLink
-	if _, remote := from.(remoteSender); !remote || c.BodyBytes == 0 || link.Rate <= 0 {
+	if _, local := from.(localSender); local || c.BodyBytes == 0 || link.Rate <= 0 {
 		return ""
 	}
 	now := time.Now()
@@ -47,6 +47,7 @@
 	case <-timer.C:
 		return ""
 	case <-ctx.Done():
+		link.CancelReservation(int(c.BodyBytes), now, wait)
 		return board.ReasonCanceledByCaller
 	}
 }
