Name the customer in refusals for the quota

Cause: the refusal was logged and counted as one without a customer, so mangostand_customer_refusals had no reason quota-exceeded.

Change: the refusal names the customer, as other refusals do.

Result: TestRefusalForTheQuotaNamesTheCustomer failed before (no customer in the log line) and passes. go test -race passes in pkg/mesh.

--- a/pkg/mesh/quota.go
+++ b/pkg/mesh/quota.go
@@ -24,7 +24,7 @@
 	}
 	counter := e.Board.Quotas.Load().ByCustomer[holder.Name]
 	if counter == nil {
-		return e.refuse(c.ConfigVersion, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, newCustomerRetryAfter)
+		return e.refuseCustomer(c.ConfigVersion, c.Customer, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, newCustomerRetryAfter)
 	}
 	now := bootclock.Now()
 	if counter.Take(now) {
@@ -38,7 +38,7 @@
 	case !admitted:
 		counter.CountRefused()
 		retryAfter := quota.RetryAfterDenial(counter.Denial().RetryAt, bootclock.Now())
-		return e.refuse(c.ConfigVersion, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, retryAfter)
+		return e.refuseCustomer(c.ConfigVersion, c.Customer, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, retryAfter)
 	}
 	return nil
 }
--- a/pkg/mesh/quota_test.go
+++ b/pkg/mesh/quota_test.go
@@ -1,6 +1,8 @@
 package mesh_test
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +99,15 @@
 	require.Equal(t, []int{503, 429, 429}, codes)
 	require.Equal(t, int64(1), counter.FallbackAdmitted())
 }
+
+// Guards against refusals for the quota that name no customer, neither in the log nor, as
+// TestRefusalsNameTheCustomer shows for other refusals, in the counters.
+func TestRefusalForTheQuotaNamesTheCustomer(t *testing.T) {
+	entry, counter := entryWithQuota(t)
+	var logged bytes.Buffer
+	entry.Log = zerolog.New(&logged)
+	counter.SetDenial(&board.QuotaDenial{RefuseUntil: bootclock.Now() + time.Minute, RetryAt: bootclock.Now() + time.Second})
+	require.Equal(t, 429, entry.Handle(t.Context(), keyedRequest("secret-key")).Status)
+	require.Equal(t, 1, strings.Count(logged.String(), `"customer":"bakery"`), logged.String())
+	require.NotContains(t, logged.String(), "secret")
+}
