Return the server error of a call that is quarantined before its retry

Cause: the refusal of a quarantined request was final, even if a backend server had answered an earlier attempt with an error. The caller got 503 as for a call that was not executed, and its quota was given back.

Change: the refusal is final only if no attempt was answered.

Result: TestQuarantineDoesNotHideAServerError failed before and passes. go test -race passes in pkg/mesh.

--- a/pkg/mesh/forwarder.go
+++ b/pkg/mesh/forwarder.go
@@ -101,7 +101,7 @@
 	}
 	switch result.Outcome {
 	case NotSent:
-		return result.Reason == board.ReasonQuarantined && f.lastUnknown == nil
+		return result.Reason == board.ReasonQuarantined && f.lastUnknown == nil && f.lastFailure == nil
 	case Answered:
 		if result.Status < http.StatusInternalServerError || !f.call.Idempotent {
 			return true
--- a/pkg/mesh/hedge_test.go
+++ b/pkg/mesh/hedge_test.go
@@ -38,3 +38,16 @@
 	require.NoError(t, final.Body.Close())
 	require.Error(t, firstCtx.Err())
 }
+
+// Guards against a call that a backend server answered with an error and that its caller
+// is told was not executed, because the request was quarantined before its next attempt.
+func TestQuarantineDoesNotHideAServerError(t *testing.T) {
+	f := &forwarder{call: &Call{Idempotent: true}}
+	endpoint := &board.MeshEndpoint{Record: board.NodeRecord{Instance: "a"}}
+	require.False(t, f.recordOutcome(&Result{Outcome: Answered, Status: http.StatusInternalServerError}, endpoint))
+	require.False(t, f.recordOutcome(notSent(board.ReasonQuarantined), endpoint))
+	require.Equal(t, Answered, f.finalResult(t.Context(), notSent(board.ReasonQuarantined)).Outcome)
+
+	untried := &forwarder{call: &Call{Idempotent: true}}
+	require.True(t, untried.recordOutcome(notSent(board.ReasonQuarantined), endpoint))
+}
