Check the age of the key again after a wait for quota

Cause: a request waits up to 350 ms for a grant after its key was checked, and the check leaves 250 ms until the key may be void.

Change: after such a wait the age of the configuration is checked again, and the admission is given back if the key may be void.

--- a/pkg/mesh/quota.go
+++ b/pkg/mesh/quota.go
@@ -7,6 +7,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/bootclock"
+	"mangostand.example/mangostand/pkg/decide/customer"
 	"mangostand.example/mangostand/pkg/decide/quota"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
@@ -40,6 +41,11 @@
 		retryAfter := quota.RetryAfterDenial(counter.Denial().RetryAt, bootclock.Now())
 		return e.refuseCustomer(c.ConfigVersion, c.Customer, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, retryAfter)
 	}
+	// The wait may exceed the time that the first check of the key left.
+	if e.confirmation(c.ConfigVersion).Expired() {
+		giveBackQuota(c, NotSent)
+		return e.refuseCredential(c.ConfigVersion, c.ID, customer.Decision{Result: customer.Unconfirmed, Customer: holder})
+	}
 	return nil
 }
 
--- a/pkg/mesh/quota_test.go
+++ b/pkg/mesh/quota_test.go
@@ -111,3 +111,21 @@
 	require.Equal(t, 1, strings.Count(logged.String(), `"customer":"bakery"`), logged.String())
 	require.NotContains(t, logged.String(), "secret")
 }
+
+// Guards against a key that is accepted after it may be void, because its request waited
+// for a grant meanwhile.
+func TestKeyIsCheckedAgainAfterAWaitForAGrant(t *testing.T) {
+	entry, counter := entryWithQuota(t)
+	entry.RevocationTime = 5 * time.Second
+	entry.Board.ConfigProven = &board.ProvenVersion{Required: true}
+	request := keyedRequest("secret-key")
+	entry.Board.ConfigProven.Prove(entry.Board.Routes.Load().Version, bootclock.Now()-4600*time.Millisecond)
+	bodies := make(chan string, 1)
+	go func() { bodies <- string(entry.Handle(t.Context(), request).BufferedBody) }()
+	require.Eventually(t, func() bool { return counter.Waiting() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	counter.AddGrants(1)
+	counter.Group.NotifyReplied()
+	require.Contains(t, <-bodies, "api-key-unconfirmed")
+	require.Equal(t, int64(1), counter.Balance(), "the request did not run")
+}
