--- a/pkg/mesh/quota.go
+++ b/pkg/mesh/quota.go
@@ -7,6 +7,7 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/bootclock"
+	"mangostand.example/mangostand/pkg/decide/customer"
 	"mangostand.example/mangostand/pkg/decide/quota"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
@@ -24,7 +25,7 @@
 	}
 	counter := e.Board.Quotas.Load().ByCustomer[holder.Name]
 	if counter == nil {
-		return e.refuse(c.ConfigVersion, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, newCustomerRetryAfter)
+		return e.refuseCustomer(c.ConfigVersion, c.Customer, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, newCustomerRetryAfter)
 	}
 	now := bootclock.Now()
 	if counter.Take(now) {
@@ -38,7 +39,12 @@
 	case !admitted:
 		counter.CountRefused()
 		retryAfter := quota.RetryAfterDenial(counter.Denial().RetryAt, bootclock.Now())
-		return e.refuse(c.ConfigVersion, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, retryAfter)
+		return e.refuseCustomer(c.ConfigVersion, c.Customer, c.ID, http.StatusTooManyRequests, board.ReasonQuotaExceeded, retryAfter)
+	}
+	// The wait may exceed the time that the first check of the key left.
+	if e.confirmation(c.ConfigVersion).Expired() {
+		giveBackQuota(c, NotSent)
+		return e.refuseCredential(c.ConfigVersion, c.ID, customer.Decision{Result: customer.Unconfirmed, Customer: holder})
 	}
 	return nil
 }
