Do not take calls of customers for nested calls

Cause: nested calls are recognised by the nodes at which the calls of a rule enter, whether or not they carry an API key. Calls of a customer whose callers use only nodes beside the servers of one service were served before all others, whatever the rank of the customer, and used the reserved slots.

Change: a call of a customer is never nested, as nested calls carry no key, and does not count among the origins of its rule.

Result: TestCallsOfCustomersAreNotTakenForNestedOnes failed before and passes. go test -race passes in pkg/mesh.

--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -185,8 +185,12 @@
 	return job, nil
 }
 
-// observeOrigin records where a call entered and reports whether it is nested.
+// observeOrigin records where a call entered and reports whether it is nested. Nested
+// calls carry no API key, so those of customers say nothing about the others of the rule.
 func (x *Executor) observeOrigin(c *Call) bool {
+	if c.Customer != "" {
+		return false
+	}
 	stats := x.Board.CallStats.ForRule(c.Rule)
 	stats.ObserveOrigin(c.CallerService)
 	service, same, other := stats.Origins()
--- a/pkg/mesh/slotuse_test.go
+++ b/pkg/mesh/slotuse_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/estimate"
 	"mangostand.example/mangostand/pkg/decide/queueing"
 )
 
@@ -44,3 +45,21 @@
 		require.Zero(t, x.slotUse.ordinary.Load())
 	})
 }
+
+// Guards against calls of customers that go before all others as nested ones, because the
+// callers of a rule use only the nodes beside the servers of one service. Nested calls
+// carry no API key.
+func TestCallsOfCustomersAreNotTakenForNestedOnes(t *testing.T) {
+	x := executorFor(true)
+	endpoints := map[string][]*board.MeshEndpoint{"desk": make([]*board.MeshEndpoint, 2)}
+	x.Board.Fleet.Claim("test").Publish(&board.Fleet{ByService: endpoints, Size: 10})
+	for _, customer := range []string{"small", ""} {
+		var job queueing.Job
+		for range 100 {
+			now := time.Now()
+			c := &Call{Rule: "read" + customer, Customer: customer, CallerService: "desk", Received: now, Objective: now.Add(time.Second), Deadline: now.Add(time.Minute)}
+			job = x.newJob(c, estimate.Speed{}, 0)
+		}
+		require.Equal(t, customer == "", job.Nested)
+	}
+}
