Accept calls from other nodes whose id is not valid UTF-8

Cause: the hop header is CBOR, whose decoder refused text that is not UTF-8. HTTP allows such bytes in the id that a caller sends. Other nodes answered 400 to the hop, and the caller got 502 for a call that had not been executed.

Change: the hop header is decoded without that check.

Result: TestHopKeepsAnIDThatIsNotUTF8 failed before (invalid UTF-8 string) and passes. go test -race passes in pkg/mesh.

--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -80,7 +80,18 @@
 	if err != nil {
 		return errors.Annotate(err, "hop header")
 	}
-	return errors.Annotate(cbor.Unmarshal(data, target), "hop header")
+	return errors.Annotate(hopDecoder.Unmarshal(data, target), "hop header")
+}
+
+// hopDecoder accepts text that is not valid UTF-8, since callers may send such an ID.
+var hopDecoder = newHopDecoder()
+
+func newHopDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic("mesh: " + err.Error())
+	}
+	return mode
 }
 
 func newHopRequest(c *Call, serverID string, maxResponseTime time.Duration, now time.Time) hopRequest {
--- a/pkg/mesh/hop_test.go
+++ b/pkg/mesh/hop_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -30,3 +31,12 @@
 	require.Less(t, len(encodeHop(response)), 4<<10)
 	t.Logf("%d and %d bytes", len(encodeHop(request)), len(encodeHop(response)))
 }
+
+// Guards against a call that no other node takes because its caller sent an id that is not
+// valid UTF-8, which HTTP allows in a header.
+func TestHopKeepsAnIDThatIsNotUTF8(t *testing.T) {
+	hop := newHopRequest(&Call{ID: "caf\xe9"}, "s", 0, time.Now())
+	var received hopRequest
+	require.NoError(t, decodeHop(encodeHop(hop), &received))
+	require.Equal(t, "caf\xe9", received.ID)
+}
