Take only responses that prove to which call they belong

A late second copy of the response to a health check, which carries no request ID, was taken for the response to the next call on its connection.

A response counts if it names the request's ID, or names none on a connection that has carried no other request; the latter connection is closed after it. On any other connection a response without an ID makes the outcome unknown. Requests that check their responses and those that do not, which are health checks and exchanges between nodes, no longer share connections. Hop responses name the call and the offer. pkg/backend uses h1.Pool with the same rule in place of net/http, and the stand-in backend servers echo the ID. The statuses 408, 421, 429 and 503 reach the caller of a non-idempotent call only with the mark that it was not executed; otherwise its outcome is unknown.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -3,18 +3,18 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
+	"mangostand.example/mangostand/pkg/control"
 	"mangostand.example/mangostand/pkg/h1"
 )
 
@@ -37,8 +37,10 @@
 
 const (
 	dialTimeout = time.Second
-	// maxIdleConns allows one idle connection per slot of a typical server.
-	maxIdleConns = 64
+	// maxIdleTime is the longest idle time of a connection that is used again, and
+	// sweepInterval the interval at which older ones are closed.
+	maxIdleTime   = time.Minute
+	sweepInterval = time.Second
 	// maxResponseHeaderBytes bounds the header of a response, so that a server that
 	// sends one without end cannot fill the memory of the node.
 	maxResponseHeaderBytes = 256 << 10
@@ -70,68 +72,86 @@
 
 // Client sends calls to the backend server. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	pool *h1.Pool
+	// connections holds a value for each connection that a call uses.
+	connections chan struct{}
 }
 
-// NewClient returns a client that opens at most maxConnections connections.
+// NewClient returns a client that uses at most maxConnections connections at once.
 func NewClient(maxConnections int) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: min(maxConnections, maxIdleConns),
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	return &Client{
+		pool:        &h1.Pool{DialTimeout: dialTimeout, IdleTimeout: maxIdleTime, MaxHeaderBytes: maxResponseHeaderBytes},
+		connections: make(chan struct{}, maxConnections),
+	}
+}
+
+// Run closes idle connections until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	control.Every(ctx, sweepInterval, c.pool.SweepIdleConns)
 }
 
-// Do sends a request at most once. The transport of net/http would retry a
-// request that it takes for idempotent, but only if the body is absent or can be
-// rewound with GetBody. newRequest therefore sets a body without GetBody.
+// Name returns the controller name.
+func (c *Client) Name() string { return "backend_connections" }
+
+// Do sends a request at most once. A response belongs to the request if it names its
+// ID. One without an ID is accepted only on a connection that has carried no other
+// request, since a second copy of an earlier response could arrive on any other.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	trace := &connectionTrace{}
-	req, err := newRequest(trace.withTrace(ctx), r)
-	if err != nil {
-		return nil, errors.Annotatef(ErrNotSent, "%v", err)
+	select {
+	case c.connections <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Annotatef(ErrNotSent, "%v", ctx.Err())
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.pool.Do(ctx, r.Addr, newRequest(ctx, r))
 	if err != nil {
-		if !trace.gotConn.Load() {
+		<-c.connections
+		var h1Err *h1.Error
+		if errors.As(err, &h1Err) && !h1Err.RequestSent {
 			return nil, errors.Annotatef(ErrNotSent, "%v", err)
 		}
 		return nil, errors.Trace(err)
 	}
-	if !h1.IsFinalStatus(resp.StatusCode) {
-		_ = resp.Body.Close()
-		return nil, errors.Errorf("invalid status %03d", resp.StatusCode)
-	}
 	removeHopByHopHeaders(resp.Header)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, ContentLength: resp.ContentLength}, nil
+	body := &body{ReadCloser: resp.Body, release: sync.OnceFunc(func() { <-c.connections })}
+	return &Response{Status: resp.Status, Header: resp.Header, Body: body, ContentLength: resp.ContentLength}, nil
 }
 
-func newRequest(ctx context.Context, r *Request) (*http.Request, error) {
-	target := &url.URL{Scheme: "http", Host: r.Addr, Path: r.Path, RawQuery: r.Query}
-	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), io.NopCloser(bytes.NewReader(r.Body)))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	req.ContentLength = int64(len(r.Body))
-	if r.Header != nil {
-		req.Header = r.Header.Clone()
+// body is a response body that releases its connection when it is closed.
+type body struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.release()
+	return errors.Trace(err)
+}
+
+func newRequest(ctx context.Context, r *Request) *h1.ClientRequest {
+	target := url.URL{Path: r.Path, RawQuery: r.Query}
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
 	}
-	removeHopByHopHeaders(req.Header)
-	req.Header.Set(HeaderRequestID, r.RequestID)
-	setIfNotEmpty(req.Header, HeaderCaller, r.Caller)
-	setIfNotEmpty(req.Header, HeaderCallTree, r.TreeID)
-	setIfNotEmpty(req.Header, HeaderIdempotencyKey, r.IdempotencyKey)
-	req.Header.Set(HeaderCallDepth, strconv.Itoa(r.Depth+1))
-	req.Header.Set(HeaderAttemptsLeft, strconv.Itoa(r.AttemptsLeft))
+	h1.RemoveHopByHopHeaders(header)
+	// Host is written apart from the other fields.
+	header.Del("Host")
+	header.Set(HeaderRequestID, r.RequestID)
+	setIfNotEmpty(header, HeaderCaller, r.Caller)
+	setIfNotEmpty(header, HeaderCallTree, r.TreeID)
+	setIfNotEmpty(header, HeaderIdempotencyKey, r.IdempotencyKey)
+	header.Set(HeaderCallDepth, strconv.Itoa(r.Depth+1))
+	header.Set(HeaderAttemptsLeft, strconv.Itoa(r.AttemptsLeft))
 	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+	return &h1.ClientRequest{
+		Method: r.Method, Target: target.RequestURI(), Host: r.Addr, Header: header, Body: r.Body, MaxIdleTime: maxIdleTime,
+		AcceptResponse: func(h http.Header) bool { return r.RequestID != "" && h.Get(HeaderRequestID) == r.RequestID },
+		IdentifiesNone: func(h http.Header) bool { return h.Get(HeaderRequestID) == "" },
 	}
-	return req, nil
 }
 
 func setIfNotEmpty(h http.Header, name, value string) {
--- a/pkg/control/healthcheck/liveness_test.go
+++ b/pkg/control/healthcheck/liveness_test.go
@@ -1,10 +1,12 @@
 package healthcheck
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -165,3 +167,49 @@
 	f.checkLiveness(t.Context(), now.Add(minLivenessInterval), f.server)
 	require.EqualValues(t, 2, f.requests.Load())
 }
+
+// Guards against health checks that share a connection with calls, since responses to
+// them carry no request ID, and against a new connection for each check.
+func TestHealthChecksKeepAConnectionOfTheirOwn(t *testing.T) {
+	var connections, onCalls atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r, calls := bufio.NewReader(conn), false
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					id := request.Header.Get(platform.HeaderRequestID)
+					if calls = calls || id != ""; calls && id == "" {
+						onCalls.Add(1)
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderRequestID, id)
+				}
+			}()
+		}
+	}()
+	f := newLivenessFixture(t, true, "")
+	f.Servers.IdleTimeout = time.Minute
+	for range 20 {
+		response, err := f.Servers.Do(t.Context(), listener.Addr().String(), &h1.ClientRequest{
+			Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{platform.HeaderRequestID: {"a"}}, MaxIdleTime: time.Minute,
+			AcceptResponse: func(h http.Header) bool { return platform.Codec{}.MatchesRequest(h, "a") }, IdentifiesNone: platform.Codec{}.IdentifiesNone,
+		})
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.NoError(t, f.requestHealth(t.Context(), listener.Addr().String(), "/healthz", time.Minute))
+	}
+	require.Zero(t, onCalls.Load())
+	require.EqualValues(t, 2, connections.Load())
+}
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -42,7 +42,15 @@
 	OnFirstResponse func(elapsed time.Duration)
 	// AcceptResponse reports whether a response with this header belongs to the
 	// request; nil accepts all. A response that does not belong to it is discarded.
+	// Requests with and without AcceptResponse never share a connection, so that a
+	// late copy of a response that identifies no request cannot follow a request that
+	// needs proof.
 	AcceptResponse func(http.Header) bool
+	// IdentifiesNone, if not nil, reports whether a response with this header names no
+	// request at all. Such a response is accepted if its connection has carried no
+	// other request, and the connection is then not reused. On any other connection
+	// it fails the request, see Error.Unidentified.
+	IdentifiesNone func(http.Header) bool
 }
 
 // ClientResponse is the head of a response with its unread body.
@@ -66,7 +74,10 @@
 	ConnClosed bool
 	// ResponseTooLarge is true when the response exceeds a limit of the Pool.
 	ResponseTooLarge bool
-	Err              error
+	// Unidentified is true when a response named no request, on a connection that had
+	// carried another request before.
+	Unidentified bool
+	Err          error
 }
 
 // Error returns the cause.
@@ -97,7 +108,14 @@
 	// ConnsOpened counts the connections that were opened.
 	ConnsOpened atomic.Uint64
 
-	idleByAddr sync.Map // from address (string) to *idleStack
+	idleByKey sync.Map // from idleKey to *idleStack
+}
+
+// idleKey names the idle connections that a request may use.
+type idleKey struct {
+	addr string
+	// checked is true for requests with AcceptResponse.
+	checked bool
 }
 
 // idleStack holds the idle connections to one address, the latest on top. It is
@@ -143,13 +161,15 @@
 	keepAliveTimeout time.Duration
 	// gotStrayResponse is set after a response that belonged to another request.
 	gotStrayResponse bool
+	// reused is true when the connection has carried another request.
+	reused bool
 }
 
-func (p *Pool) idleStackFor(addr string) *idleStack {
-	if s, ok := p.idleByAddr.Load(addr); ok {
+func (p *Pool) idleStackFor(key idleKey) *idleStack {
+	if s, ok := p.idleByKey.Load(key); ok {
 		return s.(*idleStack)
 	}
-	s, _ := p.idleByAddr.LoadOrStore(addr, &idleStack{})
+	s, _ := p.idleByKey.LoadOrStore(key, &idleStack{})
 	return s.(*idleStack)
 }
 
@@ -168,8 +188,8 @@
 }
 
 // getConn returns an idle connection or opens a new one.
-func (p *Pool) getConn(ctx context.Context, addr string, maxIdle time.Duration) (*clientConn, error) {
-	stack := p.idleStackFor(addr)
+func (p *Pool) getConn(ctx context.Context, key idleKey, maxIdle time.Duration) (*clientConn, error) {
+	stack := p.idleStackFor(key)
 	now := time.Now()
 	for maxIdle > 0 {
 		c := stack.pop()
@@ -177,12 +197,13 @@
 			break
 		}
 		if c.isReusable(maxIdle, now) {
+			c.reused = true
 			return c, nil
 		}
 		_ = c.netConn.Close()
 	}
 	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	nc, err := dialer.DialContext(ctx, "tcp", key.addr)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -195,7 +216,7 @@
 // SweepIdleConns closes the connections that were idle for too long or that the
 // server has closed. A controller calls it at intervals.
 func (p *Pool) SweepIdleConns(now time.Time) {
-	p.idleByAddr.Range(func(_, v any) bool {
+	p.idleByKey.Range(func(_, v any) bool {
 		stack := v.(*idleStack)
 		var keep []*clientConn
 		for c := stack.pop(); c != nil; c = stack.pop() {
@@ -214,16 +235,18 @@
 
 // CloseIdleConns closes the idle connections to an address.
 func (p *Pool) CloseIdleConns(addr string) {
-	stack := p.idleStackFor(addr)
-	for c := stack.pop(); c != nil; c = stack.pop() {
-		_ = c.netConn.Close()
+	for _, checked := range [...]bool{false, true} {
+		stack := p.idleStackFor(idleKey{addr, checked})
+		for c := stack.pop(); c != nil; c = stack.pop() {
+			_ = c.netConn.Close()
+		}
 	}
 }
 
 // Do sends a request once and reads the head of its response. The error is an
 // *Error.
 func (p *Pool) Do(ctx context.Context, addr string, req *ClientRequest) (*ClientResponse, error) {
-	conn, err := p.getConn(ctx, addr, req.MaxIdleTime)
+	conn, err := p.getConn(ctx, idleKey{addr, req.AcceptResponse != nil}, req.MaxIdleTime)
 	if err != nil {
 		return nil, &Error{ConnRefused: isConnRefused(err), ConnClosed: isConnClosed(err), Err: err}
 	}
@@ -238,7 +261,8 @@
 		_ = conn.netConn.Close()
 		return nil, &Error{
 			RequestSent: rt.requestSent, ConnClosed: !rt.responseStarted && isConnClosed(err),
-			ResponseTooLarge: errors.Is(err, errHeaderTooLarge) || errors.Is(err, errBodyTooLarge), Err: err,
+			ResponseTooLarge: errors.Is(err, errHeaderTooLarge) || errors.Is(err, errBodyTooLarge),
+			Unidentified:     errors.Is(err, errUnidentified), Err: err,
 		}
 	}
 	return resp, nil
@@ -299,7 +323,11 @@
 			}
 			continue
 		}
-		if rt.request.AcceptResponse != nil && !rt.request.AcceptResponse(resp.Header) {
+		accepted, err := rt.accept(resp.Header)
+		if err != nil {
+			return nil, err
+		}
+		if !accepted {
 			if err := rt.discardStray(resp); err != nil {
 				return nil, err
 			}
@@ -316,6 +344,25 @@
 	}
 }
 
+// errUnidentified is the error of a response that names no request, on a connection
+// that has carried another request.
+const errUnidentified = errors.ConstError("response without a request ID on a connection with an earlier request")
+
+// accept reports whether a response belongs to the request.
+func (rt *roundTrip) accept(header http.Header) (bool, error) {
+	req := rt.request
+	switch {
+	case req.AcceptResponse == nil || req.AcceptResponse(header):
+		return true, nil
+	case req.IdentifiesNone == nil || !req.IdentifiesNone(header):
+		return false, nil
+	case rt.conn.reused:
+		return false, errors.Trace(errUnidentified)
+	}
+	rt.reusable = false
+	return true, nil
+}
+
 // maxStrayBodyBytes is the largest body of a response to another request that is
 // read to find the response that follows it.
 const maxStrayBodyBytes = 1 << 20
@@ -415,7 +462,7 @@
 }
 
 func (rt *roundTrip) newResponse(resp *http.Response) *ClientResponse {
-	rt.reusable = !resp.Close && !rt.conn.gotStrayResponse
+	rt.reusable = rt.reusable && !resp.Close && !rt.conn.gotStrayResponse
 	if rt.request.ExpectContinue && !rt.requestSent {
 		// The final response came before a 100 response. An empty chunked body
 		// completes the request, so that the connection can be reused.
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -117,7 +117,10 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	<-closed
-	require.Eventually(t, func() bool { pool.SweepIdleConns(time.Now()); return pool.idleStackFor(addr).head.Load() == nil }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		pool.SweepIdleConns(time.Now())
+		return pool.idleStackFor(idleKey{addr: addr}).head.Load() == nil
+	}, 5*time.Second, time.Millisecond)
 	_, err = pool.Do(t.Context(), addr, newGetRequest("/"))
 	require.NoError(t, err)
 
@@ -156,6 +159,59 @@
 	require.EqualValues(t, 2, pool.ConnsOpened.Load())
 }
 
+// Guards against a response without an ID that is taken for the response to a request,
+// although it may be a second copy of an earlier one, and against a connection of calls
+// that carries requests whose responses need no ID.
+func TestResponseWithoutIDNeedsAConnectionOfItsOwn(t *testing.T) {
+	addr := startScriptedServer(t, func(t *testing.T, conn net.Conn, _ int) {
+		r, late := bufio.NewReader(conn), ""
+		for {
+			req := receiveRequest(t, r)
+			if req == nil {
+				return
+			}
+			response := "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"
+			if req.URL.Path == "/call" {
+				response = "HTTP/1.1 200 OK\r\nId: /call\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, late+response)
+			late = response
+		}
+	})
+	pool := newPool()
+	send := func(target string, checked bool) (*ClientResponse, error) {
+		req := newGetRequest(target)
+		if checked {
+			req.AcceptResponse = func(h http.Header) bool { return h.Get("Id") == target }
+			req.IdentifiesNone = func(h http.Header) bool { return h.Get("Id") == "" }
+		}
+		resp, err := pool.Do(t.Context(), addr, req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return resp, err
+	}
+	_, err := send("/health", false)
+	require.NoError(t, err)
+	resp, err := send("/call", true)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.Status)
+	require.EqualValues(t, 2, pool.ConnsOpened.Load())
+	// The connection of the first call is used again and carries no proof.
+	var h1Err *Error
+	_, err = send("/anonymous", true)
+	require.ErrorAs(t, err, &h1Err)
+	require.True(t, h1Err.Unidentified)
+	require.True(t, h1Err.RequestSent)
+	// A response without an ID is accepted on a new connection, which ends with it.
+	for opened := range 2 {
+		resp, err = send("/anonymous", true)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.Status)
+		require.EqualValues(t, 3+opened, pool.ConnsOpened.Load())
+	}
+}
+
 // Guards against reusing a connection on which the server sent bytes after a
 // complete response: they would be taken for the next response.
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -179,9 +179,10 @@
 	TakeAPIKey(header http.Header) customer.Credential
 	// SetRequestHeader sets the headers of a request to a backend server.
 	SetRequestHeader(header http.Header, metadata RequestMetadata)
-	// MatchesRequest reports whether a response belongs to the request with the
-	// ID.
+	// MatchesRequest reports whether a response names the request with the ID.
 	MatchesRequest(header http.Header, id string) bool
+	// IdentifiesNone reports whether a response names no request.
+	IdentifiesNone(header http.Header) bool
 	// ParseResponse returns the metadata in the status and the header of a
 	// backend server's response.
 	ParseResponse(status int, header http.Header) ResponseMetadata
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -40,6 +40,8 @@
 	CrossDomainTimePerMB time.Duration
 
 	inFlight atomic.Int64
+	// offers numbers the offers to other nodes.
+	offers atomic.Uint64
 	// coldRoom holds, for each service with cold backend servers, what was promised to
 	// refused callers.
 	coldRoom coldRoom
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -346,14 +346,14 @@
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.Target, r.Host, r.Header, r.Body
 	h1.RemoveHopByHopHeaders(c.Header)
 	if !x.mayAcceptFrom(hop.Config) {
-		return x.hopResponse(x.refuseHop(c, board.ReasonNoConfiguration, r.ReceivedAt))
+		return x.hopResponse(&hop, x.refuseHop(c, board.ReasonNoConfiguration, r.ReceivedAt))
 	}
 	result := x.Execute(ctx, c, hop.ServerID, time.Duration(hop.MaxResponseTimeMicros)*time.Microsecond, remoteSender{r})
-	return x.hopResponse(result)
+	return x.hopResponse(&hop, result)
 }
 
 // hopResponse returns the response to another node with the result of a call.
-func (x *Executor) hopResponse(result *Result) *h1.Response {
+func (x *Executor) hopResponse(hop *hopRequest, result *Result) *h1.Response {
 	response := &h1.Response{
 		Status: result.Status, Header: result.Header, Body: paceBody(x.Board.Link, result.Body, result.Length), ContentLength: result.Length,
 	}
@@ -367,7 +367,7 @@
 		Outcome: result.Outcome, Reason: result.Reason, Load: *result.Load,
 		ServiceTimeMicros: result.ServiceTime.Microseconds(), QueueWaitMicros: result.QueueWait.Microseconds(),
 		Config: x.Board.ConfigAdvertisement(time.Now()), Executor: x.Board.Self.Instance,
-		Evacuation: x.Board.EvacuationHopAdvertisement(),
+		Evacuation: x.Board.EvacuationHopAdvertisement(), ID: hop.ID, Offer: hop.Offer,
 	}))
 	return response
 }
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -46,6 +46,9 @@
 	// Evacuation is what the entry knows of evacuated failure domains, nil while there
 	// are none.
 	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
+	// Offer numbers the offers of the entry. One call can be offered to an executor
+	// twice, so the ID alone does not tell the responses apart.
+	Offer uint64 `cbor:"24,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -61,6 +64,9 @@
 	// Executor is the node that responds. It may have replaced the node that
 	// had the address before. Nodes of earlier versions send "".
 	Executor board.InstanceID `cbor:"7,keyasint"`
+	// ID and Offer are those of the hopRequest. Nodes of earlier versions send none.
+	ID    string `cbor:"8,keyasint,omitempty"`
+	Offer uint64 `cbor:"9,keyasint,omitempty"`
 	// Evacuation is what the executor knows of evacuated failure domains, nil while
 	// there are none.
 	Evacuation *board.Evacuation `cbor:"20,keyasint,omitempty"`
@@ -102,13 +108,22 @@
 	}
 }
 
-// takeHopResponse removes the hop header from a response and decodes it.
-func takeHopResponse(header http.Header) (*hopResponse, error) {
-	text := header.Get(hopHeader)
-	header.Del(hopHeader)
-	var h hopResponse
-	if err := decodeHop(text, &h); err != nil {
-		return nil, err
-	}
-	return &h, nil
+// hopMatcher finds the response to a hop request and keeps its metadata. It belongs to
+// one goroutine.
+type hopMatcher struct {
+	request *hopRequest
+	// response is the metadata of the latest response, err why there is none.
+	response *hopResponse
+	err      error
+}
+
+// accept implements h1.ClientRequest.AcceptResponse.
+func (m *hopMatcher) accept(header http.Header) bool {
+	m.response = &hopResponse{}
+	m.err = decodeHop(header.Get(hopHeader), m.response)
+	return m.err == nil && m.response.ID == m.request.ID && m.response.Offer == m.request.Offer
 }
+
+// identifiesNone implements h1.ClientRequest.IdentifiesNone for the header that accept
+// was called with last. A header that cannot be decoded names no request.
+func (m *hopMatcher) identifiesNone(http.Header) bool { return m.err != nil || m.response.ID == "" }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -67,9 +67,11 @@
 }
 
 func (testCodec) MatchesRequest(header http.Header, id string) bool {
-	return header.Get(headerID) == "" || header.Get(headerID) == id
+	return id != "" && header.Get(headerID) == id
 }
 
+func (testCodec) IdentifiesNone(header http.Header) bool { return header.Get(headerID) == "" }
+
 func (testCodec) ParseResponse(_ int, header http.Header) mesh.ResponseMetadata {
 	return mesh.ResponseMetadata{Signed: header.Get(headerSignature) != "", NotExecuted: header.Get(headerNotExecuted) != ""}
 }
@@ -316,6 +318,59 @@
 	}
 }
 
+// Guards against responses that do not prove to which request they belong: a caller
+// would be told that a call was not executed, or the call would be sent again, although
+// it runs.
+func TestResponseWithoutProofIsNotARefusal(t *testing.T) {
+	const stray = "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"
+	const strayNotRun = "HTTP/1.1 503 S\r\n" + headerNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		before   string
+		unsigned string // status of a response with the ID
+		status   int
+	}{
+		"503 without an ID before the response": {stray, "", http.StatusBadGateway},
+		"not executed without an ID":            {strayNotRun, "", http.StatusBadGateway},
+		"not executed with the ID of another":   {strings.Replace(strayNotRun, "\r\n", "\r\n"+headerID+": other\r\n", 1), "", http.StatusOK},
+		"unsigned 503 with the ID":              {"", "503", http.StatusBadGateway},
+		"unsigned 429 with the ID":              {"", "429", http.StatusBadGateway},
+		"signed 503 without the mark":           {"", "503 S\r\nSignature: s\r\nOther:", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// A response without an ID is acceptable on a new connection.
+			var used sync.Map
+			var responded atomic.Bool
+			handle := func(conn net.Conn, r *http.Request) bool {
+				_, reused := used.LoadOrStore(conn, true)
+				switch {
+				case r.URL.Path != "/book/2" || c.unsigned == "" && !reused:
+					return respondOK(conn, r)
+				case c.unsigned != "":
+					responded.Store(true)
+					_, err := fmt.Fprintf(conn, "HTTP/1.1 %s S\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", c.unsigned, headerID, r.Header.Get(headerID))
+					return err == nil
+				}
+				responded.Store(true)
+				_, _ = io.WriteString(conn, c.before)
+				return respondOK(conn, r)
+			}
+			first, second := startBackend(t, handle), startBackend(t, handle)
+			n := startFleet(t, first, second)[0]
+			for range 50 {
+				before := first.executions.Load() + second.executions.Load()
+				resp, _ := n.call(t, http.MethodPost, "/book/2", "x", nil)
+				require.EqualValues(t, before+1, first.executions.Load()+second.executions.Load())
+				if responded.Load() {
+					require.Equal(t, c.status, resp.StatusCode)
+					return
+				}
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+			}
+			t.Fatal("no connection was used again")
+		})
+	}
+}
+
 // Guards against an idempotent call that fails although another backend
 // server could respond, and against a truncated response that is passed on.
 func TestIdempotentCallIsRetriedElsewhere(t *testing.T) {
--- a/pkg/mesh/peercall.go
+++ b/pkg/mesh/peercall.go
@@ -36,7 +36,9 @@
 	hop := newHopRequest(c, endpoint.Record.ServerID, maxResponseTime, now)
 	hop.Config, hop.FromAddr = f.entry.Board.ConfigAdvertisement(now), f.entry.Board.Self.PeerAddr
 	hop.Evacuation = f.entry.Board.EvacuationHopAdvertisement()
+	hop.Offer = f.entry.offers.Add(1)
 	header.Set(hopHeader, encodeHop(hop))
+	matcher := &hopMatcher{request: &hop}
 	sentAt := f.entry.Board.ConfigRequestSentAt()
 	var acceptTimedOut atomic.Bool
 	acceptTimer := time.AfterFunc(acceptTimeout, func() {
@@ -58,6 +60,7 @@
 		OnFirstResponse: func(elapsed time.Duration) {
 			f.entry.Board.DomainLatencies.Add(endpoint.Record.FailureDomain, elapsed, time.Now())
 		},
+		AcceptResponse: matcher.accept, IdentifiesNone: matcher.identifiesNone,
 	})
 	acceptTimer.Stop()
 	if err != nil {
@@ -65,7 +68,7 @@
 		cancel()
 		return f.classifyPeerError(endpoint, err, acceptTimedOut.Load(), canceled)
 	}
-	result := f.readPeerResponse(response, endpoint, sentAt)
+	result := f.readPeerResponse(response, matcher, endpoint, sentAt)
 	result.Body = onClose(result.Body, cancel)
 	return result
 }
@@ -75,6 +78,7 @@
 func (f *forwarder) classifyPeerError(endpoint *board.MeshEndpoint, err error, acceptTimedOut, canceled bool) *Result {
 	var h1Err *h1.Error
 	reason := board.ReasonExecutorLost
+	unidentified := errors.As(err, &h1Err) && h1Err.Unidentified
 	switch {
 	case canceled && time.Now().Before(f.call.Deadline):
 		reason = board.ReasonCanceledByCaller
@@ -82,14 +86,17 @@
 		reason = board.ReasonDeadlineExceeded
 	case acceptTimedOut:
 		reason = board.ReasonExecutorSilent
+	case unidentified:
+		// The node responds, but not with a result, for example after a panic.
+		reason = board.ReasonMalformedAnswer
 	}
-	if !canceled {
+	if !canceled && !unidentified {
 		endpoint.Reachability.RecordFailure()
 		f.entry.Peers.CloseIdleConns(endpoint.Record.PeerAddr)
 		f.entry.Log.Info().Str("event", "executor_lost").Str("id", f.call.ID).Str("executor", string(endpoint.Record.Instance)).
 			Str("reason", string(reason)).Err(err).Send()
 	}
-	if errors.As(err, &h1Err) && !h1Err.RequestSent {
+	if h1Err != nil && !h1Err.RequestSent {
 		return notSent(reason)
 	}
 	return unknown(reason)
@@ -97,9 +104,10 @@
 
 // readPeerResponse reads the response of an executor on another node to a request
 // that was sent at a time of ConfigRequestSentAt.
-func (f *forwarder) readPeerResponse(response *h1.ClientResponse, endpoint *board.MeshEndpoint, sentAt time.Duration) *Result {
-	reply, err := takeHopResponse(response.Header)
-	if err != nil {
+func (f *forwarder) readPeerResponse(response *h1.ClientResponse, matcher *hopMatcher, endpoint *board.MeshEndpoint, sentAt time.Duration) *Result {
+	response.Header.Del(hopHeader)
+	reply := matcher.response
+	if matcher.err != nil {
 		_ = response.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -39,6 +39,7 @@
 	response, err := x.Servers.Do(ctx, server.Addr, &h1.ClientRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, MaxIdleTime: maxIdle,
 		AcceptResponse: func(h http.Header) bool { return x.Codec.MatchesRequest(h, c.ID) },
+		IdentifiesNone: x.Codec.IdentifiesNone,
 	})
 	if err != nil {
 		return x.classifyServerError(ctx, err, server)
@@ -68,9 +69,23 @@
 		x.Log.Warn().Str("event", "response_too_large").Str("server", server.ID).Err(err).Send()
 		return unknown(board.ReasonMalformedAnswer)
 	}
+	if h1Err.Unidentified {
+		x.Log.Warn().Str("event", "response_unidentified").Str("server", server.ID).Err(err).Send()
+		return unknown(board.ReasonMalformedAnswer)
+	}
 	return unknown(board.ReasonConnectionLost)
 }
 
+// claimsNotExecuted reports whether callers take a status for the promise that a call
+// without retries was not executed and will not be.
+func claimsNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // readServerResponse reads the response of the backend server.
 func (x *Executor) readServerResponse(ctx context.Context, c *Call, server *board.BackendServer, response *h1.ClientResponse) *Result {
 	metadata := x.Codec.ParseResponse(response.Status, response.Header)
@@ -89,9 +104,9 @@
 		}
 		return &Result{Outcome: Rejected, Reason: reason}
 	}
-	if !metadata.Signed && response.Status < http.StatusMultipleChoices {
-		// Another component made the response, so it does not tell whether the
-		// backend server executed the call.
+	if !metadata.Signed && response.Status < http.StatusMultipleChoices || !c.Idempotent && claimsNotExecuted(response.Status) {
+		// Another component made the response, or it claims without proof that the call
+		// was not executed. It does not tell whether the backend server executed the call.
 		_ = response.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -146,6 +146,7 @@
 		n.newTelemetry(),
 		quarantine.New(n.board, n.log),
 		n.keyController,
+		n.executor.Backend,
 		budget.New(n.board),
 		breaker.New(n.board, n.trafficMetrics, n.log),
 		admission.New(n.board, n.trafficMetrics),
--- a/pkg/standin/backendserver/server.go
+++ b/pkg/standin/backendserver/server.go
@@ -129,6 +129,7 @@
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
 	faults := s.faults.Load()
 	if faults.FailFast {
 		http.Error(w, "failing fast", http.StatusInternalServerError)
