Bound the request bodies that a node holds in memory

max_held_bodies_mb in [node], half of memory_mb by default, bounds the bytes of request bodies of callers and of other nodes together. A body without room is refused with a true 503 and Retry-After, its bytes are discarded, and the connection stays usable. An executor refuses the offer before the body is sent. Large chunks are written without a copy, and the entry tells the size of the body, so that the executor reads it into one buffer.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -60,6 +60,8 @@
 	// InboundLink schedules the request bodies that this machine receives from other
 	// nodes.
 	InboundLink *LinkPacer
+	// HeldBodies counts the bytes of request bodies in the memory of this node.
+	HeldBodies *HeldBodies
 	// CallStats holds the service time and response size of the calls of each
 	// rule.
 	CallStats *StatsByRule
@@ -137,7 +139,7 @@
 		Quotas:           NewSection("quotas", &Quotas{}),
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
-		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)),
+		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)), HeldBodies: NewHeldBodies(0),
 		CallStats:        &StatsByRule{},
 		CustomerService:  NewCustomerService(time.Now()),
 		AttemptCounters:  NewAttemptCounters(time.Now()),
--- a/pkg/board/reason.go
+++ b/pkg/board/reason.go
@@ -83,4 +83,6 @@
 	// ReasonBodyMissing means that the entry did not send the request body after
 	// the header.
 	ReasonBodyMissing Reason = "body-missing"
+	// ReasonBodyMemory means that the node holds too many bytes of request bodies.
+	ReasonBodyMemory Reason = "body-memory"
 )
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -405,13 +405,11 @@
 		}
 		rt.request.PaceBody(len(rest))
 	}
-	var buf bytes.Buffer
-	if len(rest) > 0 {
-		_ = writeChunk(&buf, rest)
+	if len(rest) == 0 {
+		_, err := io.WriteString(rt.conn.netConn, "0\r\n\r\n")
+		return errors.Annotate(err, "writing the request body")
 	}
-	buf.WriteString("0\r\n\r\n")
-	_, err := rt.conn.netConn.Write(buf.Bytes())
-	return errors.Annotate(err, "writing the request body")
+	return errors.Annotate(writeLastChunk(rt.conn.netConn, rest), "writing the request body")
 }
 
 // pacedPartBytes is the size of a part of a paced body, see pacing.ChunkBytes.
--- a/pkg/h1/message.go
+++ b/pkg/h1/message.go
@@ -10,9 +10,11 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +35,37 @@
 
 	conn        *serverConn
 	awaitedBody chan []byte
+	// heldBytes is the size of the body that is reserved in Server.Bodies.
+	heldBytes atomic.Int64
+}
+
+// ErrBodyRefused means that Server.Bodies has no room for a body.
+const ErrBodyRefused = errors.ConstError("no memory for the request body")
+
+// ReserveBody reserves memory for a body of a size until the response is written, and
+// reports whether there is room. A handler calls it before SendInterim sends the 100
+// response; a body of at most that size is then read without copies.
+func (r *Request) ReserveBody(size int64) bool {
+	if bodies := r.conn.server.Bodies; bodies != nil && !bodies.Reserve(size) {
+		return false
+	}
+	r.heldBytes.Add(size)
+	return true
+}
+
+// shrinkReservation releases a part of the reserved memory.
+func (r *Request) shrinkReservation(size int64) {
+	r.heldBytes.Add(-size)
+	if bodies := r.conn.server.Bodies; bodies != nil {
+		bodies.Release(size)
+	}
+}
+
+// releaseBody releases the memory that is reserved for the body.
+func (r *Request) releaseBody() {
+	if size := r.heldBytes.Swap(0); size > 0 && r.conn.server.Bodies != nil {
+		r.conn.server.Bodies.Release(size)
+	}
 }
 
 // Response is what a Handler returns.
@@ -161,6 +194,23 @@
 // size for socket reads.
 const maxChunkBytes = 16 << 10
 
+// writeLastChunk writes a chunk and the end of the body, a large chunk without copying
+// it.
+func writeLastChunk(w io.Writer, data []byte) error {
+	const end = "\r\n0\r\n\r\n"
+	head := strconv.AppendInt(make([]byte, 0, 18), int64(len(data)), 16)
+	head = append(head, "\r\n"...)
+	if len(data) > maxInlineBodyBytes {
+		buffers := net.Buffers{head, data, []byte(end)}
+		_, err := buffers.WriteTo(w)
+		return errors.Trace(err)
+	}
+	part := make([]byte, 0, len(head)+len(data)+len(end))
+	part = append(append(append(part, head...), data...), end...)
+	_, err := w.Write(part)
+	return errors.Trace(err)
+}
+
 func writeChunk(w io.Writer, data []byte) error {
 	if _, err := io.WriteString(w, strconv.FormatInt(int64(len(data)), 16)+"\r\n"); err != nil {
 		return err
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -54,6 +54,13 @@
 // written in the order of the requests.
 type Handler func(ctx context.Context, r *Request) *Response
 
+// BodyBudget bounds the bytes of request bodies that are held in memory.
+type BodyBudget interface {
+	// Reserve counts a body of a size and reports whether there is room for it.
+	Reserve(size int64) bool
+	Release(size int64)
+}
+
 // Server accepts connections and passes their requests to a handler.
 type Server struct {
 	Handler Handler
@@ -70,7 +77,13 @@
 	// and AwaitBody for requests with Expect: 100-continue. It is set on the listener
 	// for other nodes.
 	ManualContinue bool
-	Log            zerolog.Logger
+	// Bodies bounds the bytes of the request bodies that are held, nil for no bound.
+	// Servers can share it.
+	Bodies BodyBudget
+	// RefuseBody responds to a request whose body Bodies has no room for. nil responds
+	// with status 503 only.
+	RefuseBody func(r *Request) *Response
+	Log        zerolog.Logger
 
 	mu             sync.Mutex
 	conns          map[*serverConn]struct{}
@@ -235,11 +248,20 @@
 	// bodyReceived is set when the body has arrived, so that no 100 response is needed.
 	bodyReceived atomic.Bool
 
+	// request is nil for a request that could not be read.
+	request    *Request
 	method     string
 	response   chan *Response
 	closeAfter bool
 }
 
+// releaseBody releases the memory of the request body.
+func (p *pendingResponse) releaseBody() {
+	if p.request != nil {
+		p.request.releaseBody()
+	}
+}
+
 func (c *serverConn) close() {
 	c.cancel()
 	_ = c.netConn.Close()
@@ -290,6 +312,13 @@
 	c.receiving = true
 }
 
+// stopReceiving records that a request has been read that was not dispatched.
+func (c *serverConn) stopReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = false
+}
+
 // stopIfIdle stops the connection if it is idle, and reports whether it did.
 func (c *serverConn) stopIfIdle() bool {
 	c.mu.Lock()
@@ -380,6 +409,9 @@
 	if expects && parsed.ContentLength > int64(limits.MaxBodyBytes) {
 		return c.rejectRequest(http.StatusRequestEntityTooLarge)
 	}
+	if size := parsed.ContentLength; size > 0 && size <= int64(limits.MaxBodyBytes) && !r.ReserveBody(size) {
+		return c.refuseBody(r, parsed, expects, closeAfter)
+	}
 	var interim pendingResponse
 	if expects && parsed.ContentLength != 0 && c.br.Buffered() == 0 {
 		// The body may take as long as the responses to earlier requests.
@@ -387,9 +419,13 @@
 		interim.interim = true
 		c.responses <- &interim
 	}
-	body, status, err := readBody(parsed, limits.MaxBodyBytes)
+	body, status, err := readBody(r, parsed, limits.MaxBodyBytes)
 	interim.bodyReceived.Store(true)
 	if err != nil || status != 0 {
+		r.releaseBody()
+		if errors.Is(err, ErrBodyRefused) {
+			return c.refuseBody(r, parsed, expects, closeAfter)
+		}
 		if status == 0 {
 			return c.handleDisconnect()
 		}
@@ -465,11 +501,44 @@
 	return false
 }
 
+// refuseBody responds to a request whose body cannot be held, and discards the body. It
+// reports whether another request may follow.
+func (c *serverConn) refuseBody(r *Request, parsed *http.Request, expects, closeAfter bool) bool {
+	// A caller that waits for a 100 response may send the body or not, so that the start
+	// of the next request is not known.
+	if !expects && closeAfter {
+		// The connection lingers only briefly after its last response.
+		if _, err := io.Copy(io.Discard, parsed.Body); err != nil {
+			return c.handleDisconnect()
+		}
+	}
+	if !c.beginRequest() {
+		return false
+	}
+	response := &Response{Status: http.StatusServiceUnavailable}
+	if c.server.RefuseBody != nil {
+		response = c.server.RefuseBody(r)
+	}
+	p := &pendingResponse{method: r.Method, response: make(chan *Response, 1), closeAfter: expects || closeAfter}
+	p.response <- response
+	c.responses <- p
+	if p.closeAfter {
+		return false
+	}
+	c.startReceiving()
+	if _, err := io.Copy(io.Discard, parsed.Body); err != nil {
+		return c.handleDisconnect()
+	}
+	c.stopReceiving()
+	return true
+}
+
 func (c *serverConn) dispatch(r *Request, closeAfter bool) bool {
 	if !c.beginRequest() {
+		r.releaseBody()
 		return false
 	}
-	p := &pendingResponse{method: r.Method, response: make(chan *Response, 1), closeAfter: closeAfter}
+	p := &pendingResponse{request: r, method: r.Method, response: make(chan *Response, 1), closeAfter: closeAfter}
 	c.responses <- p
 	go func() {
 		defer guard.Recover(c.server.Log, "request handler", func() {
@@ -487,7 +556,7 @@
 	if !c.dispatch(r, closeAfter) {
 		return false
 	}
-	body, status, err := readBody(parsed, limits.MaxBodyBytes)
+	body, status, err := readBody(r, parsed, limits.MaxBodyBytes)
 	if err != nil || status != 0 {
 		return c.handleDisconnect()
 	}
@@ -530,6 +599,7 @@
 	resp := <-p.response
 	closeAfter := c.isLastResponse(p)
 	sent := c.sendResponse(w, p, resp, closeAfter)
+	p.releaseBody()
 	c.endRequest()
 	switch {
 	case !sent:
@@ -570,6 +640,7 @@
 	if resp.Body != nil {
 		_ = resp.Body.Close()
 	}
+	p.releaseBody()
 	c.endRequest()
 }
 
--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -54,8 +54,17 @@
 	// noServerRetryAfter is the Retry-After while no backend server is known:
 	// heartbeats and node records arrive within a few hundred milliseconds.
 	noServerRetryAfter = 100 * time.Millisecond
+	// bodyRetryAfter is the Retry-After while the node holds too many bytes of request
+	// bodies. A body is held for about the time of a call.
+	bodyRetryAfter = 500 * time.Millisecond
 )
 
+// RefuseBody responds to a request whose body this node cannot hold.
+func (e *Entry) RefuseBody(r *h1.Request) *h1.Response {
+	id, _ := e.Codec.ParseCallerHeader(r.Header, r.ReceivedAt)
+	return e.refuse(e.Board.Routes.Load().Version, id, http.StatusServiceUnavailable, board.ReasonBodyMemory, bodyRetryAfter)
+}
+
 // InFlight returns the number of calls without a response.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
@@ -204,8 +213,11 @@
 
 // minRetryAfter returns the least Retry-After for a refusal with the reason.
 func minRetryAfter(reason board.Reason) time.Duration {
-	if reason == board.ReasonNoServer {
+	switch reason {
+	case board.ReasonNoServer:
 		return noServerRetryAfter
+	case board.ReasonBodyMemory:
+		return bodyRetryAfter
 	}
 	return 0
 }
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -170,6 +171,9 @@
 		return job, notSent(reason)
 	}
 	body, err := from.Accept(ctx, x.bodyTimeoutFor(c))
+	if errors.Is(err, h1.ErrBodyRefused) {
+		return job, notSent(board.ReasonBodyMemory)
+	}
 	if err != nil {
 		return job, notSent(board.ReasonBodyMissing)
 	}
@@ -348,7 +352,7 @@
 	if !x.mayAcceptFrom(hop.Config) {
 		return x.hopResponse(&hop, x.refuseHop(c, board.ReasonNoConfiguration, r.ReceivedAt))
 	}
-	result := x.Execute(ctx, c, hop.ServerID, time.Duration(hop.MaxResponseTimeMicros)*time.Microsecond, remoteSender{r})
+	result := x.Execute(ctx, c, hop.ServerID, time.Duration(hop.MaxResponseTimeMicros)*time.Microsecond, remoteSender{r, hop.BodySize})
 	return x.hopResponse(&hop, result)
 }
 
--- a/pkg/mesh/hop.go
+++ b/pkg/mesh/hop.go
@@ -49,6 +49,9 @@
 	// Offer numbers the offers of the entry. One call can be offered to an executor
 	// twice, so the ID alone does not tell the responses apart.
 	Offer uint64 `cbor:"24,keyasint,omitempty"`
+	// BodySize is the size of the body in bytes, for which the executor reserves memory.
+	// Nodes of earlier versions do not send it.
+	BodySize int64 `cbor:"25,keyasint,omitempty"`
 }
 
 // hopResponse is the metadata that the executor returns in addition to the
@@ -95,6 +98,7 @@
 		Rank: c.Rank, Idempotent: c.Idempotent, TimeToDeadlineMicros: c.Deadline.Sub(now).Microseconds(),
 		TimeToObjectiveMicros: c.Objective.Sub(now).Microseconds(), MaxResponseTimeMicros: maxResponseTime.Microseconds(),
 		ConfigVersion: c.ConfigVersion, Customer: c.Customer, CustomerRank: c.CustomerRank, BodyBytes: c.BodyBytes, Retry: c.Retry,
+		BodySize: int64(len(c.Body)),
 	}
 }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -225,8 +225,8 @@
 		return h1.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, ReadHeaderTimeout: 5 * time.Second}
 	}
 	idleTimeout := func(time.Time) time.Duration { return time.Minute }
-	peerServer := &h1.Server{Handler: n.executor.HandleHop, Limits: limits, IdleTimeout: idleTimeout, ManualContinue: true}
-	callerServer := &h1.Server{Handler: n.entry.Handle, Limits: limits, IdleTimeout: idleTimeout}
+	peerServer := &h1.Server{Handler: n.executor.HandleHop, Limits: limits, IdleTimeout: idleTimeout, ManualContinue: true, Bodies: b.HeldBodies}
+	callerServer := &h1.Server{Handler: n.entry.Handle, Limits: limits, IdleTimeout: idleTimeout, Bodies: b.HeldBodies, RefuseBody: n.entry.RefuseBody}
 	go func() { _ = peerServer.Serve(peers) }()
 	go func() { _ = callerServer.Serve(callers) }()
 	return n
@@ -371,6 +371,39 @@
 	}
 }
 
+// Guards against a node that takes bodies beyond its memory, from callers or from other
+// nodes, and against a refusal that stops small calls or is not true.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	for name, full := range map[string]int{"at the entry": 0, "at the executor": 1} {
+		t.Run(name, func(t *testing.T) {
+			servers := []*backendServer{startBackend(t, respondOK), startBackend(t, respondOK)}
+			nodes := startFleet(t, servers...)
+			// All calls go to the second node.
+			nodes[0].record.State = board.ServerDraining
+			nodes[0].publishFleet(nodes)
+			bodies := nodes[full].board.HeldBodies
+			bodies.Bound = 1 << 20
+			require.True(t, bodies.Reserve(800<<10))
+			large := strings.Repeat("x", 400<<10)
+			resp, got := nodes[0].call(t, http.MethodPost, "/book/1", large, nil)
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Contains(t, got, "body-memory")
+			retryAfter, err := time.ParseDuration(resp.Header.Get("Retry-After"))
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, retryAfter, 200*time.Millisecond)
+			require.LessOrEqual(t, retryAfter, 500*time.Millisecond)
+			require.Equal(t, "id-/book/1", resp.Header.Get(headerID))
+			require.Zero(t, servers[0].executions.Load()+servers[1].executions.Load())
+			resp, _ = nodes[0].call(t, http.MethodPost, "/book/2", large[:4000], nil)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			bodies.Release(800 << 10)
+			resp, _ = nodes[0].call(t, http.MethodPost, "/book/3", large, nil)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Eventually(t, func() bool { return nodes[0].board.HeldBodies.Held()+nodes[1].board.HeldBodies.Held() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
 // Guards against an idempotent call that fails although another backend
 // server could respond, and against a truncated response that is passed on.
 func TestIdempotentCallIsRetriedElsewhere(t *testing.T) {
--- a/pkg/mesh/sender.go
+++ b/pkg/mesh/sender.go
@@ -46,10 +46,17 @@
 func (s localSender) NotifySlow() { s.notifySlow() }
 
 // remoteSender is the entry of another node.
-type remoteSender struct{ request *h1.Request }
+type remoteSender struct {
+	request *h1.Request
+	// bodySize is the size of the body in bytes, 0 if it is not known or there is none.
+	bodySize int64
+}
 
-// Accept sends 100 Continue and waits for the body.
+// Accept reserves memory for the body, sends 100 Continue and waits for the body.
 func (s remoteSender) Accept(ctx context.Context, timeout time.Duration) ([]byte, error) {
+	if s.bodySize > 0 && !s.request.ReserveBody(s.bodySize) {
+		return nil, h1.ErrBodyRefused
+	}
 	if err := s.request.SendInterim(http.StatusContinue); err != nil {
 		return nil, err
 	}
--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -28,6 +28,7 @@
 	"mangostand.example/mangostand/pkg/control/registration"
 	"mangostand.example/mangostand/pkg/control/routefeed"
 	"mangostand.example/mangostand/pkg/decide/attempts"
+	"mangostand.example/mangostand/pkg/decide/bodies"
 	"mangostand.example/mangostand/pkg/decide/pacing"
 	"mangostand.example/mangostand/pkg/dynconf"
 	"mangostand.example/mangostand/pkg/h1"
@@ -197,11 +198,14 @@
 func (n *Node) buildServers() {
 	n.configServer = &routefeed.Server{Board: n.board}
 	descriptors := n.descriptorLimit()
+	n.board.HeldBodies.Bound = bodies.Bound(n.settings.MaxHeldBodiesMB, n.settings.MemoryLimitMB)
 	n.callerServer = &h1.Server{
+		Bodies: n.board.HeldBodies, RefuseBody: n.entry.RefuseBody,
 		Handler: n.entry.Handle, Limits: n.callerLimits, IdleTimeout: n.callerIdleTimeout,
 		MaxConns: int(callerConnShare * float64(descriptors)), Log: n.log,
 	}
 	n.peerServer = &h1.Server{
+		Bodies:  n.board.HeldBodies,
 		Handler: n.handlePeer, Limits: n.peerLimits, IdleTimeout: func(time.Time) time.Duration { return 2 * peerIdleTimeout },
 		MaxConns: int(peerConnShare * float64(descriptors)), ManualContinue: true, Log: n.log,
 	}
--- a/pkg/settings/mesh.go
+++ b/pkg/settings/mesh.go
@@ -23,6 +23,9 @@
 	LogLevel string
 	// MemoryLimitMB is the memory limit of the process in MB; 0 means no limit.
 	MemoryLimitMB int
+	// MaxHeldBodiesMB bounds the request bodies that the node holds at once, in MB; 0
+	// means half of MemoryLimitMB.
+	MaxHeldBodiesMB int
 	// MaxDescriptors is the limit on open descriptors of the process; 0 means the one
 	// that the system reports.
 	MaxDescriptors int
@@ -197,6 +200,8 @@
 			inifile.String("failure_domain", &m.FailureDomain).WithDescription("Failure domain of the instance. Required."),
 			inifile.Choice("log_level", &m.LogLevel, "debug", "info", "warn", "error").WithDescription("Least level of log lines."),
 			inifile.Int("memory_mb", &m.MemoryLimitMB, 0, maxMemoryMB).WithDescription("Memory limit of the process in MB; 0 means none."),
+			inifile.Int("max_held_bodies_mb", &m.MaxHeldBodiesMB, 0, maxMemoryMB).
+				WithDescription("Request bodies that the node holds in memory at once, in MB; further ones are refused with status 503. 0 means half of memory_mb, or no bound without it."),
 			inifile.Int("max_descriptors", &m.MaxDescriptors, 0, maxMaxDescriptors).
 				WithDescription("Limit on open descriptors of the process; 0 means the one that the system reports. Idle connections are closed before it is reached."),
 			inifile.Float("link_mbps", &m.LinkMbps, 0, maxLinkMbps).
