Keep generated keys new until they may have run, and wait for epochs

Cause: calls that meet an epoch change were treated wrongly. The home was not falsely suspected in the traced runs. * A stale-epoch or lost response to the first claim of a generated key made the next home answer key-record-lost, although nothing had been sent. * Not-run became unknown (key-home-unavailable) when the epoch of the home's answer ended during the 100 ms before its confirmation. * Calls that came before the first epoch were refused after 1 s; it takes up to 4.5 s when the store is slow. Calls whose only executors join with the next epoch were refused with no-server. * A lookup proved not-run with a record that is older than a lost grant.

Change: a claim carries KeyIsNew until a call of the key may have run, also after refusals with proof. If the epoch ends before its confirmation, the home of the next epoch is asked. Calls wait up to 5 s, within their deadline, for an epoch that is missing or about to contain their executor; the limit for a home that does not answer stays 1 s. Lookups check for lost grants.

--- a/pkg/atmostonce/entry.go
+++ b/pkg/atmostonce/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
@@ -11,8 +12,13 @@
 
 const (
 	// homeUnavailableTimeout limits how long an entry waits for a home that is
-	// unreachable or has not adopted the same epoch.
+	// unreachable or lacks the records of the key.
 	homeUnavailableTimeout = time.Second
+	// epochLagTimeout limits how long an entry waits while it or the home has no
+	// epoch of the service, or their epochs differ. The first epoch takes up to
+	// 4.5 s: the delay before a proposal and two store calls. With 1 s, busy nodes
+	// refused the calls that came while the service started.
+	epochLagTimeout = 5 * time.Second
 	// initialClaimBackoff and maxClaimBackoff are the first and the longest delay
 	// between repeated claims of one call.
 	initialClaimBackoff = 10 * time.Millisecond
@@ -59,12 +65,17 @@
 
 	attempts int
 	backoff  time.Duration
-	// homeUnreachableSince is when the home became unreachable, zero while it is
-	// reachable.
-	homeUnreachableSince time.Time
+	// homeUnavailableSince is when the home became unavailable, zero while it is
+	// available.
+	homeUnavailableSince time.Time
 	// provenNotRun is set when a response received during this call proves that
 	// the key has not been executed.
 	provenNotRun bool
+	// executorOutsideEpoch is set when an executor is available that is not a member
+	// of the epoch.
+	executorOutsideEpoch bool
+	// lookupOnly is set when the call must not be sent any more.
+	lookupOnly bool
 	// lastReason is the reason returned when no better one is known.
 	lastReason board.Reason
 }
@@ -86,10 +97,24 @@
 	return c.verifyNotRun(ctx, c.finalResult(ctx), started)
 }
 
+// lookUp asks the home of the current epoch for the outcome of the key, without
+// a grant. The result is not-run only if that home proves it.
+func (c *entryCall) lookUp(ctx context.Context) Result {
+	c.lookupOnly, c.provenNotRun, c.homeUnavailableSince = true, false, time.Time{}
+	c.lastReason = board.ReasonKeyHomeUnavailable
+	for ctx.Err() == nil {
+		if result := c.claimAndSend(ctx); result != nil {
+			return *result
+		}
+	}
+	return c.finalResult(ctx)
+}
+
 // verifyNotRun changes not-run to unknown unless the epoch is confirmed to have
 // been current after the call started. Without the confirmation, an earlier call
 // with a key supplied by the caller may have been executed in a higher epoch than
-// that of the home that responded.
+// that of the home that responded. If the epoch has ended before it was confirmed,
+// the home of the next epoch is asked.
 func (c *entryCall) verifyNotRun(ctx context.Context, result Result, started time.Time) Result {
 	if result.Outcome != board.OutcomeNotRun || c.call.KeyGenerated {
 		return result
@@ -100,10 +125,15 @@
 		// the key has been executed.
 		return result
 	}
-	if c.controller.confirmedSince(ctx, c.call.ID.Service, c.claim.Epoch, started) {
-		return result
+	for !c.controller.confirmedSince(ctx, c.call.ID.Service, c.claim.Epoch, started) {
+		if ctx.Err() != nil || c.controller.EpochNumber(c.call.ID.Service) <= c.claim.Epoch {
+			return Result{Outcome: board.OutcomeUnknown, Reason: board.ReasonKeyHomeUnavailable}
+		}
+		if next := c.lookUp(ctx); next.Outcome != board.OutcomeNotRun {
+			return next
+		}
 	}
-	return Result{Outcome: board.OutcomeUnknown, Reason: board.ReasonKeyHomeUnavailable}
+	return result
 }
 
 func (k *KeyController) checkKey(call *Call) *Result {
@@ -124,11 +154,11 @@
 	view := c.controller.view(c.call.ID.Service)
 	if view == nil {
 		c.controller.ForwardEpochNotice(wire.EpochNotice{Service: c.call.ID.Service, EpochNumber: 1})
-		return c.awaitHome(ctx, nil)
+		return c.awaitHome(ctx, nil, epochLagTimeout)
 	}
 	home, ok := keyhome.Home(view.Epoch.Members, c.call.ID)
 	if !ok {
-		return c.awaitHome(ctx, view)
+		return c.awaitHome(ctx, view, homeUnavailableTimeout)
 	}
 	executor := c.pickExecutor(view, home)
 	response, err := c.requestGrant(ctx, view, home)
@@ -138,7 +168,7 @@
 		return nil
 	}
 	if err != nil {
-		return c.awaitHome(ctx, view)
+		return c.awaitHome(ctx, view, homeUnavailableTimeout)
 	}
 	c.controller.forwardEpoch(response.NewerEpoch)
 	if response.Epoch > view.Epoch.Number {
@@ -155,15 +185,17 @@
 	if len(view.Epoch.Members) > 1 {
 		exclude = append(exclude, home.Instance)
 	}
-	for range len(view.Epoch.Members) + 1 {
+	c.executorOutsideEpoch = false
+	for !c.lookupOnly {
 		id, incarnation, ok := c.call.PickExecutor(exclude)
-		if !ok {
+		if !ok || slices.Contains(exclude, id) {
 			break
 		}
 		if view.Epoch.HasMember(id, incarnation) {
 			c.claim.Executor, c.claim.ExecutorIncarnation, c.claim.LookupOnly = id, incarnation, false
 			return id
 		}
+		c.executorOutsideEpoch = true
 		exclude = append(exclude, id)
 	}
 	c.claim.Executor, c.claim.ExecutorIncarnation, c.claim.LookupOnly = "", 0, true
@@ -178,23 +210,20 @@
 	c.claim.ClaimSequence++
 	c.claim.MaxWaitMicros = time.Until(deadline).Microseconds() * 3 / 4
 	message := c.claim
-	response, err := c.controller.exchangeClaim(ctx, home, &message)
-	// The home may have issued a grant even if its response is lost.
-	c.claim.KeyIsNew = false
-	return response, err
+	return c.controller.exchangeClaim(ctx, home, &message)
 }
 
 // claimTimeout limits one claim, including the home's request to the executor.
 const claimTimeout = 2 * peerRequestTimeout
 
 // awaitHome waits before the next claim, or returns the final result when the
-// home has been unavailable for homeUnavailableTimeout.
-func (c *entryCall) awaitHome(ctx context.Context, view *board.EpochView) *Result {
+// home has been unavailable for longer than the limit.
+func (c *entryCall) awaitHome(ctx context.Context, view *board.EpochView, limit time.Duration) *Result {
 	now := time.Now()
-	if c.homeUnreachableSince.IsZero() {
-		c.homeUnreachableSince = now
+	if c.homeUnavailableSince.IsZero() {
+		c.homeUnavailableSince = now
 	}
-	if now.Sub(c.homeUnreachableSince) >= homeUnavailableTimeout {
+	if now.Sub(c.homeUnavailableSince) >= limit {
 		result := c.finalResult(ctx)
 		return &result
 	}
@@ -211,7 +240,7 @@
 func (c *entryCall) handleClaimResponse(ctx context.Context, view *board.EpochView, executor board.InstanceID, response *wire.ClaimResponse) *Result {
 	switch response.Status {
 	case wire.ClaimGranted:
-		c.homeUnreachableSince = time.Time{}
+		c.homeUnavailableSince = time.Time{}
 		return c.sendUnderGrant(ctx, view, response, executor)
 	case wire.ClaimOutcomeRecorded:
 		return &Result{Outcome: response.Record.Outcome, Reason: response.Record.Reason, Record: response.Record}
@@ -220,16 +249,23 @@
 	case wire.ClaimOutcomeUnknown:
 		return &Result{Outcome: board.OutcomeUnknown, Reason: response.Reason}
 	case wire.ClaimNotFound:
+		if c.executorOutsideEpoch && c.attempts == 0 {
+			// The executor has started lately. The next epoch contains it.
+			c.lastReason = board.ReasonNoServer
+			if c.awaitHome(ctx, view, epochLagTimeout) == nil {
+				return nil
+			}
+		}
 		return &Result{Outcome: board.OutcomeNotRun, Reason: c.noExecutorReason()}
 	case wire.ClaimInProgress:
-		c.homeUnreachableSince = time.Time{}
+		c.homeUnavailableSince = time.Time{}
 		c.lastReason = board.ReasonKeyInProgress
 		c.backOff(ctx, view)
 		return nil
 	case wire.ClaimRefused:
-		return c.handleRefusal(ctx, view, executor, response.Reason)
+		return c.handleRefusal(ctx, view, executor, response)
 	}
-	return c.awaitHome(ctx, view)
+	return c.awaitHome(ctx, view, epochLagTimeout)
 }
 
 func (c *entryCall) noExecutorReason() board.Reason {
@@ -239,17 +275,21 @@
 	return board.ReasonNoServer
 }
 
-func (c *entryCall) handleRefusal(ctx context.Context, view *board.EpochView, executor board.InstanceID, reason board.Reason) *Result {
-	switch reason {
+func (c *entryCall) handleRefusal(ctx context.Context, view *board.EpochView, executor board.InstanceID, response *wire.ClaimResponse) *Result {
+	switch reason := response.Reason; reason {
 	case board.ReasonKeyHomeUnavailable:
-		return c.awaitHome(ctx, view)
+		if response.Epoch == 0 {
+			// The home has no epoch of the service yet.
+			return c.awaitHome(ctx, view, epochLagTimeout)
+		}
+		return c.awaitHome(ctx, view, homeUnavailableTimeout)
 	case board.ReasonWrongIncarnation, board.ReasonNoServer:
 		c.triedExecutors = append(c.triedExecutors, executor)
 		c.lastReason = reason
 		c.backOff(ctx, view)
 		return nil
 	}
-	return &Result{Outcome: board.OutcomeNotRun, Reason: reason}
+	return &Result{Outcome: board.OutcomeNotRun, Reason: response.Reason}
 }
 
 // sendUnderGrant sends the call under a grant. It returns nil if another grant
@@ -284,7 +324,7 @@
 		}
 		return nil
 	}
-	c.provenNotRun, c.claim.GrantUnresolved = false, true
+	c.provenNotRun, c.claim.GrantUnresolved, c.claim.KeyIsNew = false, true, false
 	c.lastReason = reason
 	c.triedExecutors = append(c.triedExecutors, executor)
 	return nil
--- a/pkg/atmostonce/home.go
+++ b/pkg/atmostonce/home.go
@@ -118,8 +118,8 @@
 	return merged
 }
 
-// transferPending reports whether records of the key may still arrive. A key that
-// the entry has just generated has none.
+// transferPending reports whether records of the key that matter may still arrive.
+// There are none of a new key: see wire.Claim.
 func (k *KeyController) transferPending(view *board.EpochView, c *wire.Claim) bool {
 	return !c.KeyIsNew && transferState(view, c.ID).Pending
 }
@@ -245,7 +245,7 @@
 	case isHolder && c.ClaimSequence <= record.ClaimSequence:
 		return inProgressResponse(view)
 	case isHolder && !c.GrantUnresolved && c.LookupOnly:
-		return notFoundResponse(view)
+		return k.unusedGrantResponse(view, record, c)
 	case isHolder && !c.GrantUnresolved:
 		return k.issueNextGrant(view, record, c)
 	case !isHolder && !c.LookupOnly && time.Since(record.ChangedAt) < sealGracePeriod:
@@ -259,12 +259,21 @@
 	return &wire.ClaimResponse{Status: wire.ClaimNotFound, Epoch: view.Epoch.Number}
 }
 
+// unusedGrantResponse responds to a lookup of a key whose last known grant has
+// provably not been used.
+func (k *KeyController) unusedGrantResponse(view *board.EpochView, record *board.KeyRecord, c *wire.Claim) *wire.ClaimResponse {
+	if !c.KeyIsNew && laterGrantMayBeLost(view, c.ID, record) {
+		return unknownResponse(view, board.ReasonKeyRecordLost)
+	}
+	return notFoundResponse(view)
+}
+
 func inProgressResponse(view *board.EpochView) *wire.ClaimResponse {
 	return &wire.ClaimResponse{Status: wire.ClaimInProgress, Reason: board.ReasonKeyInProgress, Epoch: view.Epoch.Number}
 }
 
 func (k *KeyController) issueNextGrant(view *board.EpochView, record *board.KeyRecord, c *wire.Claim) *wire.ClaimResponse {
-	if laterGrantMayBeLost(view, c.ID, record) {
+	if !c.KeyIsNew && laterGrantMayBeLost(view, c.ID, record) {
 		return k.markUnknown(view, record, c, board.ReasonKeyRecordLost)
 	}
 	if reason := k.checkExecutor(view, c); reason != "" {
@@ -313,7 +322,7 @@
 		return unknownResponse(view, record.Reason)
 	case executorRecord != nil && executorRecord.State == board.KeySealed && executorRecord.Grant >= record.Grant:
 		if c.LookupOnly {
-			return notFoundResponse(view)
+			return k.unusedGrantResponse(view, record, c)
 		}
 		return k.issueNextGrant(view, record, c)
 	}
--- a/pkg/wire/keys.go
+++ b/pkg/wire/keys.go
@@ -20,8 +20,11 @@
 	// ClaimSequence is the number of the claim within the request, starting at 1. A
 	// claim that arrives after a later one of the same request has no effect.
 	ClaimSequence uint32 `cbor:"7,keyasint"`
-	// KeyIsNew is true when the entry created the key for this call and this is its
-	// first claim.
+	// KeyIsNew is true when the entry created the key for this call and no call of
+	// the key can have been executed: the entry has sent none, or each one was
+	// refused with proof. Lost records of the key are then of no importance. A
+	// claim whose response was lost does not change this, since only the entry can
+	// use a grant.
 	KeyIsNew bool `cbor:"8,keyasint,omitempty"`
 	// GrantUnresolved is true when the entry sent the call under its last grant and
 	// got no response.
