Report a caller's key as not run only with the proof of its home

Cause: the entry took the refusal of its last attempt by an executor as proof of not-run, also when the home did not respond afterwards. If the entry was paused, the home may have let another request with the key execute it before.

Change: for a key that the caller sent, the entry asks the home after the last refusal, as the design and the model say. A refused call with a caller's key costs one claim more. Generated keys are not concerned.

--- a/pkg/atmostonce/entry.go
+++ b/pkg/atmostonce/entry.go
@@ -74,6 +74,10 @@
 	// executorOutsideEpoch is set when an executor is available that is not a member
 	// of the epoch.
 	executorOutsideEpoch bool
+	// homeProvesNotRun is set while the last response of a home proves that the key
+	// has not been executed. The refusal of an executor is no such proof: the home
+	// may have granted the key to another request before.
+	homeProvesNotRun bool
 	// lookupOnly is set when the call must not be sent any more.
 	lookupOnly bool
 	// lastReason is the reason returned when no better one is known.
@@ -113,8 +117,8 @@
 // verifyNotRun changes not-run to unknown unless the epoch is confirmed to have
 // been current after the call started. Without the confirmation, an earlier call
 // with a key supplied by the caller may have been executed in a higher epoch than
-// that of the home that responded. If the epoch has ended before it was confirmed,
-// the home of the next epoch is asked.
+// that of the home that responded. The home is asked if it has not proved not-run,
+// and again if the epoch has ended before it was confirmed.
 func (c *entryCall) verifyNotRun(ctx context.Context, result Result, started time.Time) Result {
 	if result.Outcome != board.OutcomeNotRun || c.call.KeyGenerated {
 		return result
@@ -125,6 +129,11 @@
 		// the key has been executed.
 		return result
 	}
+	if !c.homeProvesNotRun {
+		if next := c.lookUp(ctx); next.Outcome != board.OutcomeNotRun {
+			return next
+		}
+	}
 	for !c.controller.confirmedSince(ctx, c.call.ID.Service, c.claim.Epoch, started) {
 		if ctx.Err() != nil || c.controller.EpochNumber(c.call.ID.Service) <= c.claim.Epoch {
 			return Result{Outcome: board.OutcomeUnknown, Reason: board.ReasonKeyHomeUnavailable}
@@ -256,6 +265,7 @@
 				return nil
 			}
 		}
+		c.homeProvesNotRun = true
 		return &Result{Outcome: board.OutcomeNotRun, Reason: c.noExecutorReason()}
 	case wire.ClaimInProgress:
 		c.homeUnavailableSince = time.Time{}
@@ -289,12 +299,16 @@
 		c.backOff(ctx, view)
 		return nil
 	}
+	// The other reasons concern the key itself, or the home has no memory for the
+	// first record of the key.
+	c.homeProvesNotRun = true
 	return &Result{Outcome: board.OutcomeNotRun, Reason: response.Reason}
 }
 
 // sendUnderGrant sends the call under a grant. It returns nil if another grant
 // may be claimed.
 func (c *entryCall) sendUnderGrant(ctx context.Context, view *board.EpochView, response *wire.ClaimResponse, executor board.InstanceID) *Result {
+	c.homeProvesNotRun = true
 	if c.attempts >= c.call.MaxAttempts {
 		// The unused grant proves that the call has not been executed.
 		return &Result{Outcome: board.OutcomeNotRun, Reason: c.lastReason}
@@ -303,6 +317,7 @@
 		return &Result{Outcome: board.OutcomeNotRun, Reason: board.ReasonAttemptBudgetSpent}
 	}
 	c.attempts++
+	c.homeProvesNotRun = false
 	outcome, reason := c.call.Send(ctx, response.Epoch, response.Grant, c.attempts)
 	switch outcome {
 	case board.OutcomeSucceeded, board.OutcomeFailed:
--- a/pkg/atmostonce/testmesh_test.go
+++ b/pkg/atmostonce/testmesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -403,6 +404,8 @@
 	// beforeSend is called when a grant has been obtained.
 	beforeSend func(call *wire.Call)
 	deadline   time.Duration
+	// maxAttempts is 3 if it is not set.
+	maxAttempts int
 }
 
 // invoke makes a call with the node as its entry. It returns the result and the
@@ -416,7 +419,7 @@
 	requestID := uuid.NewString()
 	chosen := board.Member{}
 	result := n.controller.Invoke(ctx, &atmostonce.Call{
-		ID: keyID(options.key), RequestDigest: options.digest, RequestID: requestID, KeyGenerated: options.keyGenerated, MaxAttempts: 3,
+		ID: keyID(options.key), RequestDigest: options.digest, RequestID: requestID, KeyGenerated: options.keyGenerated, MaxAttempts: cmp.Or(options.maxAttempts, 3),
 		PickExecutor: func(exclude []board.InstanceID) (board.InstanceID, uint64, bool) {
 			chosen = n.pickExecutor(options, exclude)
 			return chosen.Instance, chosen.Incarnation, chosen.Instance != ""
