Start the wait for a silent home anew after a wait for an epoch

Cause: both waits of a call used one start time. A call that had waited for the first epoch was refused at the first claim that its home did not respond to, as after 1 s without a response.

Change: a wait with another limit starts anew.

Measured: TestWaitForAnEpochDoesNotCountAsUnavailableHome failed before (not-run, key-home-unavailable) and passes; the tests of atmostonce pass with -race.

--- a/pkg/atmostonce/entry.go
+++ b/pkg/atmostonce/entry.go
@@ -66,8 +66,9 @@
 	attempts int
 	backoff  time.Duration
 	// homeUnavailableSince is when the home became unavailable, zero while it is
-	// available.
+	// available, and homeUnavailableLimit the limit of the wait for it.
 	homeUnavailableSince time.Time
+	homeUnavailableLimit time.Duration
 	// provenNotRun is set when a response received during this call proves that
 	// the key has not been executed.
 	provenNotRun bool
@@ -226,11 +227,13 @@
 const claimTimeout = 2 * peerRequestTimeout
 
 // awaitHome waits before the next claim, or returns the final result when the
-// home has been unavailable for longer than the limit.
+// home has been unavailable for longer than the limit. A wait with another limit
+// has another cause and starts anew: the time that passed without an epoch does not
+// count as time in which a home did not respond.
 func (c *entryCall) awaitHome(ctx context.Context, view *board.EpochView, limit time.Duration) *Result {
 	now := time.Now()
-	if c.homeUnavailableSince.IsZero() {
-		c.homeUnavailableSince = now
+	if c.homeUnavailableSince.IsZero() || c.homeUnavailableLimit != limit {
+		c.homeUnavailableSince, c.homeUnavailableLimit = now, limit
 	}
 	if now.Sub(c.homeUnavailableSince) >= limit {
 		result := c.finalResult(ctx)
--- a/pkg/atmostonce/epochchange_test.go
+++ b/pkg/atmostonce/epochchange_test.go
@@ -328,3 +328,21 @@
 		})
 	}
 }
+
+// Guards against a call that is refused at the first claim that its home does not
+// respond to, because it has waited for the first epoch before.
+func TestWaitForAnEpochDoesNotCountAsUnavailableHome(t *testing.T) {
+	runWithFakeClock(t, func(t *testing.T) {
+		home := &scriptedHome{}
+		n := &movedKeyNode{singleNode: newSingleNodeWithPeers(home), home: home, key: generateKeyWithHome(epochMembers("n0", "n1", "n2"), "n1")}
+		failures := 1
+		home.respond = func(*wire.Claim) (*wire.ClaimResponse, error) {
+			if failures--; failures >= 0 {
+				return nil, errors.New("connection lost")
+			}
+			return granted(nil)
+		}
+		time.AfterFunc(3*time.Second, func() { n.publishEpoch(1, nil, nil, "n0", "n1", "n2") })
+		requireResult(t, n.invoke(t, succeed), board.OutcomeSucceeded, "")
+	})
+}
