Accept and reserve uploads in one step, and time out queued ones

Cause: uploads that were offered together all passed the check before any was reserved, so the last ones came late. An entry whose upload was queued by an executor that was then cut off waited until the deadline of the call. Change: LinkPacer.ReserveUpload checks and reserves with one compare-and-swap. The entry waits for a queued upload's turn until the objective at most.

--- a/pkg/board/link.go
+++ b/pkg/board/link.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// ReserveUpload schedules the reception of a request body if it can arrive early enough,
+// see pacing.AcceptUpload, whose backlog this function determines. It returns how long
+// the sender has to wait. Bodies that are offered at the same time count for each other.
+func (p *LinkPacer) ReserveUpload(upload pacing.Upload, now time.Time) (wait time.Duration, ok bool) {
+	elapsed := now.Sub(p.startedAt)
+	for {
+		old := p.busyUntil.Load()
+		start, next := pacing.Reserve(time.Duration(old), elapsed, upload.Bytes, p.Rate)
+		upload.Backlog, upload.Rate = start-elapsed, p.Rate
+		if !pacing.AcceptUpload(upload) {
+			return 0, false
+		}
+		if p.busyUntil.CompareAndSwap(old, int64(next)) {
+			return start - elapsed, true
+		}
+	}
+}
+
 // CancelReservation gives back a reservation whose sender has not started: its size, the
 // time at which it was made and the wait that Reserve returned. It has no effect once
 // later bytes are reserved, since their senders already wait for their time.
--- a/pkg/mesh/peercall.go
+++ b/pkg/mesh/peercall.go
@@ -52,10 +52,16 @@
 	response, err := f.entry.Peers.Do(ctx, endpoint.Record.PeerAddr, &h1.ClientRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body,
 		ExpectContinue: true, PaceBody: paceBody, MaxIdleTime: peerMaxIdle, OnInterimResponse: func(status int) {
-			acceptTimer.Stop()
-			if status == statusSlow {
+			switch status {
+			case statusQueued:
+				// An executor that is cut off now would otherwise hold the call until its
+				// deadline, although the body has not been sent.
+				acceptTimer.Reset(max(acceptTimeout, time.Until(c.Objective)))
+				return
+			case statusSlow:
 				notifySlow()
 			}
+			acceptTimer.Stop()
 		},
 		OnFirstResponse: func(elapsed time.Duration) {
 			f.entry.Board.DomainLatencies.Add(endpoint.Record.FailureDomain, elapsed, time.Now())
--- a/pkg/mesh/upload.go
+++ b/pkg/mesh/upload.go
@@ -29,14 +29,11 @@
 		return ""
 	}
 	now := time.Now()
-	upload := pacing.Upload{
-		Bytes: c.BodyBytes, Backlog: link.Backlog(now), Rate: link.Rate,
-		ServiceTime: queueing.MinServiceTime(job), TimeLeft: c.Objective.Sub(now),
-	}
-	if !pacing.AcceptUpload(upload) {
+	upload := pacing.Upload{Bytes: c.BodyBytes, ServiceTime: queueing.MinServiceTime(job), TimeLeft: c.Objective.Sub(now)}
+	wait, ok := link.ReserveUpload(upload, now)
+	if !ok {
 		return board.ReasonDeadlineBeforeStart
 	}
-	wait := link.Reserve(int(c.BodyBytes), now)
 	if wait < pacing.MinWait {
 		return ""
 	}
