Give the part of a restarted node away after its first listing

Cause: a node that has just started kept its part in the quotas for 3.75 s, because its earlier process could have given it to any lender. After a restart of all nodes no lender had parts, and every request with a key was refused.

Change: with a listing of the store that is merged into the fleet, the node gives its part to the lender that it chooses. This is the lender of the earlier process unless the membership has just changed, and it replaces the earlier delegation. Without a listing the node waits for the validity that applies to its fleet. A fleet of one node is taken for the whole fleet only when all listed nodes are merged. A node that has just started asks a lender without a configuration again instead of choosing another one, since the whole fleet may have started.

Measured: the part of a restarted node is with its lender within 700 ms in TestRestartedNodeGivesItsPartAwayAfterItsListing, which fails with the earlier delegation.

--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -41,6 +41,10 @@
 	// configuration yet. A starting node gets it within a second.
 	notReadyTime    = time.Second
 	unsupportedTime = 30 * time.Second
+	// fleetStartTime is the time after its start for which a node waits for a lender that
+	// has no configuration yet, and notReadyDelay the time between two attempts.
+	fleetStartTime = 2 * time.Second
+	notReadyDelay  = 50 * time.Millisecond
 	// targetReuse is how long the choice of a lender is used without another look at the
 	// fleet, while its replies arrive.
 	targetReuse = 500 * time.Millisecond
@@ -72,6 +76,7 @@
 	random      func() float64
 
 	groups     [quota.Groups]*group
+	startedAt  time.Duration
 	fleetSizes quota.FleetSizes
 	// fleetSize is the largest fleet size of the last quota.FleetSizeMemory.
 	fleetSize atomic.Int64
@@ -198,6 +203,7 @@
 // start begins the wait for the part that the earlier process may have given away, and
 // spreads the reports of the nodes.
 func (c *Controller) start(now time.Duration) {
+	c.startedAt = now
 	for _, g := range c.groups {
 		g.delegation = quota.NewDelegation(now)
 		g.state.SetTimes(0, g.delegation.Until)
--- a/pkg/control/quota/fleet_test.go
+++ b/pkg/control/quota/fleet_test.go
@@ -35,6 +35,8 @@
 	latency func() time.Duration
 	cut     func(from, to int) bool
 	loss    float64
+	// storeAway is set while nodes that start get no listing of the store.
+	storeAway bool
 	// messages and bytes count what was sent, with header bytes for each pair.
 	messages, bytes int
 	customers       map[string]*testCustomer
@@ -136,6 +138,9 @@
 	}
 }
 
+// maxListingTime is the longest time until a node that starts has a listing.
+const maxListingTime = 300 * time.Millisecond
+
 // startNode starts a new process of a node.
 func (f *testFleet) startNode(i int) {
 	b := board.NewMeshBoard(board.NodeIdentity{Instance: f.ids[i]})
@@ -151,6 +156,16 @@
 	n.controller.random = f.random.Float64
 	n.controller.start(f.now)
 	process := n.controller
+	if !f.storeAway {
+		store := b.Store.Claim("test")
+		f.after(time.Duration(f.random.Int64N(int64(maxListingTime))), func() {
+			listed := map[board.InstanceID]board.NodeRecord{}
+			for id, endpoint := range view.ByInstance {
+				listed[id] = endpoint.Record
+			}
+			store.Publish(&board.StoreStatus{ListingRequestedAt: time.Now(), ListedRecords: listed})
+		})
+	}
 	f.after(time.Duration(f.random.Int64N(int64(600*time.Millisecond))), func() {
 		if n.controller == process {
 			n.routes.Publish(f.table)
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -21,6 +21,13 @@
 	fleet := c.board.Fleet.Load()
 	c.chooseTarget(g, fleet, now)
 	target := g.target
+	if g.delegation.Inherited {
+		previous := g.delegation
+		g.delegation = previous.Started(c.startedAt, fleet.Size, target != "" && c.listingMerged(fleet), now)
+		if g.delegation != previous {
+			g.setFallbackFrom(now + maxTimeout)
+		}
+	}
 	if target == c.board.Self.Instance && c.fleetSize.Load() == 1 && g.delegation.Lender == "" {
 		// No other node can have the part of the only one.
 		g.delegation = g.delegation.Released("", now)
@@ -98,6 +105,11 @@
 		g.delegation = g.delegation.Released(r.report.target, now)
 	}
 	if r.reply.NotReady {
+		if now-c.startedAt < fleetStartTime {
+			// The whole fleet may have started; a change of the lender would split it.
+			g.dueAt = now + notReadyDelay
+			return
+		}
 		g.avoid[r.report.target], g.target = now+notReadyTime, ""
 		g.setFallbackFrom(now + maxTimeout)
 		g.dueAt = now
@@ -225,7 +237,7 @@
 			delete(g.avoid, id)
 		}
 	}
-	if fleet.Size <= 1 && c.board.Store.Load().ListingRequestedAt.IsZero() {
+	if fleet.Size <= 1 && !c.listingMerged(fleet) {
 		return
 	}
 	self := c.board.Self.Instance
@@ -245,6 +257,20 @@
 	g.target = quota.ChooseLender(g.state.Number, candidates)
 }
 
+// listingMerged reports whether the fleet has all nodes of a listing of the store.
+func (c *Controller) listingMerged(fleet *board.Fleet) bool {
+	store := c.board.Store.Load()
+	if store.ListingRequestedAt.IsZero() {
+		return false
+	}
+	for id := range store.ListedRecords {
+		if id != c.board.Self.Instance && fleet.ByInstance[id] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // logTarget logs a change of the lender of a group; none means that this node uses its
 // part itself.
 func (c *Controller) logTarget(g *group) {
--- a/pkg/control/quota/takeover_test.go
+++ b/pkg/control/quota/takeover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/decide/quota"
 	"mangostand.example/mangostand/pkg/dynconf"
 )
 
@@ -140,3 +141,28 @@
 	require.NoError(t, err)
 	require.Empty(t, reply.Grants)
 }
+
+// Guards against a restarted node whose part no lender has for seconds, while the lender
+// of the earlier process is the one that it chooses.
+func TestRestartedNodeGivesItsPartAwayAfterItsListing(t *testing.T) {
+	for _, c := range []struct {
+		storeAway bool
+		within    time.Duration
+	}{{false, 700 * time.Millisecond}, {true, quota.Validity(74) + time.Second}} {
+		f := newTestFleet(t, 5, 74, 4, map[string]dynconf.RequestQuota{"c": {Rate: 100}})
+		f.runUntil(f.now + 10*time.Second)
+		i := 0
+		for i == f.lenderOf(0) || i == f.lenderOf(1) {
+			i++
+		}
+		f.stopNode(i)
+		f.runUntil(f.now + time.Second)
+		f.storeAway = c.storeAway
+		f.startNode(i)
+		f.runUntil(f.now + c.within)
+		for _, g := range f.nodes[i].controller.groups {
+			require.Equal(t, g.target, g.delegation.Lender, "store away: %v", c.storeAway)
+			require.NotEmpty(t, g.target)
+		}
+	}
+}
--- a/pkg/decide/quota/delegation.go
+++ b/pkg/decide/quota/delegation.go
@@ -20,11 +20,31 @@
 	Validity time.Duration
 	// Until is the time on the own clock up to which the lender may use the part.
 	Until time.Duration
+	// Inherited is set while only the earlier process of the node may have given the
+	// part away.
+	Inherited bool
 }
 
 // NewDelegation returns the state of a node that has just started. The lender of its
 // earlier process may still use the part.
-func NewDelegation(now time.Duration) Delegation { return Delegation{Until: now + maxValidity} }
+func NewDelegation(now time.Duration) Delegation {
+	return Delegation{Until: now + maxValidity, Inherited: true}
+}
+
+// Started returns the state of a node whose process started at a time, once it knows the
+// fleet. With a listing of the store, the node chooses the lender that its earlier process
+// had, unless the membership has just changed. That lender replaces the delegation of
+// the earlier process. Without a listing, the node waits for the validity of its fleet.
+func (d Delegation) Started(startedAt time.Duration, fleetSize int, listed bool, now time.Duration) Delegation {
+	switch {
+	case !d.Inherited:
+	case listed:
+		return Delegation{Until: now}
+	case fleetSize > 1:
+		d.Until = min(d.Until, startedAt+Validity(fleetSize))
+	}
+	return d
+}
 
 // HeldByOther reports whether another lender than the given one may use the part.
 func (d Delegation) HeldByOther(lender board.InstanceID, now time.Duration) bool {
--- a/pkg/decide/quota/quota_test.go
+++ b/pkg/decide/quota/quota_test.go
@@ -114,6 +114,9 @@
 	const validity = 2 * time.Second
 	d := NewDelegation(0)
 	require.Equal(t, d, d.Replied("a", 1, 0, validity, time.Second), "the earlier process may have given it away")
+	require.Equal(t, d, d.Started(0, 1, false, time.Second), "the fleet is not known")
+	require.Equal(t, Validity(74), d.Started(0, 74, false, time.Second).Until, "without a listing")
+	require.Equal(t, board.InstanceID("a"), d.Started(0, 74, true, time.Second).Replied("a", 1, 0, validity, time.Second).Lender)
 	d = d.Replied("a", 1, 100, validity, 5*time.Second)
 	require.Equal(t, board.InstanceID("a"), d.Lender)
 	require.Equal(t, d, d.Replied("b", 2, 200, validity, 6*time.Second))
