Learn the levels of accounts from nodes, and drop nodes that are gone

Cause: the accounts of a new lender began empty and took 10 s to fill, and the largest fleet size of the last minute kept the parts of nodes that are gone. Customers below their quota were refused for seconds after restarts and replacements.

Change: each node keeps the requests that it admitted in the last window and sends them to a lender that does not have them. An account gets the level of a token bucket with these requests whenever the part of the lender changes; this replaces the hand-over of accounts on release. A node that has started within the window brings a starting credit of 0.2 of the tolerance. The capacity uses 0.6 of the tolerance in place of 0.7. A node that has just started asks a lender that may be starting too again. Nodes that leave gracefully do not count in the fleet size, and lost ones count for the revocation time plus 1 s with strict revocation.

--- a/pkg/control/quota/controller.go
+++ b/pkg/control/quota/controller.go
@@ -42,8 +42,8 @@
 	notReadyTime    = time.Second
 	unsupportedTime = 30 * time.Second
 	// fleetStartTime is the time after its start for which a node waits for a lender that
-	// has no configuration yet, and notReadyDelay the time between two attempts.
-	fleetStartTime = 2 * time.Second
+	// has not started or has no configuration yet, and notReadyDelay the time between two attempts.
+	fleetStartTime = time.Second
 	notReadyDelay  = 50 * time.Millisecond
 	// targetReuse is how long the choice of a lender is used without another look at the
 	// fleet, while its replies arrive.
@@ -77,8 +77,11 @@
 
 	groups     [quota.Groups]*group
 	startedAt  time.Duration
-	fleetSizes quota.FleetSizes
-	// fleetSize is the largest fleet size of the last quota.FleetSizeMemory.
+	fleetSizes *quota.FleetSizes
+	// observedFleet is the last view of the fleet, in which stayingNodes do not leave.
+	observedFleet *board.Fleet
+	stayingNodes  int
+	// fleetSize is the largest size that the fleet may have, see quota.FleetSizes.
 	fleetSize atomic.Int64
 	// fallbackSize is the fleet size for which the fallbacks were set, and fallbackRank
 	// the rank of this node in that fleet.
@@ -102,9 +105,8 @@
 	// inFlight is set while a report is under way. dueAt is when the next one is due.
 	inFlight bool
 	dueAt    time.Duration
-	// carried is what the last lender handed over, to be passed on until carriedUntil.
-	carried      []Carry
-	carriedUntil time.Duration
+	// historyAt is the lender that knows the earlier requests of this node.
+	historyAt lenderProcess
 	// repliedAt is when the last reply arrived.
 	repliedAt time.Duration
 	// target is the lender chosen at chosenAt from a view of the fleet.
@@ -117,6 +119,12 @@
 	avoid        map[board.InstanceID]time.Duration
 }
 
+// lenderProcess identifies a process of a lender.
+type lenderProcess struct {
+	id          board.InstanceID
+	incarnation uint32
+}
+
 // customerState is what the node reports of a customer.
 type customerState struct {
 	counter *board.QuotaCounter
@@ -129,6 +137,10 @@
 	// counted is the number of requests in demand, up to countedAt.
 	counted   int64
 	countedAt time.Duration
+	// history holds the requests that were admitted in the last window, of which admitted
+	// up to countedAt since the start.
+	history  *quota.History
+	admitted int64
 	// changed is set if the lender may not know the state in the last report.
 	changed bool
 }
@@ -138,6 +150,15 @@
 	return s.granted - s.counter.Balance() + s.counter.Refused() + s.counter.FallbackAdmitted()
 }
 
+// recordAdmitted enters the requests that were admitted since countedAt in the history.
+func (s *customerState) recordAdmitted(now time.Duration) {
+	admitted := s.granted - s.counter.Balance() + s.counter.FallbackAdmitted()
+	if admitted != s.admitted {
+		s.history.Add(float64(admitted-s.admitted), s.countedAt, now)
+		s.admitted = admitted
+	}
+}
+
 // result is the end of a report.
 type result struct {
 	report *outgoing
@@ -163,6 +184,7 @@
 	c := &Controller{
 		board: b, limits: limits, incarnation: incarnation, send: send, metrics: m, log: log, writer: b.Quotas.Claim("quota"),
 		now: bootclock.Now, random: rand.Float64, done: make(chan result, quota.Groups),
+		fleetSizes: quota.NewFleetSizes(limits.FleetSizeMemory()),
 	}
 	for i := range c.groups {
 		c.groups[i] = &group{
@@ -177,7 +199,7 @@
 
 // Run reports until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	routes := c.board.Routes.Subscribe()
+	routes, fleets, stores := c.board.Routes.Subscribe(), c.board.Fleet.Subscribe(), c.board.Store.Subscribe()
 	c.start(c.now())
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -191,6 +213,10 @@
 		case <-ctx.Done():
 			return
 		case <-routes:
+		case <-fleets:
+			c.fleetChanged(c.now())
+		case <-stores:
+			c.fleetChanged(c.now())
 		case <-due:
 		case number := <-c.board.QuotaReports.Events():
 			c.groups[number].dueAt = 0
@@ -277,7 +303,7 @@
 		g := c.groups[quota.Group(customer.Name)]
 		s := g.customers[customer.Name]
 		if s == nil {
-			s = &customerState{counter: &board.QuotaCounter{Customer: customer.Name, Group: g.state}, countedAt: now}
+			s = &customerState{counter: &board.QuotaCounter{Customer: customer.Name, Group: g.state}, countedAt: now, history: quota.NewHistory(c.limits.Window)}
 			g.customers[customer.Name] = s
 		}
 		if s.quota != customer.Quota {
@@ -298,10 +324,24 @@
 	return len(next.ByCustomer) > 0
 }
 
+// fleetChanged takes over a new view of the fleet, so that no member that leaves is missed,
+// and lets a node that has just started look for a lender again.
+func (c *Controller) fleetChanged(now time.Duration) {
+	c.observeFleet(now)
+	for _, g := range c.groups {
+		if g.delegation.Inherited {
+			g.dueAt = min(g.dueAt, now)
+		}
+	}
+}
+
 // observeFleet updates the largest fleet size, and the fallbacks that depend on it.
 func (c *Controller) observeFleet(now time.Duration) {
 	fleet := c.board.Fleet.Load()
-	size := c.fleetSizes.Observe(fleet.Size, now)
+	if fleet != c.observedFleet {
+		c.observedFleet, c.stayingNodes = fleet, c.fleetSizes.ObserveMembers(fleet, now)
+	}
+	size := c.fleetSizes.Observe(c.stayingNodes, now)
 	c.fleetSize.Store(int64(size))
 	if size == c.fallbackSize {
 		return
--- a/pkg/control/quota/fleet_test.go
+++ b/pkg/control/quota/fleet_test.go
@@ -37,6 +37,11 @@
 	loss    float64
 	// storeAway is set while nodes that start get no listing of the store.
 	storeAway bool
+	// gone holds the nodes that do not come back, and successors the nodes to which their
+	// callers have moved.
+	gone       map[int]bool
+	limits     quota.Limits
+	successors map[int]int
 	// messages and bytes count what was sent, with header bytes for each pair.
 	messages, bytes int
 	customers       map[string]*testCustomer
@@ -102,7 +107,7 @@
 }
 
 func newTestFleet(t *testing.T, seed uint64, size, domains int, quotas map[string]dynconf.RequestQuota) *testFleet {
-	f := &testFleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, domains: domains, customers: map[string]*testCustomer{}}
+	f := &testFleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, domains: domains, customers: map[string]*testCustomer{}, limits: testLimits, gone: map[int]bool{}, successors: map[int]int{}}
 	f.latency = func() time.Duration { return 500 * time.Microsecond }
 	f.cut = func(int, int) bool { return false }
 	f.setQuotas(1, quotas)
@@ -146,12 +151,15 @@
 	b := board.NewMeshBoard(board.NodeIdentity{Instance: f.ids[i]})
 	n := f.nodes[i]
 	*n = testNode{index: i, board: b, routes: b.Routes.Claim("test"), fleet: b.Fleet.Claim("test")}
-	view := &board.Fleet{Size: len(f.ids), ByInstance: map[board.InstanceID]*board.MeshEndpoint{}}
-	for _, id := range f.ids {
+	view := &board.Fleet{Size: len(f.ids) - len(f.gone), ByInstance: map[board.InstanceID]*board.MeshEndpoint{}}
+	for other, id := range f.ids {
+		if f.gone[other] {
+			continue
+		}
 		view.ByInstance[id] = &board.MeshEndpoint{Record: board.NodeRecord{Instance: id, PeerAddr: string(id)}, Reachability: &board.Reachability{}}
 	}
 	n.fleet.Publish(view)
-	n.controller = New(b, testLimits, f.random.Uint32()|1, nil, nil, zerolog.Nop())
+	n.controller = New(b, f.limits, f.random.Uint32()|1, nil, nil, zerolog.Nop())
 	n.controller.now = func() time.Duration { return f.now }
 	n.controller.random = f.random.Float64
 	n.controller.start(f.now)
@@ -164,6 +172,10 @@
 				listed[id] = endpoint.Record
 			}
 			store.Publish(&board.StoreStatus{ListingRequestedAt: time.Now(), ListedRecords: listed})
+			if n.controller == process && !n.down {
+				process.fleetChanged(f.now)
+				f.step(n)
+			}
 		})
 	}
 	f.after(time.Duration(f.random.Int64N(int64(600*time.Millisecond))), func() {
@@ -189,7 +201,11 @@
 	if f.nodes[from].down {
 		return
 	}
-	r := f.nodes[from].board.Fleet.Load().ByInstance[f.ids[to]].Reachability
+	endpoint := f.nodes[from].board.Fleet.Load().ByInstance[f.ids[to]]
+	if endpoint == nil {
+		return
+	}
+	r := endpoint.Reachability
 	if suspected {
 		r.RecordFailure()
 	} else {
@@ -314,6 +330,13 @@
 
 // request plays one request of a customer, as mesh.Entry does.
 func (f *testFleet) request(i int, customer string) {
+	for f.gone[i] {
+		successor, ok := f.successors[i]
+		if !ok {
+			return
+		}
+		i = successor
+	}
 	n := f.nodes[i]
 	if n.down || n.pausedUntil > f.now || n.board.Routes.Load().Version == 0 {
 		return
--- a/pkg/control/quota/lend.go
+++ b/pkg/control/quota/lend.go
@@ -45,10 +45,18 @@
 		l.configVersion = table.Version
 		l.lender.Configure(quotas, now)
 	}
-	l.lender.SetFleetSize(max(c.board.Fleet.Load().Size, int(c.fleetSize.Load())))
+	l.lender.SetFleetSize(c.lenderFleetSize())
 	return l.lender
 }
 
+// lenderFleetSize returns the largest size that the fleet may have.
+func (c *Controller) lenderFleetSize() int {
+	if size := int(c.fleetSize.Load()); size > 0 {
+		return size
+	}
+	return c.board.Fleet.Load().Size
+}
+
 // lenderStatus returns the state of the lender of a group at this node, and whether it
 // has reports of nodes.
 func (c *Controller) lenderStatus(group int, now time.Duration) (quota.Status, bool) {
--- a/pkg/control/quota/message.go
+++ b/pkg/control/quota/message.go
@@ -18,18 +18,23 @@
 	Sequence          uint64 `cbor:"4,keyasint"`
 	LenderIncarnation uint32 `cbor:"5,keyasint,omitempty"`
 	// StampMillis is the stamp of the last reply.
-	StampMillis    int64   `cbor:"6,keyasint,omitempty"`
-	Release        bool    `cbor:"7,keyasint,omitempty"`
-	FleetSize      int     `cbor:"8,keyasint"`
-	ValidityMillis uint32  `cbor:"10,keyasint"`
-	Carried        []Carry `cbor:"11,keyasint,omitempty"`
-	Usage          []Usage `cbor:"9,keyasint,omitempty"`
+	StampMillis    int64  `cbor:"6,keyasint,omitempty"`
+	Release        bool   `cbor:"7,keyasint,omitempty"`
+	FleetSize      int    `cbor:"8,keyasint"`
+	ValidityMillis uint32 `cbor:"10,keyasint"`
+	// WithHistory, the age of the process and History are those of quota.Report. Field 11
+	// had another meaning in earlier releases.
+	WithHistory bool        `cbor:"12,keyasint,omitempty"`
+	AgeMillis   int64       `cbor:"13,keyasint,omitempty"`
+	History     []PastUsage `cbor:"14,keyasint,omitempty"`
+	Usage       []Usage     `cbor:"9,keyasint,omitempty"`
 }
 
-// Carry is a part of an account that is handed over, see quota.Carry.
-type Carry struct {
-	Customer      string `cbor:"1,keyasint"`
-	RequestsMilli uint64 `cbor:"2,keyasint"`
+// PastUsage holds the earlier requests of a customer, see quota.PastUsage.
+type PastUsage struct {
+	Customer string `cbor:"1,keyasint"`
+	// CountsMilli are the counts in thousandths of a request.
+	CountsMilli []uint64 `cbor:"2,keyasint"`
 }
 
 // Usage is the state of a customer at the node, see quota.Usage.
@@ -53,7 +58,6 @@
 	PartMilli uint32  `cbor:"4,keyasint,omitempty"`
 	Stale     bool    `cbor:"5,keyasint,omitempty"`
 	Grants    []Grant `cbor:"6,keyasint,omitempty"`
-	Carried   []Carry `cbor:"7,keyasint,omitempty"`
 	// NotReady is set by a node that has no configuration yet, and does not lend.
 	NotReady bool `cbor:"8,keyasint,omitempty"`
 }
@@ -79,7 +83,7 @@
 			DemandMilli: uint32(min(math.MaxUint32, math.Round(1000*u.Demand))),
 		})
 	}
-	m.Carried = encodeCarried(r.Carried)
+	m.WithHistory, m.AgeMillis, m.History = r.WithHistory, r.Age.Milliseconds(), encodeHistory(r.History)
 	return m
 }
 
@@ -93,24 +97,30 @@
 			Customer: u.Customer, Granted: u.Granted, Used: u.Granted - u.Unused, Waiting: max(0, u.Waiting), Demand: float64(u.DemandMilli) / 1000,
 		})
 	}
-	r.Carried = decodeCarried(m.Carried)
+	r.WithHistory, r.Age, r.History = m.WithHistory, time.Duration(max(0, m.AgeMillis))*time.Millisecond, decodeHistory(m.History)
 	return r
 }
 
-func encodeCarried(carried []quota.Carry) []Carry {
-	var out []Carry
-	for _, c := range carried {
-		if milli := uint64(1000 * c.Requests); milli > 0 {
-			out = append(out, Carry{c.Customer, milli})
+func encodeHistory(history []quota.PastUsage) []PastUsage {
+	var out []PastUsage
+	for _, u := range history {
+		p := PastUsage{Customer: u.Customer}
+		for _, n := range u.Counts {
+			p.CountsMilli = append(p.CountsMilli, uint64(math.Ceil(1000*max(0, n))))
 		}
+		out = append(out, p)
 	}
 	return out
 }
 
-func decodeCarried(carried []Carry) []quota.Carry {
-	var out []quota.Carry
-	for _, c := range carried {
-		out = append(out, quota.Carry{Customer: c.Customer, Requests: float64(c.RequestsMilli) / 1000})
+func decodeHistory(history []PastUsage) []quota.PastUsage {
+	var out []quota.PastUsage
+	for _, u := range history {
+		p := quota.PastUsage{Customer: u.Customer}
+		for _, milli := range u.CountsMilli {
+			p.Counts = append(p.Counts, float64(milli)/1000)
+		}
+		out = append(out, p)
 	}
 	return out
 }
@@ -118,7 +128,6 @@
 func encodeReply(from board.InstanceID, r *quota.Reply) *Response {
 	m := &Response{
 		From: from, LenderIncarnation: r.LenderIncarnation, StampMillis: r.Stamp.Milliseconds(), PartMilli: uint32(1000 * r.Part), Stale: r.Stale,
-		Carried: encodeCarried(r.Carried),
 	}
 	for _, g := range r.Grants {
 		m.Grants = append(m.Grants, Grant{
--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -51,11 +51,9 @@
 	}
 	if g.delegation.Lender == target && !release {
 		report.LenderIncarnation, report.Stamp, report.Validity = g.delegation.Incarnation, g.delegation.Stamp, g.delegation.Validity
-		if now < g.carriedUntil {
-			report.Carried = decodeCarried(g.carried)
+		if g.historyAt != (lenderProcess{target, g.delegation.Incarnation}) {
+			report.WithHistory, report.Age, report.History = true, now-c.startedAt, g.history(now)
 		}
-		// What is handed over is sent once, so that a lost reply does not double it.
-		g.carried = nil
 	}
 	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, timeout: firstTimeout << max(0, g.failures-1), validity: report.Validity}
 	if endpoint := fleet.ByInstance[target]; endpoint != nil {
@@ -72,6 +70,7 @@
 	for name, s := range g.customers {
 		requests, waiting := s.requests(), s.counter.Waiting()
 		arrived := max(0, requests-s.counted)
+		s.recordAdmitted(now)
 		if arrived == 0 && s.demand == 0 {
 			s.countedAt = now
 		}
@@ -90,6 +89,17 @@
 	return usage
 }
 
+// history returns the requests of the last window.
+func (g *group) history(now time.Duration) []quota.PastUsage {
+	var history []quota.PastUsage
+	for name, s := range g.customers {
+		if counts := s.history.Counts(now); len(counts) > 0 {
+			history = append(history, quota.PastUsage{Customer: name, Counts: counts})
+		}
+	}
+	return history
+}
+
 // finish processes the end of a report.
 func (c *Controller) finish(r result, now time.Duration) {
 	g := r.report.group
@@ -118,7 +128,7 @@
 	if r.report.message.Release {
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
-		g.carried, g.carriedUntil = r.reply.Carried, now+r.report.validity
+		g.historyAt = lenderProcess{}
 		g.dueAt = now
 		return
 	}
@@ -126,9 +136,18 @@
 		g.dueAt = now
 		return
 	}
+	repliedBefore := g.repliedAt
 	stamp := time.Duration(r.reply.StampMillis) * time.Millisecond
 	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, stamp, quota.Validity(int(c.fleetSize.Load())), now)
 	g.repliedAt = now
+	switch {
+	case g.delegation.Lender != r.report.target:
+	case r.report.message.WithHistory && g.delegation.Incarnation == r.report.message.LenderIncarnation:
+		g.historyAt = lenderProcess{r.report.target, g.delegation.Incarnation}
+	case now-repliedBefore > r.report.validity:
+		// The lender has dropped what it knew of this node.
+		g.historyAt = lenderProcess{}
+	}
 	grantsUntil := r.report.sentAt + r.report.validity
 	// A node that a lender serves does not use its fallback, even if an earlier lender
 	// has its part.
@@ -187,6 +206,12 @@
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
 	}
+	if ended && now-c.startedAt < fleetStartTime {
+		// The lender may be starting like this node.
+		g.failures = 0
+		g.dueAt = now + notReadyDelay
+		return
+	}
 	unsupported := errors.Is(r.err, ErrInvalidResponse)
 	if ended || unsupported || g.failures >= failuresToSwitch {
 		g.avoid[r.report.target] = now + avoidTime
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -24,18 +24,21 @@
 	Validity time.Duration
 	// Release is set if the node takes its part back.
 	Release bool
-	// FleetSize is the largest fleet size that the node knew within FleetSizeMemory.
+	// FleetSize is the largest fleet size that the node knows, see FleetSizes.
 	FleetSize int
 	Usage     []Usage
-	// Carried is what the last lender handed over when it released the part.
-	Carried []Carry
+	// WithHistory is set in the reports up to the first reply of the lender that has the
+	// part. Age is then the age of the process, and History its requests.
+	WithHistory bool
+	Age         time.Duration
+	History     []PastUsage
 }
 
-// Carry is a part of an account that goes to another lender together with the part of a
-// node.
-type Carry struct {
+// PastUsage holds the requests of a customer that a node admitted in the last window, by
+// their age in parts of the window.
+type PastUsage struct {
 	Customer string
-	Requests float64
+	Counts   []float64
 }
 
 // Usage is the state of a customer at a node.
@@ -60,8 +63,6 @@
 	// Stale is set if the lender has ignored the report because a later one had arrived.
 	Stale  bool
 	Grants []Grant
-	// Carried is the part of the accounts that belongs to the part that was released.
-	Carried []Carry
 }
 
 // Grant is the reply for one customer.
@@ -79,7 +80,7 @@
 type Lender struct {
 	incarnation uint32
 	limits      Limits
-	// fleetSize is the largest fleet size that this node knew within FleetSizeMemory.
+	// fleetSize is the largest fleet size that this node knows, see FleetSizes.
 	fleetSize int
 	nodes     map[board.InstanceID]*borrower
 	accounts  map[string]*account
@@ -91,8 +92,14 @@
 	credit     float64
 	part       float64
 	advancedAt time.Duration
+	// grownAt is when the part became larger.
+	grownAt time.Duration
 }
 
+// growthTime is the time after a node has given its part during which denied nodes ask
+// again soon: those of other nodes arrive then, and the account may hold requests.
+const growthTime = 500 * time.Millisecond
+
 // advanceInterval is the least time after which a report moves the lender on. Doing so
 // visits all nodes, and each of them sends several reports per second.
 const advanceInterval = 20 * time.Millisecond
@@ -105,6 +112,8 @@
 	validity    time.Duration
 	// partUntil is until when the lender has the part of the node.
 	partUntil time.Duration
+	// known is set while the lender has the usage of the node in the last window.
+	known     bool
 	fleetSize int
 	customers map[string]*holding
 }
@@ -127,6 +136,8 @@
 	creditAt float64
 	// held and demand are the sums over all nodes.
 	held, demand float64
+	// history holds the requests of all nodes that have given the lender their part.
+	history *History
 }
 
 // NewLender returns a lender without customers.
@@ -156,7 +167,7 @@
 	for name, q := range quotas {
 		a := l.accounts[name]
 		if a == nil {
-			a = &account{creditAt: l.credit}
+			a = &account{creditAt: l.credit, history: NewHistory(l.limits.Window)}
 			l.accounts[name] = a
 			if _, removed := l.removedAt[name]; l.configured && !removed {
 				a.available = l.limits.Capacity(q) * l.part
@@ -171,7 +182,7 @@
 	l.configured = true
 }
 
-// SetFleetSize sets the largest fleet size of the last FleetSizeMemory.
+// SetFleetSize sets the largest size that the fleet may have.
 func (l *Lender) SetFleetSize(size int) { l.fleetSize = size }
 
 // Status is the state of a lender for metrics.
@@ -210,10 +221,13 @@
 	previous := l.advancedAt
 	l.advancedAt = now
 	for id, node := range l.nodes {
+		if now >= node.partUntil {
+			node.known = false
+		}
 		if now-node.reportedAt > node.validity {
 			// The grants have expired at the node. They may have been used, so they do not
 			// return to the account.
-			l.dropHoldings(node)
+			l.dropHoldings(node, now)
 			if now-node.reportedAt > FleetSizeMemory {
 				delete(l.nodes, id)
 			}
@@ -228,27 +242,70 @@
 		}
 	}
 	l.credit += (float64(parts)*(now-previous).Seconds() + expired) / float64(fleetSize)
-	l.setPart(float64(parts) / float64(fleetSize))
+	l.setPart(float64(parts)/float64(fleetSize), now)
 }
 
-// setPart changes the part of the quotas. A smaller part takes effect on all accounts
-// at once, since another lender may already fill its own.
-func (l *Lender) setPart(part float64) {
-	smaller := part < l.part
+// setPart changes the part of the quotas. It takes effect on all accounts at once: the
+// requests of the last window determine the level of an account, since a node that
+// leaves takes its part of the account to another lender, and one that arrives brings it.
+func (l *Lender) setPart(part float64, now time.Duration) {
+	if part == l.part {
+		return
+	}
+	larger := part > l.part
 	l.part = part
-	if smaller {
-		for _, a := range l.accounts {
-			l.fill(a)
+	if larger {
+		l.grownAt = now
+	}
+	for _, a := range l.accounts {
+		l.fill(a)
+		level := max(-a.capacity, a.capacity*part-max(0, a.held)-a.history.excess(a.quota.Rate*part, now))
+		if larger {
+			a.available = max(a.available, level)
+		} else {
+			a.available = min(a.available, level)
+		}
+		l.fill(a)
+	}
+}
+
+// learn enters the history of a node that gives the lender its part. The usage of the
+// earlier process of a young node is not known: apart from a starting credit, its part
+// of the accounts was empty when it started. The part of a node that sends no history
+// begins empty.
+func (l *Lender) learn(r *Report, now time.Duration) {
+	for i := range r.History {
+		if a := l.accounts[r.History[i].Customer]; a != nil {
+			a.history.addAged(r.History[i].Counts, now)
+		}
+	}
+	age := max(0, r.Age)
+	if !r.WithHistory {
+		age = 0
+	}
+	if age >= l.limits.Window {
+		return
+	}
+	_, fleetSize := l.countParts(now)
+	part := 1 / float64(max(fleetSize, r.FleetSize))
+	startedAt := make([]float64, int(age*historyBuckets/l.limits.Window)+1)
+	for _, a := range l.accounts {
+		used := a.capacity
+		if r.WithHistory {
+			used -= l.limits.StartCredit(a.quota)
 		}
+		startedAt[len(startedAt)-1] = used * part
+		a.history.addAged(startedAt, now)
 	}
 }
 
 // dropHoldings forgets what a node holds, without returning it to the accounts.
-func (l *Lender) dropHoldings(node *borrower) {
+func (l *Lender) dropHoldings(node *borrower, now time.Duration) {
 	for name, h := range node.customers {
 		if a := l.accounts[name]; a != nil {
 			a.held -= h.unused()
 			a.demand -= h.demand
+			a.history.Add(h.unused(), node.reportedAt, now)
 		}
 	}
 	clear(node.customers)
@@ -279,16 +336,13 @@
 		return reply
 	}
 	if node != nil && node.incarnation != r.Incarnation {
-		l.dropHoldings(node)
+		l.dropHoldings(node, now)
 		node.incarnation = r.Incarnation
 	}
 	if node == nil {
 		node = &borrower{incarnation: r.Incarnation, reportedAt: now, customers: map[string]*holding{}}
 		l.nodes[r.From] = node
 	}
-	if r.Release && now < node.partUntil {
-		reply.Carried = l.handOver()
-	}
 	partUntil := node.partUntil
 	switch {
 	case r.Release:
@@ -296,36 +350,32 @@
 	case r.LenderIncarnation == l.incarnation:
 		partUntil = max(partUntil, min(r.Stamp, now)+min(r.Validity, maxValidity))
 	}
+	if partUntil > now && !node.known {
+		node.known = true
+		l.learn(r, now)
+	}
 	if (partUntil > now) != (node.partUntil > l.advancedAt) || r.FleetSize != node.fleetSize {
 		l.advance(now)
 		node.partUntil, node.fleetSize = partUntil, r.FleetSize
 		parts, fleetSize := l.countParts(now)
-		l.setPart(float64(parts) / float64(fleetSize))
+		l.setPart(float64(parts)/float64(fleetSize), now)
 	}
-	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, min(r.Validity, maxValidity)
-	reply.Part = l.part
 	for i := range r.Usage {
 		if a := l.accounts[r.Usage[i].Customer]; a != nil {
-			l.settle(a, node, &r.Usage[i])
+			l.settle(a, node, &r.Usage[i], now)
 		}
 	}
+	node.partUntil, node.sequence, node.reportedAt, node.validity = partUntil, r.Sequence, now, min(r.Validity, maxValidity)
+	reply.Part = l.part
 	if r.Release {
-		l.dropHoldings(node)
+		l.dropHoldings(node, now)
+		node.known = false
 		return reply
 	}
-	if now < node.partUntil {
-		for _, carry := range r.Carried {
-			if a := l.accounts[carry.Customer]; a != nil && carry.Requests > 0 {
-				l.fill(a)
-				a.available += carry.Requests
-				l.fill(a)
-			}
-		}
-	}
 	for i := range r.Usage {
 		u := &r.Usage[i]
 		if a := l.accounts[u.Customer]; a != nil {
-			if g := l.grant(a, node.customers[u.Customer], u, spread); g != nil {
+			if g := l.grant(a, node.customers[u.Customer], u, now, spread); g != nil {
 				reply.Grants = append(reply.Grants, *g)
 			}
 		}
@@ -333,35 +383,15 @@
 	return reply
 }
 
-// maxCarried bounds the customers that are handed over with a part.
-const maxCarried = 256
-
-// handOver takes the part of one node out of the accounts that are in use. The accounts
-// of a new lender would be empty otherwise.
-func (l *Lender) handOver() []Carry {
-	parts, _ := l.countParts(l.advancedAt)
-	var carried []Carry
-	for name, a := range l.accounts {
-		if len(carried) == maxCarried {
-			break
-		}
-		l.fill(a)
-		if a.demand > 0 && a.available > 0 {
-			amount := a.available / float64(max(1, parts))
-			a.available -= amount
-			carried = append(carried, Carry{name, amount})
-		}
-	}
-	return carried
-}
-
 // settle enters the usage of a node into an account.
-func (l *Lender) settle(a *account, node *borrower, u *Usage) {
+func (l *Lender) settle(a *account, node *borrower, u *Usage, now time.Duration) {
 	h := node.customers[u.Customer]
 	if h == nil {
 		// What the node holds was granted by an earlier lender.
 		h = &holding{granted: u.Granted, used: u.Granted}
 		node.customers[u.Customer] = h
+	} else {
+		a.history.Add(float64(u.Used-h.used), node.reportedAt, now)
 	}
 	a.held += float64(max(0, u.Granted-u.Used)) - h.unused()
 	a.demand = max(0, a.demand+u.Demand-h.demand)
@@ -383,12 +413,16 @@
 )
 
 // grant lends requests to a node, nil if it neither needs nor gets any.
-func (l *Lender) grant(a *account, h *holding, u *Usage, spread float64) *Grant {
+func (l *Lender) grant(a *account, h *holding, u *Usage, now time.Duration, spread float64) *Grant {
 	rate, capacity := a.quota.Rate*l.part, a.capacity*l.part
 	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held, a.available-float64(u.Waiting)-reserveLevel*capacity)
 	want := float64(u.Waiting) + math.Floor(max(0, advance))
-	limited := a.available < openLevel*capacity-a.held
 	backoff := Backoff(a.available, rate, capacity, a.demand, u.Demand)
+	growing := l.grownAt > 0 && now-l.grownAt < growthTime
+	if growing {
+		backoff = minBackoff
+	}
+	limited := !growing && a.available < openLevel*capacity-a.held
 	if limited && a.demand > 0 {
 		share := math.Ceil(rate * u.Demand / a.demand * backoff.Seconds())
 		want = min(want, max(1, share))
@@ -407,6 +441,7 @@
 	a.held += amount - used
 	h.granted += int64(amount)
 	h.used += int64(used)
+	a.history.Add(used, now, now)
 	g := &Grant{Customer: u.Customer, Requests: int64(amount), Limited: limited}
 	if int64(amount) < u.Waiting {
 		g.Limited, g.Backoff, g.RetryAfter = true, backoff, RetryAfter(a.available, rate, a.demand, spread)
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -43,8 +43,11 @@
 	// maxValidity is the Validity of the largest fleet.
 	maxValidity = 3750 * time.Millisecond
 	// FleetSizeMemory is how long the largest known size of the fleet determines the
-	// part of a node.
+	// part of a node, without strict revocation of API keys.
 	FleetSizeMemory = time.Minute
+	// revocationMargin is the time between the refusals of a node without contact to the
+	// store and the use of its part by others.
+	revocationMargin = time.Second
 )
 
 // Group returns the group of a customer.
@@ -69,11 +72,23 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
+	// RevocationTime is the time after which a node without contact to the store refuses
+	// all requests with API keys, 0 if it does not.
+	RevocationTime time.Duration
 }
 
-// usableTolerance is the part of the tolerance that is used. The rest covers the time
+// FleetSizeMemory returns for how long a lost node may use its part of the quotas.
+func (l Limits) FleetSizeMemory() time.Duration {
+	if l.RevocationTime <= 0 {
+		return FleetSizeMemory
+	}
+	return min(FleetSizeMemory, l.RevocationTime+revocationMargin)
+}
+
+// usableTolerance is the part of the tolerance that is used. The rest covers the
+// starting credit, parts that are lent twice after a change of the membership, and the time
 // between the admission of a request and its execution.
-const usableTolerance = 0.7
+const usableTolerance = 0.6
 
 // Capacity returns how many requests of a customer may run at once over all nodes: the
 // burst and the usable part of the tolerance. Requests granted to nodes in advance
@@ -82,6 +97,16 @@
 	return q.Burst + usableTolerance*(l.Overshoot*(q.Rate*l.Window.Seconds()+q.Burst)+l.Slack)
 }
 
+// startCredit is the part of the tolerance that the accounts of a fleet that has just
+// started hold, whatever its earlier processes admitted.
+const startCredit = 0.2
+
+// StartCredit returns how many requests of a customer may run at once over all nodes when
+// these have just started.
+func (l Limits) StartCredit(q dynconf.RequestQuota) float64 {
+	return startCredit * (l.Overshoot*(q.Rate*l.Window.Seconds()+q.Burst) + l.Slack)
+}
+
 // holdTime is the time of its demand for which a node holds grants in advance. It
 // exceeds the usual interval of reports, so that a steady demand seldom waits for a reply.
 const holdTime = 1200 * time.Millisecond
@@ -169,23 +194,60 @@
 	maxBackoff = time.Second
 )
 
-// FleetSizes remembers the largest size of the fleet within FleetSizeMemory.
-type FleetSizes struct{ samples []sizeSample }
+// FleetSizes remembers the largest size of the fleet within a time. Nodes that have left
+// gracefully do not count.
+type FleetSizes struct {
+	memory  time.Duration
+	samples []sizeSample
+	// left is the number of nodes that have left, and members holds when each of the
+	// others was last seen. The samples include the nodes that left before.
+	left    int
+	members map[board.InstanceID]time.Duration
+}
 
 type sizeSample struct {
 	size int
 	at   time.Duration
 }
 
+// NewFleetSizes returns a memory of a time.
+func NewFleetSizes(memory time.Duration) *FleetSizes {
+	return &FleetSizes{memory: memory, members: map[board.InstanceID]time.Duration{}}
+}
+
+// ObserveMembers takes over which nodes a new view of the fleet has, and which of them
+// leave. It returns the number of those that stay, this node included, at least 1.
+func (s *FleetSizes) ObserveMembers(fleet *board.Fleet, now time.Duration) int {
+	size := fleet.Size
+	for id, endpoint := range fleet.ByInstance {
+		if !endpoint.Record.Leaving {
+			s.members[id] = now
+			continue
+		}
+		size--
+		if _, ok := s.members[id]; ok {
+			delete(s.members, id)
+			s.left++
+		}
+	}
+	for id, seenAt := range s.members {
+		if now-seenAt > FleetSizeMemory {
+			delete(s.members, id)
+		}
+	}
+	return max(1, size)
+}
+
 // Observe adds a size and returns the largest one. Sizes must be observed in the order
 // of time.
 func (s *FleetSizes) Observe(size int, now time.Duration) int {
-	for len(s.samples) > 0 && s.samples[len(s.samples)-1].size <= size {
+	sample := size + s.left
+	for len(s.samples) > 0 && s.samples[len(s.samples)-1].size <= sample {
 		s.samples = s.samples[:len(s.samples)-1]
 	}
-	s.samples = append(s.samples, sizeSample{size, now})
-	for now-s.samples[0].at > FleetSizeMemory {
+	s.samples = append(s.samples, sizeSample{sample, now})
+	for now-s.samples[0].at > s.memory {
 		s.samples = s.samples[1:]
 	}
-	return s.samples[0].size
+	return s.samples[0].size - s.left
 }
--- a/pkg/decide/quota/quota_test.go
+++ b/pkg/decide/quota/quota_test.go
@@ -171,10 +171,80 @@
 
 // Guards against a part of the quota that grows as soon as nodes are out of sight.
 func TestFleetSizesAreRemembered(t *testing.T) {
-	var s FleetSizes
+	s := NewFleetSizes(FleetSizeMemory)
 	require.Equal(t, 5, s.Observe(5, 0))
 	require.Equal(t, 5, s.Observe(2, time.Second))
 	require.Equal(t, 5, s.Observe(3, FleetSizeMemory))
 	require.Equal(t, 3, s.Observe(1, FleetSizeMemory+time.Second))
 	require.Equal(t, 1, s.Observe(1, 3*FleetSizeMemory))
 }
+
+// Guards against a new lender that lends more or less than a token bucket with the
+// requests of the nodes would, and against nodes without a history that bring a level.
+func TestNewLenderLearnsTheLevelFromTheNodes(t *testing.T) {
+	q := dynconf.RequestQuota{Rate: 10, Burst: 20}
+	capacity, now := limits.Capacity(q), time.Hour
+	play := func(change func(r *Report)) float64 {
+		l := NewLender(7, limits, now)
+		l.Configure(map[string]dynconf.RequestQuota{"c": q}, now)
+		for _, id := range []board.InstanceID{"n", "m"} {
+			r := report(id, 1, now)
+			r.WithHistory, r.Age = true, time.Hour
+			change(r)
+			l.Answer(r, now, 0)
+		}
+		return available(l)
+	}
+	require.InDelta(t, capacity, play(func(*Report) {}), 1e-9, "idle for a window")
+	require.Zero(t, play(func(r *Report) { r.WithHistory = false }), "a node of an earlier release")
+	require.InDelta(t, limits.StartCredit(q), play(func(r *Report) { r.Age = 0 }), 1e-9, "all nodes have just started")
+	history := NewHistory(limits.Window)
+	history.Add(10, now-time.Second, now-time.Second)
+	level := play(func(r *Report) { r.History = []PastUsage{{"c", history.Counts(now)}} })
+	require.InDelta(t, capacity-20+10, level, 1.5, "20 requests one second ago")
+	history = NewHistory(limits.Window)
+	history.Add(25, now-limits.Window, now)
+	require.InDelta(t, capacity, play(func(r *Report) { r.History = []PastUsage{{"c", history.Counts(now)}} }), 0.5, "the rate is used, spread evenly")
+}
+
+// Guards against requests that a history loses or keeps for longer than the window.
+func TestHistoryKeepsTheLastWindow(t *testing.T) {
+	h := NewHistory(limits.Window)
+	h.Add(8, time.Second, 3*time.Second)
+	sum := func(now time.Duration) float64 {
+		total := 0.0
+		for _, n := range h.Counts(now) {
+			total += n
+		}
+		return total
+	}
+	require.InDelta(t, 8, sum(3*time.Second), 1e-9)
+	require.InDelta(t, 4, sum(7*time.Second), 0.6)
+	require.Zero(t, sum(9*time.Second))
+}
+
+// Guards against parts of nodes that have left or been lost, which lie idle for a minute,
+// and against a node out of sight that counts as one that left.
+func TestNodesThatLeftDoNotCount(t *testing.T) {
+	s := NewFleetSizes(Limits{RevocationTime: 5 * time.Second}.FleetSizeMemory())
+	view := func(ids, leaving []board.InstanceID) *board.Fleet {
+		fleet := &board.Fleet{Size: len(ids) + len(leaving), ByInstance: map[board.InstanceID]*board.MeshEndpoint{}}
+		for _, id := range ids {
+			fleet.ByInstance[id] = &board.MeshEndpoint{}
+		}
+		for _, id := range leaving {
+			fleet.ByInstance[id] = &board.MeshEndpoint{Record: board.NodeRecord{Leaving: true}}
+		}
+		return fleet
+	}
+	observe := func(fleet *board.Fleet, now time.Duration) int { return s.Observe(s.ObserveMembers(fleet, now), now) }
+	all := []board.InstanceID{"a", "b", "c", "d", "e"}
+	require.Equal(t, 5, observe(view(all, nil), 0))
+	require.Equal(t, 4, observe(view(all[:4], all[4:]), time.Second))
+	require.Equal(t, 4, observe(view(all[:4], nil), 2*time.Second))
+	require.Equal(t, 4, observe(view(all[:3], nil), 3*time.Second), "out of sight")
+	require.Equal(t, 4, observe(view(all[:3], []board.InstanceID{"x"}), 3*time.Second), "never seen before")
+	require.Equal(t, 3, observe(view(all[:3], nil), 9*time.Second), "past the revocation time")
+	require.Equal(t, 4, observe(view(all[:4], nil), 10*time.Second), "back again")
+	require.Equal(t, FleetSizeMemory, limits.FleetSizeMemory())
+}
--- a/pkg/meshnode/quota.go
+++ b/pkg/meshnode/quota.go
@@ -15,7 +15,7 @@
 // quotaLimits returns how exact the quotas of customers are.
 func (n *Node) quotaLimits() decide.Limits {
 	l := n.settings.PlatformLimits
-	return decide.Limits{Window: l.QuotaWindow, Overshoot: l.QuotaOvershoot, Slack: l.QuotaSlack}
+	return decide.Limits{Window: l.QuotaWindow, Overshoot: l.QuotaOvershoot, Slack: l.QuotaSlack, RevocationTime: n.strictRevocationTime()}
 }
 
 // handleQuotaReport responds to a report of requests by customer.
