--- a/pkg/control/quota/report.go
+++ b/pkg/control/quota/report.go
@@ -21,6 +21,13 @@
 	fleet := c.board.Fleet.Load()
 	c.chooseTarget(g, fleet, now)
 	target := g.target
+	if g.delegation.Inherited {
+		previous := g.delegation
+		g.delegation = previous.Started(c.startedAt, fleet.Size, target != "" && c.listingMerged(fleet), now)
+		if g.delegation != previous {
+			g.setFallbackFrom(now + maxTimeout)
+		}
+	}
 	if target == c.board.Self.Instance && c.fleetSize.Load() == 1 && g.delegation.Lender == "" {
 		// No other node can have the part of the only one.
 		g.delegation = g.delegation.Released("", now)
@@ -44,11 +51,9 @@
 	}
 	if g.delegation.Lender == target && !release {
 		report.LenderIncarnation, report.Stamp, report.Validity = g.delegation.Incarnation, g.delegation.Stamp, g.delegation.Validity
-		if now < g.carriedUntil {
-			report.Carried = decodeCarried(g.carried)
+		if g.historyAt != (lenderProcess{target, g.delegation.Incarnation}) {
+			report.WithHistory, report.Age, report.History = true, now-c.startedAt, g.history(now)
 		}
-		// What is handed over is sent once, so that a lost reply does not double it.
-		g.carried = nil
 	}
 	out := &outgoing{group: g, target: target, message: encodeReport(g.state.Number, report), sentAt: now, timeout: firstTimeout << max(0, g.failures-1), validity: report.Validity}
 	if endpoint := fleet.ByInstance[target]; endpoint != nil {
@@ -65,6 +70,7 @@
 	for name, s := range g.customers {
 		requests, waiting := s.requests(), s.counter.Waiting()
 		arrived := max(0, requests-s.counted)
+		s.recordAdmitted(now)
 		if arrived == 0 && s.demand == 0 {
 			s.countedAt = now
 		}
@@ -83,6 +89,17 @@
 	return usage
 }
 
+// history returns the requests of the last window.
+func (g *group) history(now time.Duration) []quota.PastUsage {
+	var history []quota.PastUsage
+	for name, s := range g.customers {
+		if counts := s.history.Counts(now); len(counts) > 0 {
+			history = append(history, quota.PastUsage{Customer: name, Counts: counts})
+		}
+	}
+	return history
+}
+
 // finish processes the end of a report.
 func (c *Controller) finish(r result, now time.Duration) {
 	g := r.report.group
@@ -98,6 +115,11 @@
 		g.delegation = g.delegation.Released(r.report.target, now)
 	}
 	if r.reply.NotReady {
+		if now-c.startedAt < fleetStartTime {
+			// The whole fleet may have started; a change of the lender would split it.
+			g.dueAt = now + notReadyDelay
+			return
+		}
 		g.avoid[r.report.target], g.target = now+notReadyTime, ""
 		g.setFallbackFrom(now + maxTimeout)
 		g.dueAt = now
@@ -106,7 +128,7 @@
 	if r.report.message.Release {
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
-		g.carried, g.carriedUntil = r.reply.Carried, now+r.report.validity
+		g.historyAt = lenderProcess{}
 		g.dueAt = now
 		return
 	}
@@ -114,9 +136,18 @@
 		g.dueAt = now
 		return
 	}
+	repliedBefore := g.repliedAt
 	stamp := time.Duration(r.reply.StampMillis) * time.Millisecond
 	g.delegation = g.delegation.Replied(r.report.target, r.reply.LenderIncarnation, stamp, quota.Validity(int(c.fleetSize.Load())), now)
 	g.repliedAt = now
+	switch {
+	case g.delegation.Lender != r.report.target:
+	case r.report.message.WithHistory && g.delegation.Incarnation == r.report.message.LenderIncarnation:
+		g.historyAt = lenderProcess{r.report.target, g.delegation.Incarnation}
+	case now-repliedBefore > r.report.validity:
+		// The lender has dropped what it knew of this node.
+		g.historyAt = lenderProcess{}
+	}
 	grantsUntil := r.report.sentAt + r.report.validity
 	// A node that a lender serves does not use its fallback, even if an earlier lender
 	// has its part.
@@ -175,6 +206,12 @@
 		g.delegation = g.delegation.Released(r.report.target, now)
 		g.setFallbackFrom(now + maxTimeout)
 	}
+	if ended && now-c.startedAt < fleetStartTime {
+		// The lender may be starting like this node.
+		g.failures = 0
+		g.dueAt = now + notReadyDelay
+		return
+	}
 	unsupported := errors.Is(r.err, ErrInvalidResponse)
 	if ended || unsupported || g.failures >= failuresToSwitch {
 		g.avoid[r.report.target] = now + avoidTime
@@ -225,7 +262,7 @@
 			delete(g.avoid, id)
 		}
 	}
-	if fleet.Size <= 1 && c.board.Store.Load().ListingRequestedAt.IsZero() {
+	if fleet.Size <= 1 && !c.listingMerged(fleet) {
 		return
 	}
 	self := c.board.Self.Instance
@@ -245,6 +282,20 @@
 	g.target = quota.ChooseLender(g.state.Number, candidates)
 }
 
+// listingMerged reports whether the fleet has all nodes of a listing of the store.
+func (c *Controller) listingMerged(fleet *board.Fleet) bool {
+	store := c.board.Store.Load()
+	if store.ListingRequestedAt.IsZero() {
+		return false
+	}
+	for id := range store.ListedRecords {
+		if id != c.board.Self.Instance && fleet.ByInstance[id] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // logTarget logs a change of the lender of a group; none means that this node uses its
 // part itself.
 func (c *Controller) logTarget(g *group) {
