Let customers use the rate and the burst of each window

Cause: accounts filled at the rate alone. Change: an account fills at rate + burst / window; the requests of the last window bound what is granted. The assumed usage of the earlier processes of young nodes does not count in that bound.

--- a/pkg/decide/quota/history.go
+++ b/pkg/decide/quota/history.go
@@ -74,6 +74,16 @@
 	return out
 }
 
+// Sum returns the requests within the window.
+func (h *History) Sum(now time.Duration) float64 {
+	h.advance(now)
+	sum := 0.0
+	for _, n := range h.counts {
+		sum += n
+	}
+	return sum
+}
+
 // excess returns the maximum over the times up to the window of the requests within that
 // time less those that a rate allows, at least 0. A full token bucket with this history
 // lacks as many requests.
--- a/pkg/decide/quota/lender.go
+++ b/pkg/decide/quota/lender.go
@@ -138,6 +138,9 @@
 	held, demand float64
 	// history holds the requests of all nodes that have given the lender their part.
 	history *History
+	// assumed holds the part of the history that stands for the unknown usage of the
+	// earlier processes of young nodes.
+	assumed *History
 }
 
 // NewLender returns a lender without customers.
@@ -167,7 +170,7 @@
 	for name, q := range quotas {
 		a := l.accounts[name]
 		if a == nil {
-			a = &account{creditAt: l.credit, history: NewHistory(l.limits.Window)}
+			a = &account{creditAt: l.credit, history: NewHistory(l.limits.Window), assumed: NewHistory(l.limits.Window)}
 			l.accounts[name] = a
 			if _, removed := l.removedAt[name]; l.configured && !removed {
 				a.available = l.limits.Capacity(q) * l.part
@@ -259,7 +262,7 @@
 	}
 	for _, a := range l.accounts {
 		l.fill(a)
-		level := max(-a.capacity, a.capacity*part-max(0, a.held)-a.history.excess(a.quota.Rate*part, now))
+		level := max(-a.capacity, a.capacity*part-max(0, a.held)-a.history.excess(l.limits.SustainedRate(a.quota)*part, now))
 		if larger {
 			a.available = max(a.available, level)
 		} else {
@@ -296,6 +299,7 @@
 		}
 		startedAt[len(startedAt)-1] = used * part
 		a.history.addAged(startedAt, now)
+		a.assumed.addAged(startedAt, now)
 	}
 }
 
@@ -313,7 +317,7 @@
 
 // fill adds what has become available since the last time.
 func (l *Lender) fill(a *account) {
-	a.available += a.quota.Rate * (l.credit - a.creditAt)
+	a.available += l.limits.SustainedRate(a.quota) * (l.credit - a.creditAt)
 	a.creditAt = l.credit
 	room := a.capacity*l.part - max(0, a.held)
 	if l.part > 0 {
@@ -321,6 +325,10 @@
 		room = max(room, 1)
 	}
 	a.available = min(a.available, max(0, room))
+	// The account fills at the rate that each window allows. It starts full, so that the
+	// first window would allow more without this.
+	used := a.history.Sum(l.advancedAt) - a.assumed.Sum(l.advancedAt)
+	a.available = min(a.available, l.limits.WindowLimit(a.quota)*l.part-used-max(0, a.held))
 }
 
 // Answer processes a report and returns the reply. The spread is a random number from 0
@@ -414,7 +422,7 @@
 
 // grant lends requests to a node, nil if it neither needs nor gets any.
 func (l *Lender) grant(a *account, h *holding, u *Usage, now time.Duration, spread float64) *Grant {
-	rate, capacity := a.quota.Rate*l.part, a.capacity*l.part
+	rate, capacity := l.limits.SustainedRate(a.quota)*l.part, a.capacity*l.part
 	advance := min(float64(Hold(u.Demand))-h.unused(), maxHeldLevel*capacity-a.held, a.available-float64(u.Waiting)-reserveLevel*capacity)
 	want := float64(u.Waiting) + math.Floor(max(0, advance))
 	backoff := Backoff(a.available, rate, capacity, a.demand, u.Demand)
--- a/pkg/decide/quota/quota.go
+++ b/pkg/decide/quota/quota.go
@@ -92,11 +92,22 @@
 
 // Capacity returns how many requests of a customer may run at once over all nodes: the
 // burst and the usable part of the tolerance. Requests granted to nodes in advance
-// count in it, so that at most rate x window + capacity requests run in any window.
+// count in it.
 func (l Limits) Capacity(q dynconf.RequestQuota) float64 {
 	return q.Burst + usableTolerance*(l.Overshoot*(q.Rate*l.Window.Seconds()+q.Burst)+l.Slack)
 }
 
+// SustainedRate returns how many requests per second a customer may send in the long
+// run: in each window the rate times the window and the burst.
+func (l Limits) SustainedRate(q dynconf.RequestQuota) float64 {
+	return q.Rate + q.Burst/l.Window.Seconds()
+}
+
+// WindowLimit returns how many requests of a customer are admitted in any window.
+func (l Limits) WindowLimit(q dynconf.RequestQuota) float64 {
+	return q.Rate*l.Window.Seconds() + l.Capacity(q)
+}
+
 // startCredit is the part of the tolerance that the accounts of a fleet that has just
 // started hold, whatever its earlier processes admitted.
 const startCredit = 0.2
