--- a/pkg/board/provenversion_test.go
+++ b/pkg/board/provenversion_test.go
@@ -38,6 +38,7 @@
 	older := newNode(2)
 	older.ReceiveConfigProof(a.ConfigAdvertisement(time.Now()), older.ConfigRequestSentAt())
 	require.Equal(t, time.Hour, older.ConfigProven.Age(2, now))
+	require.Less(t, a.ConfigProven.Age(4, now), 3*time.Second, "a version that has just arrived is newer than the proof")
 	a.ConfigProven.Prove(4, now)
 	require.Equal(t, time.Hour, a.ConfigProven.Age(3, now))
 }
--- a/pkg/control/quota/recovery_test.go
+++ b/pkg/control/quota/recovery_test.go
@@ -51,11 +51,7 @@
 		f.noticeLinks()
 	}, nil},
 	{"a third of the nodes is replaced", func(f *testFleet) {
-		var replaced []int
-		for _, i := range f.random.Perm(len(f.nodes))[:len(f.nodes)*3/10] {
-			replaced = append(replaced, i)
-		}
-		f.replaceNodes(replaced)
+		f.replaceNodes(f.random.Perm(len(f.nodes))[:len(f.nodes)*3/10])
 	}, []refusalCheck{{2 * time.Second, recoveryEnd, 0.03}, {2 * time.Second, 4 * time.Second, 0.03}}},
 	{"20 nodes leave", func(f *testFleet) {
 		for step, i := range f.random.Perm(len(f.nodes))[:20] {
