--- a/pkg/control/healthcheck/warmup_test.go
+++ b/pkg/control/healthcheck/warmup_test.go
@@ -9,9 +9,10 @@
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/dynconf"
+	"mangostand.example/mangostand/platform"
 )
 
-const coldResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Mangostand-Instance-Id: s\r\nX-Mangostand-Warmup-Ms: 2000\r\n\r\n"
+const coldResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + platform.HeaderInstanceID + ": s\r\n" + platform.HeaderWarmup + ": 2000\r\n\r\n"
 
 // newWarmupFixture returns a fixture with a limit for cold servers while a call runs
 // and each response to a call reports the load.
