Share the label of unnamed customers, and count sources once

Cause: control/quota had its own constant for the label of customers without counters of their own and a comparison written out by hand, and config check found out in two ways which sources are given.

Change: board.OtherCustomers serves both counters, the order is built with package cmp, countSources serves both conditions, and the type Verdict is called LocalDecision. Behaviour is the same.

--- a/pkg/board/customerservice.go
+++ b/pkg/board/customerservice.go
@@ -78,8 +78,8 @@
 		fairshare.Unpack(s.customers.Load()).Received(elapsed, fairshare.ClassDecay)
 }
 
-// otherCustomers is the label of customers that are not counted by name.
-const otherCustomers = "other"
+// OtherCustomers is the label of customers that are not counted by name.
+const OtherCustomers = "other"
 
 // LargestCustomers are the customers that counters name.
 type LargestCustomers struct{ Names []string }
@@ -90,5 +90,5 @@
 	if name == "" || slices.Contains(l.Names, name) {
 		return name
 	}
-	return otherCustomers
+	return OtherCustomers
 }
--- a/pkg/cli/config_check.go
+++ b/pkg/cli/config_check.go
@@ -102,14 +102,19 @@
 	}
 }
 
-func (o *checkOperation) run() int {
+// countSources returns how many sources of the version in force are given.
+func (o *checkOperation) countSources() int {
 	sources := 0
 	for _, source := range []string{o.againstPath, o.storeURL, o.node.baseURL} {
 		if source != "" {
 			sources++
 		}
 	}
-	if sources > 1 {
+	return sources
+}
+
+func (o *checkOperation) run() int {
+	if o.countSources() > 1 {
 		return reportBadInput(o.stderr, "only one of --against, --store and --node may be given")
 	}
 	ctx, cancel := newCallContext()
@@ -199,7 +204,7 @@
 	draft, findings := platform.InspectConfig(data)
 	report.addAll("", draft.Version, findings)
 	report.addAll("", draft.Version, configcheck.Check(draft, environment))
-	if o.againstPath == "" && o.storeURL == "" && o.node.baseURL == "" || report.Errors > 0 {
+	if o.countSources() == 0 || report.Errors > 0 {
 		return nil
 	}
 	earlier := &configcheck.Draft{Limits: dynconf.DefaultCallerLimits()}
--- a/pkg/control/quota/statistics.go
+++ b/pkg/control/quota/statistics.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -14,7 +15,6 @@
 	// the largest quotas. maxNames bounds the names over all configurations.
 	namedCustomers = 8
 	maxNames       = 32
-	otherCustomers = "other"
 	// limitedLogInterval is the least time between two log lines on refused requests.
 	limitedLogInterval = 5 * time.Second
 )
@@ -23,7 +23,7 @@
 type statistics struct {
 	publishedAt time.Duration
 	loggedAt    time.Duration
-	// names maps customers to their label; all others are counted as otherCustomers.
+	// names maps customers to their label; all others are counted as board.OtherCustomers.
 	names map[string]bool
 	// named holds all names that ever had a label.
 	named  map[string]bool
@@ -45,16 +45,7 @@
 		customers = append(customers, table.Customers.ByName(name))
 	}
 	slices.SortFunc(customers, func(a, b *dynconf.Customer) int {
-		if a.Quota.Rate != b.Quota.Rate {
-			if a.Quota.Rate > b.Quota.Rate {
-				return -1
-			}
-			return 1
-		}
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.Quota.Rate, a.Quota.Rate), cmp.Compare(a.Name, b.Name))
 	})
 	s.names = map[string]bool{}
 	for _, customer := range customers[:min(len(customers), namedCustomers)] {
@@ -97,7 +88,7 @@
 
 // count publishes the requests of a customer since the last time.
 func (s *statistics) count(c *Controller, name string, state *customerState) {
-	label := otherCustomers
+	label := board.OtherCustomers
 	if s.names[name] {
 		label = name
 	}
--- a/pkg/decide/quota/local.go
+++ b/pkg/decide/quota/local.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Verdict is the decision on a request for which a node holds no grant.
-type Verdict uint8
+// LocalDecision is the decision on a request for which a node holds no grant.
+type LocalDecision uint8
 
-// Verdicts.
+// Local decisions.
 const (
 	// Wait means that the request waits for the reply of the lender.
-	Wait Verdict = iota
+	Wait LocalDecision = iota
 	// UseFallback means that the node applies its Fallback.
 	UseFallback
 	// Refuse means that the customer is over its quota.
@@ -32,7 +32,7 @@
 const MaxWait = 350 * time.Millisecond
 
 // DecideLocally decides on a request without a grant.
-func DecideLocally(l Local, now time.Duration) Verdict {
+func DecideLocally(l Local, now time.Duration) LocalDecision {
 	switch {
 	case now >= l.FallbackFrom:
 		return UseFallback
--- a/pkg/mesh/quota.go
+++ b/pkg/mesh/quota.go
@@ -60,15 +60,15 @@
 		if counter.Take(now) {
 			break
 		}
-		verdict := quota.DecideLocally(quota.Local{
+		decision := quota.DecideLocally(quota.Local{
 			RefuseUntil: counter.Denial().RefuseUntil, FallbackFrom: counter.Group.FallbackFrom(),
 			Silent: counter.Group.Silent(), Waited: now - startedAt,
 		}, now)
-		if verdict != quota.Wait {
+		if decision != quota.Wait {
 			if waiting {
 				counter.StopWaiting()
 			}
-			return false, verdict == quota.UseFallback && takeFallback(counter, now)
+			return false, decision == quota.UseFallback && takeFallback(counter, now)
 		}
 		if !waiting {
 			waiting = true
