--- a/pkg/board/attempts.go
+++ b/pkg/board/attempts.go
@@ -1,9 +1,10 @@
 package board
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangostand.example/mangostand/pkg/lazymap"
 )
 
 // windowBuckets is the number of buckets of a sliding window.
@@ -15,7 +16,7 @@
 type AttemptCounters struct {
 	// startedAt is the reference of the bucket numbers, on the monotonic clock.
 	startedAt time.Time
-	byService sync.Map // of string to *attemptWindow
+	byService lazymap.Map[string, attemptWindow]
 }
 
 // NewAttemptCounters returns counters whose first bucket starts at now.
@@ -55,15 +56,6 @@
 	AdditionalAttempts float64
 }
 
-// windowOf returns the window of a service and creates it when needed.
-func (c *AttemptCounters) windowOf(service string) *attemptWindow {
-	if v, ok := c.byService.Load(service); ok {
-		return v.(*attemptWindow)
-	}
-	v, _ := c.byService.LoadOrStore(service, &attemptWindow{})
-	return v.(*attemptWindow)
-}
-
 // bucketNumber returns the number of the bucket that covers now, starting at 1.
 func (c *AttemptCounters) bucketNumber(window time.Duration, now time.Time) int64 {
 	return int64(max(0, now.Sub(c.startedAt)))/int64(window/windowBuckets) + 1
@@ -71,21 +63,20 @@
 
 // AddCall counts a call received from a caller.
 func (c *AttemptCounters) AddCall(service string, window time.Duration, now time.Time) {
-	c.windowOf(service).bucketAt(c.bucketNumber(window, now)).calls.Add(1)
+	c.byService.Get(service).bucketAt(c.bucketNumber(window, now)).calls.Add(1)
 }
 
 // AddAttempts counts additional attempts, which may be fractional.
 func (c *AttemptCounters) AddAttempts(service string, attempts float64, window time.Duration, now time.Time) {
-	c.windowOf(service).bucketAt(c.bucketNumber(window, now)).milliAttempts.Add(int64(1000 * attempts))
+	c.byService.Get(service).bucketAt(c.bucketNumber(window, now)).milliAttempts.Add(int64(1000 * attempts))
 }
 
 // Counts returns the counts of all services in the window that ends at now.
 func (c *AttemptCounters) Counts(window time.Duration, now time.Time) []AttemptCounts {
 	number := c.bucketNumber(window, now)
 	var counts []AttemptCounts
-	c.byService.Range(func(key, v any) bool {
-		count := AttemptCounts{Service: key.(string)}
-		w := v.(*attemptWindow)
+	for service, w := range c.byService.All {
+		count := AttemptCounts{Service: service}
 		for i := range w.buckets {
 			bucket := &w.buckets[i]
 			if bucket.number.Load() > number-windowBuckets {
@@ -94,7 +85,6 @@
 			}
 		}
 		counts = append(counts, count)
-		return true
-	})
+	}
 	return counts
 }
--- a/pkg/board/callstats.go
+++ b/pkg/board/callstats.go
@@ -1,13 +1,14 @@
 package board
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangostand.example/mangostand/pkg/lazymap"
 )
 
 // StatsByRule holds the call statistics of each route rule.
-type StatsByRule struct{ byRule sync.Map } // of string to *Stats
+type StatsByRule struct{ byRule lazymap.Map[string, Stats] }
 
 // sampleWeight is the weight of a new sample in the moving averages.
 const sampleWeight = 0.1
@@ -90,13 +91,7 @@
 }
 
 // ForRule returns the statistics of a rule and creates them when needed.
-func (s *StatsByRule) ForRule(rule string) *Stats {
-	if v, ok := s.byRule.Load(rule); ok {
-		return v.(*Stats)
-	}
-	v, _ := s.byRule.LoadOrStore(rule, &Stats{})
-	return v.(*Stats)
-}
+func (s *StatsByRule) ForRule(rule string) *Stats { return s.byRule.Get(rule) }
 
 // updateAverage adds a sample to an exponentially weighted moving average. The
 // first sample sets it.
--- a/pkg/board/locality.go
+++ b/pkg/board/locality.go
@@ -1,26 +1,22 @@
 package board
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"mangostand.example/mangostand/pkg/decide/locality"
+	"mangostand.example/mangostand/pkg/lazymap"
 )
 
 // DomainLatencies holds the shortest round trips to nodes of each failure domain, as
 // exchanges and forwarded calls measure them.
 type DomainLatencies struct {
-	byDomain sync.Map // of string to *atomic.Pointer[locality.ShortestRoundTrip]
+	byDomain lazymap.Map[string, atomic.Pointer[locality.ShortestRoundTrip]]
 }
 
 // Add adds a round trip to a node of a failure domain.
 func (d *DomainLatencies) Add(domain string, roundTrip time.Duration, now time.Time) {
-	stored, ok := d.byDomain.Load(domain)
-	if !ok {
-		stored, _ = d.byDomain.LoadOrStore(domain, &atomic.Pointer[locality.ShortestRoundTrip]{})
-	}
-	tracker := stored.(*atomic.Pointer[locality.ShortestRoundTrip])
+	tracker := d.byDomain.Get(domain)
 	for {
 		old := tracker.Load()
 		var next locality.ShortestRoundTrip
@@ -39,10 +35,12 @@
 
 // roundTrip returns the shortest round trip to a failure domain, 0 when there is none.
 func (d *DomainLatencies) roundTrip(domain string) time.Duration {
-	if stored, ok := d.byDomain.Load(domain); ok {
-		if tracker := stored.(*atomic.Pointer[locality.ShortestRoundTrip]).Load(); tracker != nil {
-			return tracker.Value()
-		}
+	tracker := d.byDomain.Find(domain)
+	if tracker == nil {
+		return 0
+	}
+	if shortest := tracker.Load(); shortest != nil {
+		return shortest.Value()
 	}
 	return 0
 }
@@ -55,7 +53,9 @@
 
 // LeavingShares holds the share of the calls that leave the failure domain for each
 // rule and service.
-type LeavingShares struct{ byDestination sync.Map } // of leavingKey to *LeavingShare
+type LeavingShares struct {
+	byDestination lazymap.Map[leavingKey, LeavingShare]
+}
 
 type leavingKey struct{ rule, service string }
 
@@ -67,22 +67,14 @@
 
 // For returns the share of a rule and a service and creates it when needed.
 func (s *LeavingShares) For(rule, service string) *LeavingShare {
-	key := leavingKey{rule, service}
-	if stored, ok := s.byDestination.Load(key); ok {
-		return stored.(*LeavingShare)
-	}
-	stored, _ := s.byDestination.LoadOrStore(key, &LeavingShare{})
-	return stored.(*LeavingShare)
+	return s.byDestination.Get(leavingKey{rule, service})
 }
 
-// Load returns the state after the latest call and a function that stores the next
-// one. A state is not stored if another call has stored one since: both moved the
-// share by the same time.
-func (s *LeavingShare) Load() (locality.State, func(locality.State)) {
-	old := s.state.Load()
-	store := func(next locality.State) { s.state.CompareAndSwap(old, &next) }
-	if old == nil {
-		return locality.State{}, store
-	}
-	return *old, store
+// Load returns the state after the latest call, nil before the first one.
+func (s *LeavingShare) Load() *locality.State { return s.state.Load() }
+
+// Replace stores the state that follows from an earlier result of Load. It is not stored
+// if another call has stored one since: both moved the share by the same time.
+func (s *LeavingShare) Replace(previous *locality.State, next locality.State) {
+	s.state.CompareAndSwap(previous, &next)
 }
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"mangostand.example/mangostand/pkg/decide/pacing"
+	"mangostand.example/mangostand/pkg/lazymap"
 )
 
 // ClientRequest is a request that a Pool sends.
@@ -108,7 +108,7 @@
 	// ConnsOpened counts the connections that were opened.
 	ConnsOpened atomic.Uint64
 
-	idleByKey sync.Map // from idleKey to *idleStack
+	idleByKey lazymap.Map[idleKey, idleStack]
 }
 
 // idleKey names the idle connections that a request may use.
@@ -165,14 +165,6 @@
 	reused bool
 }
 
-func (p *Pool) idleStackFor(key idleKey) *idleStack {
-	if s, ok := p.idleByKey.Load(key); ok {
-		return s.(*idleStack)
-	}
-	s, _ := p.idleByKey.LoadOrStore(key, &idleStack{})
-	return s.(*idleStack)
-}
-
 // keepAliveMargin is how long before the server's keep-alive timeout an idle
 // connection is no longer used, so that no request is sent while the server closes
 // the connection.
@@ -189,7 +181,7 @@
 
 // getConn returns an idle connection or opens a new one.
 func (p *Pool) getConn(ctx context.Context, key idleKey, maxIdle time.Duration) (*clientConn, error) {
-	stack := p.idleStackFor(key)
+	stack := p.idleByKey.Get(key)
 	now := time.Now()
 	for maxIdle > 0 {
 		c := stack.pop()
@@ -216,8 +208,7 @@
 // SweepIdleConns closes the connections that were idle for too long or that the
 // server has closed. A controller calls it at intervals.
 func (p *Pool) SweepIdleConns(now time.Time) {
-	p.idleByKey.Range(func(_, v any) bool {
-		stack := v.(*idleStack)
+	for _, stack := range p.idleByKey.All {
 		var keep []*clientConn
 		for c := stack.pop(); c != nil; c = stack.pop() {
 			if c.isReusable(p.IdleTimeout, now) {
@@ -229,14 +220,13 @@
 		for i := len(keep) - 1; i >= 0; i-- {
 			stack.push(keep[i])
 		}
-		return true
-	})
+	}
 }
 
 // CloseIdleConns closes the idle connections to an address.
 func (p *Pool) CloseIdleConns(addr string) {
 	for _, checked := range [...]bool{false, true} {
-		stack := p.idleStackFor(idleKey{addr, checked})
+		stack := p.idleByKey.Get(idleKey{addr, checked})
 		for c := stack.pop(); c != nil; c = stack.pop() {
 			_ = c.netConn.Close()
 		}
@@ -394,14 +384,14 @@
 	rt.requestSent = true
 	rest := rt.request.Body
 	if rt.request.PaceBody != nil {
-		for len(rest) > pacedPartBytes {
-			rt.request.PaceBody(pacedPartBytes)
+		for len(rest) > pacing.ChunkBytes {
+			rt.request.PaceBody(pacing.ChunkBytes)
 			var part bytes.Buffer
-			_ = writeChunk(&part, rest[:pacedPartBytes])
+			_ = writeChunk(&part, rest[:pacing.ChunkBytes])
 			if _, err := rt.conn.netConn.Write(part.Bytes()); err != nil {
 				return errors.Annotate(err, "writing the request body")
 			}
-			rest = rest[pacedPartBytes:]
+			rest = rest[pacing.ChunkBytes:]
 		}
 		rt.request.PaceBody(len(rest))
 	}
@@ -412,9 +402,6 @@
 	return errors.Annotate(writeLastChunk(rt.conn.netConn, rest), "writing the request body")
 }
 
-// pacedPartBytes is the size of a part of a paced body, see pacing.ChunkBytes.
-const pacedPartBytes = pacing.ChunkBytes
-
 func (rt *roundTrip) writeRequest() error {
 	var buf bytes.Buffer
 	req := rt.request
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -119,7 +119,7 @@
 	<-closed
 	require.Eventually(t, func() bool {
 		pool.SweepIdleConns(time.Now())
-		return pool.idleStackFor(idleKey{addr: addr}).head.Load() == nil
+		return pool.idleByKey.Get(idleKey{addr: addr}).head.Load() == nil
 	}, 5*time.Second, time.Millisecond)
 	_, err = pool.Do(t.Context(), addr, newGetRequest("/"))
 	require.NoError(t, err)
--- a/pkg/mesh/coldroom.go
+++ b/pkg/mesh/coldroom.go
@@ -1,12 +1,12 @@
 package mesh
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
 	"mangostand.example/mangostand/pkg/decide/warmup"
+	"mangostand.example/mangostand/pkg/lazymap"
 )
 
 // minColdRetryAfter is the shortest Retry-After of a call that was refused because its
@@ -16,18 +16,14 @@
 // coldRoom records up to which time the room of the cold backend servers of each
 // service has been promised to refused callers, so that they do not all return at once.
 type coldRoom struct {
-	// reservedUntil maps a service to an *atomic.Pointer[time.Time].
-	reservedUntil sync.Map
+	// reservedUntil maps services to times.
+	reservedUntil lazymap.Map[string, atomic.Pointer[time.Time]]
 }
 
 // reserve promises room to one more caller and returns its Retry-After. wait and rate
 // are those of warmup.RetryAfter.
 func (r *coldRoom) reserve(service string, wait time.Duration, rate float64, now time.Time) time.Duration {
-	stored, ok := r.reservedUntil.Load(service)
-	if !ok {
-		stored, _ = r.reservedUntil.LoadOrStore(service, &atomic.Pointer[time.Time]{})
-	}
-	slot := stored.(*atomic.Pointer[time.Time])
+	slot := r.reservedUntil.Get(service)
 	for {
 		old := slot.Load()
 		var reservedUntil time.Time
--- a/pkg/mesh/endpoint.go
+++ b/pkg/mesh/endpoint.go
@@ -43,13 +43,17 @@
 		candidates = append(candidates, view.newCandidate(endpoint))
 	}
 	buffers.candidates = candidates
-	previous, store := f.entry.Board.LeavingShares.For(f.call.Rule, f.call.Service).Load()
+	leaving := f.entry.Board.LeavingShares.For(f.call.Rule, f.call.Service)
+	stored, previous := leaving.Load(), locality.State{}
+	if stored != nil {
+		previous = *stored
+	}
 	decision, _ := locality.Decide(locality.Input{
 		Candidates: candidates, Nominal: view.nominalTime, Tolerance: expectedTimeTolerance, Repeated: f.repeated,
 		Previous: previous, Now: now, Random: rand.Uint64(),
 	}, &buffers.scratch)
 	if decision.State != previous {
-		store(decision.State)
+		leaving.Replace(stored, decision.State)
 	}
 	chosen := &candidates[decision.Index]
 	f.admissionWait = earliest.RemainingAdmissionWait(chosen)
--- a/pkg/mesh/locality_test.go
+++ b/pkg/mesh/locality_test.go
@@ -90,9 +90,8 @@
 // entries follow each report at once.
 func TestShareIsKeptBetweenCalls(t *testing.T) {
 	f := newBenchForwarder(8)
-	_, store := f.entry.Board.LeavingShares.For("read", "desk").Load()
 	started := time.Now()
-	store(locality.State{At: started})
+	f.entry.Board.LeavingShares.For("read", "desk").Replace(nil, locality.State{At: started})
 	for i, endpoint := range f.entry.Board.Fleet.Load().ByService["desk"] {
 		load := board.LoadReport{Limit: 8, LatencyMicros: 100_000, Sequence: 2, ReceivedAt: time.Now().Add(-400 * time.Millisecond)}
 		if i%4 == 0 {
@@ -109,6 +108,6 @@
 		require.LessOrEqual(t, f.locality.Share, time.Since(started).Seconds()/(3*0.4), "reports of 400 ms")
 		previous = f.locality.Share
 	}
-	other, _ := f.entry.Board.LeavingShares.For("read", "other").Load()
+	other := f.entry.Board.LeavingShares.For("read", "other").Load()
 	require.Zero(t, other, "services are apart")
 }
