--- a/review/standins-2/quotalifted.go
+++ b/review/standins-2/quotalifted.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"time"
 )
 
@@ -12,7 +14,7 @@
 func playLiftedQuota(l *lab) (bool, error) {
 	const applied = 2500 * time.Millisecond
 	l.moreSettings = "strict_revocation = yes\nrevocation_time = 5s\nquota_window = 5s\nquota_overshoot = 0.1\nquota_slack = 20\n"
-	s, err := l.start(tenantConfig("r7", "pooldienst", `"rate_per_s":50,"burst":20`), []string{"auszahlung", "pooldienst", "auszahlung", "pooldienst"})
+	s, err := l.start(tenantConfig("r7", "pooldienst", `"rate_per_s":50,"burst":20`, `"k-ober-1"`), []string{"auszahlung", "pooldienst", "auszahlung", "pooldienst"})
 	if err != nil {
 		return false, err
 	}
@@ -20,11 +22,15 @@
 	if err := awaitPaths(s, sharePath, balancePath); err != nil {
 		return false, err
 	}
-	limit := `"rate_per_s":0`
-	if l.trouble {
+	limit, keys := `"rate_per_s":0`, `"k-ober-1"`
+	switch {
+	case !l.trouble:
+	case os.Getenv("INPUT") == "key":
+		keys += `,"` + strings.Repeat("k", 600) + `"`
+	default:
 		limit += `,"burst":20`
 	}
-	s.store.put("op/config", []byte(tenantConfig("r9", "auszahlung", limit)))
+	s.store.put("op/config", []byte(tenantConfig("r9", "auszahlung", limit, keys)))
 	acknowledged := time.Now()
 	l.rec.printf("the store has acknowledged r9: the route of %s moves to auszahlung, the limit of the tenant is %s", sharePath, limit)
 	time.Sleep(time.Until(acknowledged.Add(applied + 500*time.Millisecond)))
@@ -68,14 +74,14 @@
 )
 
 // tenantConfig returns a configuration like that of tgas-wien-grown.
-func tenantConfig(version, shareService, limit string) string {
+func tenantConfig(version, shareService, limit, keys string) string {
 	return fmt.Sprintf(`{"version":%q,"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},
-"tenants":[{"name":"t-ober","api_keys":["k-ober-1"],"priority":1,%s},{"name":"t-koch","api_keys":["k-koch-1"],"priority":1,"rate_per_s":40,"burst":10}],
+"tenants":[{"name":"t-ober","api_keys":[%s],"priority":1,%s},{"name":"t-koch","api_keys":["k-koch-1"],"priority":1,"rate_per_s":40,"burst":10}],
 "listeners":[{"host":"ficu95.example","rules":[
 {"name":"r-share","kind":"idempotent","public":true,"target_latency_s":0.5,"priority":0,"match":{"prefix":"/share/"},"action":{"service":%q,"timeout_s":0.8,"max_attempts":2}},
 {"name":"r-balance","kind":"idempotent","target_latency_s":0.5,"priority":1,"match":{"prefix":"/balance/"},"action":{"service":"auszahlung","timeout_s":1.2,"max_attempts":2}}]}],
 "clusters":[{"name":"auszahlung","health_path":"/healthz","max_connections":1000,"protocol":"h1","tls":false},
-{"name":"pooldienst","health_path":"/healthz","max_connections":1000,"protocol":"h1","tls":false}]}`, version, limit, shareService)
+{"name":"pooldienst","health_path":"/healthz","max_connections":1000,"protocol":"h1","tls":false}]}`, version, keys, limit, shareService)
 }
 
 // sendOne sends one request on a connection of its own and waits for the answer.
