review: case 8 records what is served after a restart of all nodes

Cause: nodes that refuse the document in the store have no configuration once none of them holds an older one.

Change: after its verdict the script of case 8 kills all nodes, starts them again and records what is ready and served 15 s later.

--- a/review/standins-2/quotalifted.go
+++ b/review/standins-2/quotalifted.go
@@ -65,7 +65,40 @@
 		}
 	}
 	l.rec.printf("8 s after the acknowledgement, of 20 requests with a key that both versions hold, %d are refused", refused)
-	return old == 0, nil
+	return old == 0, s.recordRecovery()
+}
+
+// recordRecovery kills all nodes and records what they serve recovery_s after they were
+// started again (RULES.md, RECOVER). It does not count for the verdict.
+func (s *site) recordRecovery() error {
+	const downFor, recovery = 1200 * time.Millisecond, 15 * time.Second
+	for _, n := range s.nodes {
+		n.kill()
+	}
+	time.Sleep(downFor)
+	for _, n := range s.nodes {
+		if err := n.start(s); err != nil {
+			return err
+		}
+	}
+	time.Sleep(recovery)
+	ready, served := 0, 0
+	for _, n := range s.nodes {
+		if isReady(n) {
+			ready++
+		}
+	}
+	for i := range 20 {
+		e, err := sendOne(s, s.nodes[i%len(s.nodes)], fmt.Sprintf("after-%d", i), sharePath, "")
+		if err != nil {
+			return err
+		}
+		if e.status == http.StatusOK {
+			served++
+		}
+	}
+	s.rec.printf("%v after all nodes were killed and started again: %d of %d are ready, %d of 20 requests on the public route are served", recovery, ready, len(s.nodes), served)
+	return nil
 }
 
 const (
