Refuse a document only for entries that have no meaning

Validation took odd values for invalid ones; any error refuses the document.

Change: each check that refuses a document was set beside the users' pages. What no page forbids is taken in its stated or nearest meaning (table in docs/customers.md): a burst without a rate, large rates, warm-ups and weights, fractions of weights, a negative priority of a customer, an empty or repeated key, keys of any length, whole numbers written as floats. Nodes log such entries (config_entry_adjusted), config check warns of them, and a refused document is counted. Documents without a meaning are refused as before, and so are keys while the version in force is not proven.

Conclusion: a fleet that restarts with nothing but a refused document still waits for the next valid one; OPERATIONS.md says how to see it.

--- a/pkg/control/routefeed/routefeed.go
+++ b/pkg/control/routefeed/routefeed.go
@@ -130,8 +130,9 @@
 // apply decodes a document and publishes it if it is newer than the one in force.
 func (c *Controller) apply(fetched *fetchedDocument) {
 	started := time.Now()
-	table, err := platform.DecodeTable(fetched.document)
+	table, adjusted, err := platform.DecodeTable(fetched.document)
 	if err != nil {
+		c.metrics.IncrementCounter("config_refused", nil)
 		c.log.Error().Err(err).Str("event", "config_refused").Str("from", fetched.from).Msg("cannot decode configuration, keeping the one in force")
 		return
 	}
@@ -148,4 +149,11 @@
 	c.log.Info().Str("event", "config").Uint64("version", table.Version).Uint64("before", current).Str("from", fetched.from).
 		Int("bytes", len(fetched.document)).Int("received_bytes", len(fetched.encoded.Data)).Uint64("difference_from", fetched.encoded.Base).
 		Dur("decoded_in", now.Sub(started)).Dur("age", now.Sub(fetched.readAt)).Send()
+	for _, entry := range adjusted[:min(len(adjusted), maxLoggedEntries)] {
+		c.log.Warn().Str("event", "config_entry_adjusted").Uint64("version", table.Version).Int("entries", len(adjusted)).Msg(entry)
+	}
 }
+
+// maxLoggedEntries bounds the log lines about entries of one document. "mangostand config
+// check" shows all of them.
+const maxLoggedEntries = 20
--- a/pkg/control/routefeed/routefeed_test.go
+++ b/pkg/control/routefeed/routefeed_test.go
@@ -325,3 +325,28 @@
 		require.Positive(t, unreachable.reads.Load())
 	})
 }
+
+// Guards against a refused document that ends the version in force, and against a node
+// that started with nothing but a refused one and does not take the next (review/8).
+func TestNextDocumentIsTakenAfterARefusedOne(t *testing.T) {
+	refused := []byte(`{"version":"r8","listeners":[{"host":"h","rules":[{"kind":"odd"}]}]}`)
+	for name, inForce := range map[string]int{"a version in force": 7, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			withStore(t, func(t *testing.T, ctx context.Context, s *store.Store) {
+				if inForce > 0 {
+					putVersion(t, s, inForce)
+				} else {
+					putDocument(t, s, refused)
+				}
+				b := startController(ctx, "n0", nil, newClient(s), pullOf(nil))
+				time.Sleep(10 * time.Second)
+				putDocument(t, s, refused)
+				time.Sleep(10 * time.Second)
+				require.EqualValues(t, inForce, b.Routes.Load().Version)
+				putVersion(t, s, 9)
+				time.Sleep(2 * time.Second)
+				require.EqualValues(t, 9, b.Routes.Load().Version)
+			})
+		})
+	}
+}
--- a/pkg/decide/configcheck/configcheck.go
+++ b/pkg/decide/configcheck/configcheck.go
@@ -24,6 +24,8 @@
 	NeverMatches Severity = "never matches"
 	// Contradiction means that two values exclude each other's effect.
 	Contradiction Severity = "contradiction"
+	// Adjusted means that nodes replace a value by another one.
+	Adjusted Severity = "adjusted"
 	// Ignored means that nodes do not apply the version.
 	Ignored Severity = "ignored"
 )
