Suspect requests whose backend server ends within its answer

A connection that ended within the body was classed as a malformed answer, like bytes that are no answer, and only a lost connection counts as evidence. An answer above 1 MB, which is passed on as it comes, was reported as completed at its head, which even cleared a suspicion.

Change: the end of an execution is whole, connection lost, or unknown, as the read error says; answers that are passed on report at their last byte. A framing error, a caller that leaves, and an answer without a length that ends in order are unknown. As before, the backend server is asked for its health after a lost connection, and only its end makes a request suspect. The product's own path did this already; it shares the code now.

Six real nodes: TestCrashingRequestOnThePlatform passed with both kinds of crash.

Conclusion: a crash behind an answer without a length is noticed only if the connection is reset.

--- a/pkg/call/quarantine.go
+++ b/pkg/call/quarantine.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"time"
 
 	"mangostand.example/mangostand/pkg/board"
+	"mangostand.example/mangostand/pkg/h1"
 	"mangostand.example/mangostand/pkg/wire"
 )
 
@@ -77,28 +77,12 @@
 		}
 		return
 	}
-	result.Body = &observedBody{ReadCloser: result.Body, onEnd: func(err error) {
+	result.Body = h1.ObserveEnd(result.Body, func(err error) {
 		switch {
 		case err == io.EOF:
 			x.reportCompletion(message, local)
 		case ctx.Err() == nil:
 			x.reportLostConnection(message, local)
 		}
-	}}
-}
-
-// observedBody calls onEnd once with the error that ends the body, io.EOF for a
-// complete one.
-type observedBody struct {
-	io.ReadCloser
-	once  sync.Once
-	onEnd func(error)
-}
-
-func (b *observedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.once.Do(func() { b.onEnd(err) })
-	}
-	return n, err
+	})
 }
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -59,6 +59,9 @@
 	Header http.Header
 	// ContentLength is the size of the body in bytes, -1 when it is not known.
 	ContentLength int64
+	// EndsWithConn is true when the body ends with its connection. Nothing tells a whole
+	// one from one that the end of the server has cut short.
+	EndsWithConn bool
 	// Body must be closed. A read error means that the response is incomplete.
 	Body io.ReadCloser
 }
@@ -462,12 +465,11 @@
 			rt.reusable = false
 		}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && bodyAllowed(rt.request.Method, resp.StatusCode) {
-		rt.reusable = false
-	}
+	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && bodyAllowed(rt.request.Method, resp.StatusCode)
+	rt.reusable = rt.reusable && !endsWithConn
 	rt.conn.keepAliveTimeout = keepAliveTimeout(resp.Header)
 	return &ClientResponse{
-		Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, EndsWithConn: endsWithConn,
 		Body: &responseBody{roundTrip: rt, body: resp.Body, complete: resp.ContentLength == 0 || !bodyAllowed(rt.request.Method, resp.StatusCode)},
 	}
 }
--- a/pkg/mesh/call.go
+++ b/pkg/mesh/call.go
@@ -119,16 +119,14 @@
 
 	// buffered is true if Body is held in memory.
 	buffered bool
+	// endsWithConn is true if the body ends with the connection to the backend server.
+	endsWithConn bool
 }
 
 func notSent(reason board.Reason) *Result { return &Result{Outcome: NotSent, Reason: reason} }
 
 func unknown(reason board.Reason) *Result { return &Result{Outcome: Unknown, Reason: reason} }
 
-// lost reports whether the connection to the backend server broke during the
-// execution of the call.
-func (r *Result) lost() bool { return r.Outcome == Unknown && r.Reason == board.ReasonConnectionLost }
-
 func (r *Result) closeBody() {
 	if r != nil && r.Body != nil {
 		_ = r.Body.Close()
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -282,20 +282,15 @@
 	if result.Outcome == Unknown && result.Reason == board.ReasonCanceledByCaller {
 		x.abandon(tracked, ended)
 	}
-	// A connection that ends after its call hung tells nothing about the request or
-	// about the life of the backend server.
-	if !result.lost() || !tracked.hung() {
-		reportExecutionResult(x.Board, c, server, result)
-	}
 	concurrent = (concurrent + x.queue.Running() + 1) / 2
 	if result.buffered || result.Body == nil {
+		x.reportEnd(c, server, tracked, result.end())
 		release()
 	} else {
 		slotPassedOn = true
-		result.Body = onClose(result.Body, release)
-	}
-	if result.lost() && !tracked.hung() {
-		x.Board.SuspectedServers.Post(*server)
+		result.Body = onClose(h1.ObserveEnd(result.Body, func(err error) {
+			x.reportEnd(c, server, tracked, result.endOfBody(ctx, err))
+		}), release)
 	}
 	if result.Outcome == Answered && result.Status < http.StatusInternalServerError {
 		x.recordSample(c, serviceTime, tracked.maxSlowdown, concurrent, server.Slots)
--- a/pkg/mesh/server.go
+++ b/pkg/mesh/server.go
@@ -110,19 +110,22 @@
 		_ = response.Body.Close()
 		return unknown(board.ReasonMalformedAnswer)
 	}
-	result := &Result{Outcome: Answered, Status: response.Status, Header: response.Header, Body: response.Body, Length: response.ContentLength}
+	result := &Result{Outcome: Answered, Status: response.Status, Header: response.Header, Body: response.Body, Length: response.ContentLength, endsWithConn: response.EndsWithConn}
 	if result.Length > executorBufferLimit {
 		return result
 	}
 	return x.bufferServerResponse(ctx, c, result)
 }
 
-// bufferServerResponse buffers the body, so that a truncated one is reported
-// as malformed.
+// bufferServerResponse buffers the body, so that a truncated one is not passed on.
 func (x *Executor) bufferServerResponse(ctx context.Context, c *Call, result *Result) *Result {
 	if err := result.bufferBody(executorBufferLimit); err != nil {
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return unknown(board.ReasonCanceledByCaller)
+		case h1.IsConnLost(err):
+			// The process may have ended because of the call.
+			return unknown(board.ReasonConnectionLost)
 		}
 		return unknown(board.ReasonMalformedAnswer)
 	}
--- a/test/processes/platform_test.go
+++ b/test/processes/platform_test.go
@@ -24,6 +24,12 @@
 // against the refusal of other requests because of it. The platform tolerates three
 // crashes, and time for all nodes to learn of them.
 func TestCrashingRequestOnThePlatform(t *testing.T) {
+	for name, path := range map[string]string{"before the response": standin.CrashPath, "within the response": standin.CrashInResponsePath} {
+		t.Run(name, func(t *testing.T) { testCrashingRequest(t, path) })
+	}
+}
+
+func testCrashingRequest(t *testing.T, path string) {
 	bin := os.Getenv("MANGOSTAND_BIN")
 	require.NotEmpty(t, bin, "MANGOSTAND_BIN is not set; use make faults")
 	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
@@ -44,13 +50,13 @@
 	for round := range 4 {
 		for i, n := range site.Nodes {
 			id := fmt.Sprintf("crash-%d-%d", round, i)
-			standin.NewCaller(n.CallerAddr).SendPath(ctx, id, standin.ReadPrefix, standin.CrashPath, callerTimeout)
+			standin.NewCaller(n.CallerAddr).SendPath(ctx, id, standin.ReadPrefix, path, callerTimeout)
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
 	require.NotZero(t, crashes())
 	require.LessOrEqual(t, crashes(), int64(3))
-	lastResult := standin.NewCaller(site.Nodes[0].CallerAddr).SendPath(ctx, "crash-last", standin.ReadPrefix, standin.CrashPath, callerTimeout)
+	lastResult := standin.NewCaller(site.Nodes[0].CallerAddr).SendPath(ctx, "crash-last", standin.ReadPrefix, path, callerTimeout)
 	require.Equal(t, standin.NotExecuted, lastResult.Outcome)
 	require.Greater(t, lastResult.RetryAfter, time.Minute)
 	for i, n := range site.Nodes {
