Bound the time of a request on the listeners for the backend server

Cause: an announcement that is sent in part held a connection and a goroutine for ever, since only its header had a time limit.

Change: a request on the listeners for announcements and for the readiness check has 2 s, its response 5 s.

Result: TestUnfinishedAnnouncementEnds passes; without the limits it waits for the rest of the body until it gives up after 30 s.

--- a/pkg/meshnode/node.go
+++ b/pkg/meshnode/node.go
@@ -55,6 +55,10 @@
 	// localIdleTimeout closes idle connections of the backend server and of the
 	// platform's readiness check, both of which call about once a second.
 	localIdleTimeout = 30 * time.Second
+	// localReadTimeout and localWriteTimeout bound one of their requests, which is a few
+	// hundred bytes, and its response, of which the metrics are the largest.
+	localReadTimeout  = 2 * time.Second
+	localWriteTimeout = 5 * time.Second
 	// defaultDescriptors is assumed when the descriptor limit is not known.
 	defaultDescriptors = 1024
 	// maxPeerHeaderBytes bounds the header of requests between nodes: the caller's
@@ -213,11 +217,15 @@
 	announce := func(event board.ServerEvent) bool {
 		return localserver.AnnounceAndWait(n.board, event, announceTimeout)
 	}
-	n.announceServer = &http.Server{
-		Handler: platform.NewAnnouncementHandler(announce, n.log), ReadHeaderTimeout: time.Second, IdleTimeout: localIdleTimeout, ErrorLog: errorLog,
-	}
-	n.readinessServer = &http.Server{
-		Handler: platform.NewReadinessHandler(n.ready, n.metricsHandler), ReadHeaderTimeout: time.Second, IdleTimeout: localIdleTimeout, ErrorLog: errorLog,
+	n.announceServer = newLocalServer(platform.NewAnnouncementHandler(announce, n.log), errorLog)
+	n.readinessServer = newLocalServer(platform.NewReadinessHandler(n.ready, n.metricsHandler), errorLog)
+}
+
+// newLocalServer returns a server for the backend server and the readiness check.
+func newLocalServer(handler http.Handler, errorLog *stdlog.Logger) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: time.Second, ReadTimeout: localReadTimeout, WriteTimeout: localWriteTimeout,
+		IdleTimeout: localIdleTimeout, ErrorLog: errorLog,
 	}
 }
 
