End responses that have begun and make no progress

The entry lifted the deadline with the head of a response, because what is ready is delivered late as well, and nothing took its place. A backend server that stops or trickles did the same, and an executor whose entry had gone silent waited for its backend server without any bound.

The timer of the deadline goes on as the watch of the response, at the entry and half a second later at the executor, which ends calls without a response too. Each such end is logged and counted.

Conclusion: several lost packets in a row can end a response that is late.

--- a/pkg/mesh/entry.go
+++ b/pkg/mesh/entry.go
@@ -154,13 +154,17 @@
 // forwardCall forwards a call and returns the response for the caller.
 func (e *Entry) forwardCall(ctx context.Context, c *Call) *h1.Response {
 	callCtx, cancel := context.WithCancel(ctx)
-	deadlineTimer := time.AfterFunc(time.Until(c.Deadline), cancel)
+	watch := (&deadlineWatch{cancel: cancel, call: c, deadline: c.Deadline, role: "entry", log: &e.Log, metrics: e.Metrics}).start()
 	f := &forwarder{entry: e, call: c}
 	result := f.forward(callCtx)
 	giveBackQuota(c, result.Outcome)
-	// A response that has arrived is delivered completely, even if the deadline
+	// A response that has arrived, or still arrives, is delivered even if the deadline
 	// passes meanwhile.
-	deadlineTimer.Stop()
+	if result.Outcome == Answered && !result.buffered && result.Body != nil {
+		result.Body = watch.follow(result.Body)
+	} else {
+		watch.stop()
+	}
 	elapsed := time.Since(c.Received)
 	response := e.buildResponse(c, result)
 	e.logCall(f, result, response.Status, elapsed)
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -27,6 +27,9 @@
 	// coldSlowdown is the slowdown assumed for a backend server that has just
 	// started and has not reported its load.
 	coldSlowdown = 2
+	// entrySilence is the time after its deadline at which the executor ends a call
+	// itself. Before that its entry does so, unless its machine has gone silent.
+	entrySilence = 500 * time.Millisecond
 	// defaultNominalTimeDivisor applies to calls whose rule has no samples yet:
 	// their nominal time is assumed to be the time to their objective divided by
 	// it.
@@ -272,6 +275,8 @@
 	concurrent := x.queue.Running()
 	expectedBytes := x.Board.CallStats.ForRule(c.Rule).ResponseSize()
 	x.Board.Link.AddPending(expectedBytes)
+	ctx, cancel := context.WithCancel(ctx)
+	watch := (&deadlineWatch{cancel: cancel, call: c, deadline: c.Deadline.Add(entrySilence), role: "executor", log: &x.Log, metrics: x.Metrics}).start()
 	result := x.sendToServer(ctx, c, server)
 	x.Board.Link.AddPending(-expectedBytes)
 	ended := time.Now()
@@ -284,10 +289,13 @@
 	}
 	concurrent = (concurrent + x.queue.Running() + 1) / 2
 	if result.buffered || result.Body == nil {
+		watch.stop()
+		cancel()
 		x.reportEnd(c, server, tracked, result.end())
 		release()
 	} else {
 		slotPassedOn = true
+		result.Body = onClose(watch.follow(result.Body), cancel)
 		result.Body = onClose(h1.ObserveEnd(result.Body, func(err error) {
 			x.reportEnd(c, server, tracked, result.endOfBody(ctx, err))
 		}), release)
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -95,7 +95,7 @@
 // close the connection.
 type connHandler func(conn net.Conn, r *http.Request) bool
 
-func startBackend(t *testing.T, handle connHandler) *backendServer {
+func startBackend(t testing.TB, handle connHandler) *backendServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -178,7 +178,7 @@
 
 // startFleet starts a node beside each backend server, all of one service.
 // Callers use the first node.
-func startFleet(t *testing.T, servers ...*backendServer) []*node {
+func startFleet(t testing.TB, servers ...*backendServer) []*node {
 	t.Helper()
 	var nodes []*node
 	for i, server := range servers {
@@ -190,13 +190,13 @@
 	return nodes
 }
 
-func startNode(t *testing.T, name string, server *backendServer) *node {
+func startNode(t testing.TB, name string, server *backendServer) *node {
 	t.Helper()
 	return startNodeIn(t, name, "d", server)
 }
 
 // startNodeIn starts a node in a failure domain.
-func startNodeIn(t *testing.T, name, domain string, server *backendServer) *node {
+func startNodeIn(t testing.TB, name, domain string, server *backendServer) *node {
 	t.Helper()
 	n := startUnconfigured(t, name, domain, server)
 	n.board.Routes.Claim("test").Publish(testRoutes())
@@ -204,7 +204,7 @@
 }
 
 // startUnconfigured starts a node that has no configuration.
-func startUnconfigured(t *testing.T, name, domain string, server *backendServer) *node {
+func startUnconfigured(t testing.TB, name, domain string, server *backendServer) *node {
 	t.Helper()
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
