Clear suspect requests by the completions before the suspicion

They were quarantined on all nodes: a request that is sent often was running on two servers that another one crashed, its completions elsewhere cleared nothing because the nodes did not know of the suspicion yet, and once it was quarantined there were no more of them.

TestRequestThatCompletedLatelyIsNotQuarantined fails without the change.

Conclusion: requests with bodies above 4 KB are cleared as before.

--- a/pkg/board/mesh.go
+++ b/pkg/board/mesh.go
@@ -68,6 +68,8 @@
 	// CustomerService holds the recent service of customers on the local backend
 	// server.
 	CustomerService *CustomerService
+	// CompletedRequests holds the requests that the local backend server answered last.
+	CompletedRequests *CompletedRequests
 	// AttemptCounters counts the calls and the additional attempts of each
 	// service.
 	AttemptCounters *AttemptCounters
@@ -140,9 +142,9 @@
 		ServerLoad:       &ServerLoad{},
 		Link:             NewLinkPacer(self.LinkRate),
 		InboundLink:      NewLinkPacer(pacing.BodyRate(self.LinkRate)), HeldBodies: NewHeldBodies(0),
-		CallStats:        &StatsByRule{},
-		CustomerService:  NewCustomerService(time.Now()),
-		AttemptCounters:  NewAttemptCounters(time.Now()),
+		CallStats:       &StatsByRule{},
+		CustomerService: NewCustomerService(time.Now()),
+		AttemptCounters: NewAttemptCounters(time.Now()), CompletedRequests: &CompletedRequests{},
 		DomainLatencies:  &DomainLatencies{},
 		LeavingShares:    &LeavingShares{},
 		ConfigConfirmed:  &ConfirmedVersion{},
--- a/pkg/control/quarantine/mesh.go
+++ b/pkg/control/quarantine/mesh.go
@@ -55,6 +55,7 @@
 			changed = c.removeExpired(now)
 		}
 		if changed {
+			c.clearCompleted(time.Now())
 			next := c.suspectRequests.Snapshot(c.config.CrashThreshold)
 			next.Advertised = c.suspectRequests.Reports()
 			next.BucketDigests = decide.BucketDigests(next.Advertised)
@@ -88,6 +89,25 @@
 	return len(c.recordCrashes(suspects, now.Add(c.config.TTL))) > 0
 }
 
+// clearCompleted clears the suspect requests that completed lately on the local backend
+// server, and not on an incarnation that crashed while running them. A request that is
+// sent often is likely to be running wherever another one crashes a backend server, and
+// once it is quarantined, nothing else could clear it.
+func (c *MeshController) clearCompleted(now time.Time) {
+	uncleared := c.suspectRequests.Snapshot(c.config.CrashThreshold).Entries
+	if len(uncleared) == 0 {
+		return
+	}
+	completed := c.board.CompletedRequests.Since(now.Add(-decide.SuspectWindow))
+	for digest, entry := range uncleared {
+		r, found := completed[digest]
+		if found && decide.ProvesHarmless(entry.Deaths, c.incarnationOf(board.ExecutionResult{ServerIncarnation: r.ServerIncarnation})) {
+			c.suspectRequests.ClearCrashes(digest, entry.Deaths, now.Add(c.config.TTL))
+			c.log.Info().Str("event", "suspect_cleared").Str("digest", digest).Str("request", entry.Summary).Send()
+		}
+	}
+}
+
 // handleCompletion clears a suspect request that has completed on an incarnation
 // other than those that crashed while running it.
 func (c *MeshController) handleCompletion(e board.ExecutionResult, now time.Time) bool {
--- a/pkg/control/quarantine/mesh_test.go
+++ b/pkg/control/quarantine/mesh_test.go
@@ -109,3 +109,41 @@
 		require.False(t, nodes[2].isQuarantined("beside"))
 	})
 }
+
+// Guards against the quarantine of a request that is sent often and was running on two
+// backend servers when another request crashed them: it completed on others shortly
+// before, and once it is quarantined, no completion can clear it.
+func TestRequestThatCompletedLatelyIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		nodes := startMeshNodes(ctx, 4)
+		complete := func(n *meshNode, digest string, incarnation uint64) {
+			n.board.CompletedRequests.Add(board.CompletedRequest{Digest: digest, ServerIncarnation: incarnation, At: time.Now()})
+		}
+		complete(nodes[2], "long ago", 1)
+		time.Sleep(2 * decide.SuspectWindow)
+		// It completed on the servers that crash, too, which proves nothing.
+		for _, n := range nodes[:2] {
+			complete(n, "often", 1)
+			complete(n, "crash", 1)
+			for _, digest := range []string{"often", "crash", "long ago"} {
+				n.postExecution(board.ExecutionConnectionLost, digest, 1)
+			}
+		}
+		complete(nodes[2], "often", 1)
+		for _, n := range nodes[:2] {
+			n.publishServer(board.BackendServer{ID: "s", StartMillis: 1, Down: true})
+		}
+		nodes[3].receiveReports(nodes[0])
+		nodes[3].receiveReports(nodes[1])
+		nodes[2].receiveReports(nodes[3])
+		require.False(t, nodes[2].isQuarantined("often"))
+		require.True(t, nodes[2].isQuarantined("crash"))
+		require.True(t, nodes[2].isQuarantined("long ago"))
+		for _, n := range nodes {
+			n.receiveReports(nodes[2])
+			require.False(t, n.isQuarantined("often"))
+		}
+	})
+}
--- a/pkg/mesh/quarantine.go
+++ b/pkg/mesh/quarantine.go
@@ -71,6 +71,10 @@
 	return endUnknown
 }
 
+// maxRememberedBody bounds the bodies of the requests whose completion is remembered, in
+// bytes. The digest of a larger one takes a noticeable part of the time of a call.
+const maxRememberedBody = 4 << 10
+
 // reportEnd tells the quarantine controller about a call that may have crashed the
 // backend server, and about a suspected call that has completed. After a lost connection
 // it has the backend server checked.
@@ -83,6 +87,12 @@
 		return
 	case end == endConnLost:
 		x.Board.SuspectedServers.Post(*server)
+	case end == endComplete && len(c.Body) <= maxRememberedBody:
+		x.Board.CompletedRequests.Add(board.CompletedRequest{Digest: c.contentDigest(), ServerIncarnation: uint64(server.StartMillis), At: time.Now()})
+		if !q.IsSuspected(c.contentDigest()) {
+			return
+		}
+		execution.Kind = board.ExecutionCompleted
 	case end == endComplete && !q.Empty() && q.IsSuspected(c.contentDigest()):
 		execution.Kind = board.ExecutionCompleted
 	default:
--- a/pkg/mesh/quarantine_test.go
+++ b/pkg/mesh/quarantine_test.go
@@ -129,6 +129,8 @@
 			require.Equal(t, *c.report, reports[0].Kind)
 			require.Equal(t, digest, reports[0].Digest)
 			require.Equal(t, *c.report == lost, len(n.board.SuspectedServers.Events()) == 1, "the server is checked after a lost connection only")
+			_, remembered := n.board.CompletedRequests.Since(time.Time{})[digest]
+			require.Equal(t, *c.report == completed, remembered)
 		})
 	}
 }
