Send only valid text in messages between nodes

Cause: the summary of a suspected request is cut at 200 bytes and may hold any bytes of a path, and the ID of a backend server comes from the path of its announcement.

--- a/pkg/decide/quarantine/digest.go
+++ b/pkg/decide/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 const (
@@ -34,8 +35,9 @@
 	return hex.EncodeToString(h.Sum(nil)[:digestSize])
 }
 
-// RequestSummary returns a short description of a request for operators.
+// RequestSummary returns a short description of a request for operators. It is valid
+// text, since the messages between nodes are refused as a whole otherwise.
 func RequestSummary(method, service, path string) string {
 	summary := method + " /" + service + path
-	return summary[:min(len(summary), maxSummary)]
+	return strings.ToValidUTF8(summary[:min(len(summary), maxSummary)], "")
 }
--- a/pkg/decide/quarantine/quarantine_test.go
+++ b/pkg/decide/quarantine/quarantine_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -145,3 +148,17 @@
 	suspects := SuspectExecutions(1, lost, running, baseTime.Add(1))
 	require.Equal(t, []board.ExecutionResult{execution("recent", 1), execution("running", 1)}, suspects)
 }
+
+// Guards against a path whose bytes are no valid text, or a character that the limit
+// cuts, which made other nodes refuse all exchanges of the node.
+func TestRequestSummaryIsValidText(t *testing.T) {
+	for _, path := range []string{"/a/\xff\xfe", "/" + strings.Repeat("ä", maxSummary), "/b" + strings.Repeat("ä", maxSummary)} {
+		summary := RequestSummary("GET", "s", path)
+		require.True(t, utf8.ValidString(summary), "%q", summary)
+		require.LessOrEqual(t, len(summary), maxSummary)
+		data, err := cbor.Marshal(board.Suspicion{Digest: "d", Summary: summary})
+		require.NoError(t, err)
+		var received board.Suspicion
+		require.NoError(t, cbor.Unmarshal(data, &received))
+	}
+}
