Keep the wait for the record within the time for an announcement

Cause: a drain that is applied late could wait 400 ms more for the store than the 800 ms in which announcements are answered; backend servers give up after 1 s. A leaving also kept the mark of a refused health check.

Change: the wait for the store takes what is left of the time. A leaving clears the mark.

Result: the tests of registration and of decide/server pass.

--- a/pkg/board/backendserver.go
+++ b/pkg/board/backendserver.go
@@ -46,7 +46,8 @@
 	// DrainingSince is when this node learned that it drains. The zero time means
 	// that an earlier process learned it.
 	DrainingSince time.Time
-	// LastHeardAt is the time of its latest announcement or health response.
+	// LastHeardAt is the time of its latest announcement or health response, zero if only
+	// a record tells of it. While it is unconfirmed, it is that of the first one.
 	LastHeardAt time.Time
 	// Down is set while it does not serve its address.
 	Down bool
--- a/pkg/control/localserver/localserver.go
+++ b/pkg/control/localserver/localserver.go
@@ -70,9 +70,11 @@
 	}
 }
 
-// AnnounceAndWait posts an event and waits until it is applied, at most for
-// timeout. It reports whether the event was acknowledged.
+// AnnounceAndWait posts an event and waits until it is applied and, for a drain or a
+// leaving, until the store holds it, at most for timeout. It reports whether the event
+// was acknowledged.
 func AnnounceAndWait(b *board.MeshBoard, event board.ServerEvent, timeout time.Duration) bool {
+	started := time.Now()
 	event.Applied = make(chan bool, 1)
 	if !b.Announcements.Post(event) {
 		return false
@@ -82,7 +84,7 @@
 	select {
 	case ok := <-event.Applied:
 		if ok && event.Server.State >= board.ServerDraining {
-			awaitWithdrawalRecord(b, event.Server)
+			awaitWithdrawalRecord(b, event.Server, min(maxRecordWait, timeout-time.Since(started)))
 		}
 		return ok
 	case <-timer.C:
@@ -90,18 +92,17 @@
 	}
 }
 
-// maxRecordWait bounds the wait for the store before a leaving is acknowledged.
-// Backend servers wait one second for the acknowledgement, also while the store is
-// slow.
+// maxRecordWait bounds the wait for a slow store. Acknowledgements that take longer than
+// a second are worth less, and their backend server sends them again.
 const maxRecordWait = 400 * time.Millisecond
 
 // awaitWithdrawalRecord waits until the store holds that the backend server drains or
 // leaves, because the acknowledgement binds the next process of this node as well. It
 // does not wait while the store is unreachable; then only other nodes learn of it.
-func awaitWithdrawalRecord(b *board.MeshBoard, withdrawn board.BackendServer) {
+func awaitWithdrawalRecord(b *board.MeshBoard, withdrawn board.BackendServer, timeout time.Duration) {
 	updates := b.Store.Subscribe()
 	defer b.Store.Unsubscribe(updates)
-	timer := time.NewTimer(maxRecordWait)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		local, status := b.LocalServer.Load(), b.Store.Load()
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -193,7 +193,7 @@
 	if current.State < board.ServerDraining || current.ID == "" || later {
 		next.DrainingSince = now
 	}
-	next.State, next.Unconfirmed = board.ServerGone, false
+	next.State, next.Unconfirmed, next.HealthRefused = board.ServerGone, false, false
 	next.LastHeardAt = now
 	return next, Applied
 }
