Soak: kill all processes at once before late heartbeats arrive

Two calls in a test file did not handle their error, which errcheck refuses.

Change: after the other faults all processes are killed, in half of the runs while the store is away, and the last heartbeat of each drained backend server before its drain arrives after their start. The choices come from a generator of their own, so that seeds keep their other faults.

--- a/pkg/meshnode/localserver_test.go
+++ b/pkg/meshnode/localserver_test.go
@@ -22,10 +22,10 @@
 		handled <- err
 	}), stdlog.New(io.Discard, "", 0))
 	go func() { _ = serveHTTP(server, listener) }()
-	defer server.Close()
+	defer func() { _ = server.Close() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "POST /instances/i/heartbeat HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
 	require.NoError(t, err)
 	select {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -158,6 +159,37 @@
 	}
 }
 
+// killAllNodes kills all processes at once, in half of the runs while the store is away,
+// and starts them again. The last heartbeat of each drained backend server before its
+// drain arrives after that.
+func (s *soakRun) killAllNodes(rng *rand.Rand) {
+	downFor := time.Duration(rng.Int64N(int64(maxFaultDuration)))
+	if rng.IntN(2) == 0 {
+		s.site.Store.SetFaults(store.Faults{Outage: true})
+		defer s.site.Store.SetFaults(store.Faults{})
+	}
+	for _, n := range s.site.Nodes {
+		n.Signal(syscall.SIGKILL)
+	}
+	for _, n := range s.site.Nodes {
+		n.WaitForExit(exitTimeout)
+	}
+	time.Sleep(downFor)
+	for _, n := range s.site.Nodes {
+		restartNode(n)
+	}
+	time.Sleep(time.Duration(rng.Int64N(int64(maxFaultDuration))))
+	ctx, cancel := context.WithTimeout(context.Background(), maxFaultDuration)
+	defer cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.drainAckedAt {
+		if err := n.BackendServer.SendLateHeartbeat(ctx); err != nil {
+			s.violations.add("late heartbeat of %s: %v", n.BackendServer.ID, err)
+		}
+	}
+}
+
 // injectFaults starts random faults during injectionTime, waits until all are over
 // and returns their names. Faults may overlap, except that a node's process has at
 // most one process fault at a time.
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -4,7 +4,8 @@
 //   - a booking is executed at most once, and never if its caller was told that it
 //     was not executed;
 //   - a response is complete and belongs to its request;
-//   - a backend server receives no calls from 2 s after its drain was acknowledged;
+//   - a backend server receives no calls from 2 s after its drain was acknowledged, also
+//     after all processes were killed and a heartbeat of before arrived late;
 //   - once all faults are over, the site serves calls again;
 //   - a failure domain that is evacuated then gets no calls from 5 s after its key was
 //     written, and the other domains serve its callers.
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -64,7 +64,7 @@
 		return "", errors.Annotatef(err, "starting the site, logs in %s", dir)
 	}
 	defer site.Stop()
-	soak := &soakRun{site: site, rng: rand.New(rand.NewPCG(seed, seed)), drainAckedAt: map[*meshsite.Node]time.Time{}}
+	soak := &soakRun{site: site, rng: rand.New(rand.NewPCG(seed, seed)), killRng: rand.New(rand.NewPCG(seed, ^seed)), drainAckedAt: map[*meshsite.Node]time.Time{}}
 	injected := soak.run(ctx, opts.injectionTime)
 	err = soak.violations.err(dir)
 	if err == nil {
@@ -79,8 +79,11 @@
 
 // soakRun is the run of one seed.
 type soakRun struct {
-	site       *meshsite.Site
-	rng        *rand.Rand
+	site *meshsite.Site
+	rng  *rand.Rand
+	// killRng is that of killAllNodes. With a generator of its own, a seed keeps the
+	// faults that it had before that fault existed.
+	killRng    *rand.Rand
 	violations violations
 
 	// mu guards violations and the fields below.
@@ -111,6 +114,7 @@
 		})
 	}
 	injected := s.injectFaults(ctx, injectionTime)
+	s.killAllNodes(s.killRng)
 	time.Sleep(recoveryTime)
 	s.mu.Lock()
 	s.recovered = true
