Word some comments of the fixes more plainly

Change: comments only.

Result: vet, staticcheck and errcheck pass, and the tests of the packages concerned.

--- a/pkg/board/backendserver.go
+++ b/pkg/board/backendserver.go
@@ -46,8 +46,9 @@
 	// DrainingSince is when this node learned that it drains. The zero time means
 	// that an earlier process learned it.
 	DrainingSince time.Time
-	// LastHeardAt is the time of its latest announcement or health response, zero if only
-	// a record tells of it. While it is unconfirmed, it is that of the first one.
+	// LastHeardAt is the time of its latest announcement or health response, zero if it is
+	// known from a record only. While the server is unconfirmed, it is the time of the
+	// first one.
 	LastHeardAt time.Time
 	// Down is set while it does not serve its address.
 	Down bool
@@ -122,7 +123,7 @@
 	// set.
 	Warmup         time.Duration
 	WarmupReported bool
-	// RecordCurrent is set in a ServerEventEarlierRecord of a read that tells all that
+	// RecordCurrent is set in a ServerEventEarlierRecord of a read that shows all that
 	// the earlier process had recorded. Records of stale reads and of other nodes may
 	// be older than that.
 	RecordCurrent bool
--- a/pkg/control/localserver/localserver.go
+++ b/pkg/control/localserver/localserver.go
@@ -98,7 +98,7 @@
 
 // awaitWithdrawalRecord waits until the store holds that the backend server drains or
 // leaves, because the acknowledgement binds the next process of this node as well. It
-// does not wait while the store is unreachable; then only other nodes learn of it.
+// does not wait while the store is unreachable; then only other nodes receive it.
 func awaitWithdrawalRecord(b *board.MeshBoard, withdrawn board.BackendServer, timeout time.Duration) {
 	updates := b.Store.Subscribe()
 	defer b.Store.Unsubscribe(updates)
--- a/pkg/decide/progress/progress.go
+++ b/pkg/decide/progress/progress.go
@@ -33,9 +33,9 @@
 	received int64
 }
 
-// Observe returns the meter after an interval in which bytes arrived. waiting tells
-// whether the reader waits for further bytes. While it does not, because it paces the
-// response or its own reader is slow, the sender is not to blame.
+// Observe returns the meter after an interval in which bytes arrived. waiting is true if
+// the reader waits for further bytes. An interval in which it does not, because it paces
+// the response or its own reader is slow, does not count.
 func (m Meter) Observe(interval time.Duration, bytes int64, waiting bool) Meter {
 	m.received += bytes
 	if m.received >= MinBytes {
--- a/pkg/decide/server/order_test.go
+++ b/pkg/decide/server/order_test.go
@@ -18,14 +18,14 @@
 	maxPlayedDelay = 16
 )
 
-// delayedHeartbeat is a heartbeat that is on its way.
+// delayedHeartbeat is a heartbeat that has not arrived yet.
 type delayedHeartbeat struct {
 	event  board.ServerEvent
 	arrive int
 }
 
-// play is one machine: backend servers one after the other, the heartbeats that are on
-// their way, and the processes of the node with what the store holds of them.
+// play is one machine: backend servers one after the other, the heartbeats that have
+// not arrived yet, and the processes of the node with what the store holds of them.
 type play struct {
 	t      *testing.T
 	random *rand.Rand
@@ -51,8 +51,8 @@
 	p.log = append(p.log, fmt.Sprintf("%d: kind %d %s/%d #%d state %v current %v -> %s/%d %v unconfirmed %v", p.step, event.Kind,
 		event.Server.ID, event.Server.StartMillis, event.Server.Sequence, event.Server.State, event.RecordCurrent, next.ID, next.StartMillis, next.State, next.Unconfirmed))
 	p.state = next
-	// A call names the ID, so it reaches a server of this ID only, whichever start of it
-	// the node believes in.
+	// A call names the ID, so it reaches a server of this ID only, whichever start time
+	// the node has for it.
 	if next.AcceptsCalls() && next.ID == p.running.ID {
 		require.False(p.t, p.withdrawn[p.running.StartMillis], "a server that has left is in use: %v", p.log)
 	}
--- a/pkg/decide/server/server.go
+++ b/pkg/decide/server/server.go
@@ -21,9 +21,9 @@
 	Stale
 )
 
-// maxHeartbeatDelay is the time for which a heartbeat may be on its way. One that
-// arrives this long after the first was sent after this process started, so no earlier
-// process has acknowledged a leaving before it.
+// maxHeartbeatDelay bounds the delay of a heartbeat. One that arrives this long after the
+// first was sent after this process started, so that its backend server had not left when
+// an earlier process ended.
 const maxHeartbeatDelay = 5 * time.Second
 
 // Apply returns the state after an event and the effect of the event.
@@ -135,10 +135,10 @@
 
 // needsConfirmation reports whether a heartbeat of another backend server than the
 // current one may be a late one that nothing else contradicts. This is so until this
-// process has heard of a backend server or knows all that the earlier process had
-// recorded, and while the current one is known from a health response only, which has
-// no start time. A refused health check speaks against the record: the leaving may have
-// been acknowledged while the store was away.
+// process has received an announcement or a health response, or has read all that the
+// earlier process had recorded, and while the current one is known from a health response
+// only, which has no start time. After a refused health check the record is no proof: the
+// leaving may have been acknowledged while the store was away.
 func needsConfirmation(current board.BackendServer) bool {
 	if current.ID != "" && current.StartMillis == 0 {
 		return true
@@ -247,7 +247,7 @@
 		// The health check finds out whether the later server is still there.
 		next = board.BackendServer{Earlier: next.Earlier}
 	case withdrawn && sameIncarnation(earlier, current) && current.State < earlier.State:
-		// With the start time, a later start under the same ID is told apart.
+		// The start time distinguishes a later start under the same ID.
 		next.StartMillis = max(current.StartMillis, earlier.StartMillis)
 		next.State, next.Unconfirmed, next.HealthRefused = earlier.State, false, false
 		next.DrainingSince, next.LastHeardAt = time.Time{}, time.Time{}
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -59,8 +59,8 @@
 	Header http.Header
 	// ContentLength is the size of the body in bytes, -1 when it is not known.
 	ContentLength int64
-	// EndsWithConn is true when the body ends with its connection. Nothing tells a whole
-	// one from one that the end of the server has cut short.
+	// EndsWithConn is true when the body ends with its connection, so that a body cut short
+	// by the end of the server looks whole.
 	EndsWithConn bool
 	// Body must be closed. A read error means that the response is incomplete.
 	Body io.ReadCloser
--- a/pkg/mesh/executor.go
+++ b/pkg/mesh/executor.go
@@ -28,7 +28,7 @@
 	// started and has not reported its load.
 	coldSlowdown = 2
 	// entrySilence is the time after its deadline at which the executor ends a call
-	// itself. Before that its entry does so, unless its machine has gone silent.
+	// itself. Before that its entry does so, unless its machine does not respond any more.
 	entrySilence = 500 * time.Millisecond
 	// defaultNominalTimeDivisor applies to calls whose rule has no samples yet:
 	// their nominal time is assumed to be the time to their objective divided by
--- a/pkg/mesh/watch.go
+++ b/pkg/mesh/watch.go
@@ -82,7 +82,7 @@
 	w.timer.Reset(progress.CheckInterval)
 }
 
-// watchedBody counts the bytes that are read and tells whether its reader waits.
+// watchedBody counts the bytes that are read and records whether its reader waits.
 type watchedBody struct {
 	io.ReadCloser
 	received atomic.Int64
