--- a/pkg/board/backendserver.go
+++ b/pkg/board/backendserver.go
@@ -106,12 +106,12 @@
 	// node was found, or that the store has none. In the latter case the ID of the
 	// server is "".
 	ServerEventEarlierRecord
-	// ServerEventHealthRefused means that a backend server answered a health check that
-	// it drains or fails. The ID of the server is "" if the answer did not name it.
-	ServerEventHealthRefused
 	// ServerEventWarmup means that the backend server reported in a response how long it
 	// stays cold.
 	ServerEventWarmup
+	// ServerEventHealthRefused means that a backend server answered a health check that
+	// it drains or fails. The ID of the server is "" if the answer did not name it.
+	ServerEventHealthRefused
 )
 
 // ServerEvent is an announcement of the local backend server or an observation
--- a/pkg/control/registration/registration.go
+++ b/pkg/control/registration/registration.go
@@ -61,8 +61,6 @@
 
 	// bootstrap is true when the whole deployment starts for the first time.
 	bootstrap bool
-	// earlierRecordRead is set when StoreStatus.EarlierRecord is published.
-	earlierRecordRead bool
 
 	started time.Time
 	// leaseID is "" while the node holds no lease.
@@ -165,7 +163,7 @@
 		c.probe(ctx)
 	case c.listCount == 0:
 		c.listRecords(ctx, now)
-	case !c.earlierRecordRead:
+	case c.writer.Load().EarlierRecord == nil:
 		c.readEarlierRecord(ctx)
 	case c.leaseID == "" && now.Before(c.reregisterAt):
 		return false
@@ -386,7 +384,6 @@
 	if consistent || first {
 		c.syncedAt = time.Now()
 	}
-	c.earlierRecordRead = c.earlierRecordRead || c.bootstrap
 	next := *c.writer.Load()
 	next.ListedRecords = map[board.InstanceID]board.NodeRecord{}
 	next.ListingRequestedAt = now
@@ -398,10 +395,7 @@
 		}
 		next.ListedRecords[record.Instance] = record
 	}
-	if _, listed := next.ListedRecords[c.board.Self.Instance]; first && listed {
-		c.earlierRecordRead = false
-	}
-	if c.earlierRecordRead && next.EarlierRecord == nil {
+	if _, listed := next.ListedRecords[c.board.Self.Instance]; c.bootstrap && !listed && next.EarlierRecord == nil {
 		next.EarlierRecord = &board.NodeRecord{}
 	}
 	c.writer.Publish(&next)
@@ -419,7 +413,6 @@
 	if !c.recordResult("read_earlier", err) {
 		return
 	}
-	c.earlierRecordRead = true
 	next := *c.writer.Load()
 	next.EarlierRecord = &board.NodeRecord{}
 	if found {
--- a/pkg/mesh/quarantine.go
+++ b/pkg/mesh/quarantine.go
@@ -87,14 +87,14 @@
 		return
 	case end == endConnLost:
 		x.Board.SuspectedServers.Post(*server)
-	case end == endComplete && len(c.Body) <= maxRememberedBody:
-		x.Board.CompletedRequests.Add(board.CompletedRequest{Digest: c.contentDigest(), ServerIncarnation: uint64(server.StartMillis), At: time.Now()})
-		if !q.IsSuspected(c.contentDigest()) {
+	case end == endComplete:
+		if len(c.Body) <= maxRememberedBody {
+			x.Board.CompletedRequests.Add(board.CompletedRequest{Digest: c.contentDigest(), ServerIncarnation: execution.ServerIncarnation, At: time.Now()})
+		}
+		if q.Empty() || !q.IsSuspected(c.contentDigest()) {
 			return
 		}
 		execution.Kind = board.ExecutionCompleted
-	case end == endComplete && !q.Empty() && q.IsSuspected(c.contentDigest()):
-		execution.Kind = board.ExecutionCompleted
 	default:
 		return
 	}
