review: drop the case that review/10 shows already

The case of requests that are pipelined behind a large answer repeats review/10. The case of the queued requests takes its number; its code is unchanged. The stand-ins lose what only the dropped case used.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -7,4 +7,4 @@
 RUN=$(sed -n 's/^run *= *"\(.*\)"/\1/p' "$REPO/deploy/system.toml" | head -1)
 export REPO RUN
 [ -x "$REPO/build/review-3-lab" ] && [ -x "$REPO/${RUN%% *}" ] || { echo "not built" >&2; exit 2; }
-exec timeout --kill-after=5 115 "$REPO/build/review-3-lab" pipelined "$folder"
+exec timeout --kill-after=5 115 "$REPO/build/review-3-lab" queued "$folder"
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -84,40 +83,3 @@
 	r.ended = time.Now()
 	return r
 }
-
-// pipeline sends several requests on one connection before it reads the answers.
-func pipeline(addr string, paths, ids []string, deadline time.Duration) []result {
-	results := make([]result, len(ids))
-	var text strings.Builder
-	for i, id := range ids {
-		results[i].id = id
-		text.WriteString(requestText(http.MethodGet, paths[i], id, deadline))
-	}
-	c, err := net.DialTimeout("tcp", addr, time.Second)
-	if err == nil {
-		defer c.Close()
-		_ = c.SetDeadline(time.Now().Add(deadline))
-		_, err = io.WriteString(c, text.String())
-	}
-	br := (*bufio.Reader)(nil)
-	if err == nil {
-		br = newReader(c)
-	}
-	sent := time.Now()
-	for i := range results {
-		results[i].sent = sent
-		if err == nil {
-			var closing bool
-			results[i].status, results[i].body, closing, err = readAnswer(br, http.MethodGet)
-			results[i].err = err
-			if err == nil && closing && i+1 < len(results) {
-				err = io.EOF
-			}
-		} else {
-			results[i].err = err
-		}
-		results[i].ended = time.Now()
-		note(addr, results[i])
-	}
-	return results
-}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,8 +20,7 @@
 		os.Exit(failure)
 	}
 	plays := map[string]func(*record, string, bool) (int, error){
-		"forgotten": playForgotten, "pipelined": playPipelined, "queued": playQueued, "stopping": playStopping,
-		"lasttenant": playLastTenant,
+		"lasttenant": playLastTenant, "stopping": playStopping, "forgotten": playForgotten, "queued": playQueued,
 	}
 	play := plays[os.Args[1]]
 	if play == nil {
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -470,10 +470,3 @@
 	at, ok := b.runs[id]
 	return at, ok
 }
-
-// count returns the number of requests that have begun to run.
-func (b *backend) count() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.runs)
-}
